--- /dev/null
+++ b/api/errkind/errkind.go
@@ -0,0 +1,208 @@
+// Package errkind defines the closed list of error kinds and the table that maps each kind to the answer a caller gets.
+// Every answer of a daemon that is not a result is built from this table.
+package errkind
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind identifies one error kind. Its string is the machine-readable code in the body of an answer.
+type Kind string
+
+// NotRun states whether the refused call may have had an effect upstream.
+type NotRun string
+
+// Values of NotRun in an answer.
+const (
+	NotRunTrue    NotRun = "true"
+	NotRunFalse   NotRun = "false"
+	NotRunUnknown NotRun = "unknown"
+)
+
+// Retry tells the caller what to do next.
+type Retry string
+
+// Values of Retry in an answer.
+const (
+	RetryNever       Retry = "never"        // The same request will fail again.
+	RetrySame        Retry = "same"         // Repeat the same request with the same call key.
+	RetryWithHistory Retry = "with_history" // Repeat with the turns after the durable sequence.
+	RetryReadState   Retry = "read_state"   // Read the program's state, then decide.
+)
+
+// The closed list of kinds.
+const (
+	MalformedBody          Kind = "malformed_body"
+	UnknownField           Kind = "unknown_field"
+	WrongType              Kind = "wrong_type"
+	InvalidValue           Kind = "invalid_value"
+	BadHeader              Kind = "bad_header"
+	BodyTooLarge           Kind = "body_too_large"
+	Unauthenticated        Kind = "unauthenticated"
+	ProgramNotFound        Kind = "program_not_found"
+	ProgramEnded           Kind = "program_ended"
+	WrongSequence          Kind = "wrong_sequence"
+	DigestMismatch         Kind = "digest_mismatch"
+	HistoryGap             Kind = "history_gap"
+	CallKeyReused          Kind = "call_key_reused"
+	CallInProgress         Kind = "call_in_progress"
+	UnknownModel           Kind = "unknown_model"
+	UnknownUpstream        Kind = "unknown_upstream"
+	DeadlinePast           Kind = "deadline_past"
+	DeadlineUnreachable    Kind = "deadline_unreachable"
+	TurnLimit              Kind = "turn_limit"
+	ProgramBudgetExhausted Kind = "program_budget_exhausted"
+	TenantBudgetExhausted  Kind = "tenant_budget_exhausted"
+	TenantLimit            Kind = "tenant_limit"
+	QueueFull              Kind = "queue_full"
+	RetryBudgetExhausted   Kind = "retry_budget_exhausted"
+	OwnerUnavailable       Kind = "owner_unavailable"
+	NotOwner               Kind = "not_owner"
+	StoreUnavailable       Kind = "store_unavailable"
+	BacklogFull            Kind = "backlog_full"
+	ShuttingDown           Kind = "shutting_down"
+	UpstreamUnavailable    Kind = "upstream_unavailable"
+	UpstreamFailed         Kind = "upstream_failed"
+	UpstreamTimeout        Kind = "upstream_timeout"
+	OutcomeUnknown         Kind = "outcome_unknown"
+	StreamGone             Kind = "stream_gone"
+	StaleFencing           Kind = "stale_fencing"
+	Conflict               Kind = "conflict"
+	InvalidRecord          Kind = "invalid_record"
+	RecordNotFound         Kind = "record_not_found"
+	CallerGone             Kind = "caller_gone"
+	Internal               Kind = "internal"
+)
+
+// Answer is one row of the table: how a kind is reported to a caller.
+type Answer struct {
+	Status  int    // HTTP status code.
+	NotRun  NotRun // Whether the call certainly did not run.
+	Retry   Retry  // What the caller can do.
+	Meaning string // One short sentence for operators and callers.
+}
+
+// statusClientClosedRequest is the customary status for a caller that closed its connection.
+const statusClientClosedRequest = 499
+
+var table = map[Kind]Answer{
+	MalformedBody:          {http.StatusBadRequest, NotRunTrue, RetryNever, "The body is not valid JSON."},
+	UnknownField:           {http.StatusBadRequest, NotRunTrue, RetryNever, "The body has a field that does not exist."},
+	WrongType:              {http.StatusBadRequest, NotRunTrue, RetryNever, "A field of the body has the wrong type."},
+	InvalidValue:           {http.StatusBadRequest, NotRunTrue, RetryNever, "A field of the body has a value that is not allowed."},
+	BadHeader:              {http.StatusBadRequest, NotRunTrue, RetryNever, "A header cannot be parsed."},
+	BodyTooLarge:           {http.StatusRequestEntityTooLarge, NotRunTrue, RetryNever, "The body is larger than allowed."},
+	Unauthenticated:        {http.StatusUnauthorized, NotRunTrue, RetryNever, "The bearer key is missing or unknown."},
+	ProgramNotFound:        {http.StatusNotFound, NotRunTrue, RetryNever, "The program does not exist for this tenant."},
+	ProgramEnded:           {http.StatusGone, NotRunTrue, RetryNever, "The program has ended."},
+	WrongSequence:          {http.StatusConflict, NotRunTrue, RetryReadState, "The sequence is not the next one of the program."},
+	DigestMismatch:         {http.StatusConflict, NotRunTrue, RetryReadState, "The digest is not the digest of the program's history."},
+	HistoryGap:             {http.StatusConflict, NotRunTrue, RetryWithHistory, "The owner lacks turns that the caller still holds."},
+	CallKeyReused:          {http.StatusConflict, NotRunTrue, RetryNever, "The call key was used with another body."},
+	CallInProgress:         {http.StatusConflict, NotRunTrue, RetrySame, "Another call of the program is running."},
+	UnknownModel:           {http.StatusUnprocessableEntity, NotRunTrue, RetryNever, "No record describes the model."},
+	UnknownUpstream:        {http.StatusUnprocessableEntity, NotRunTrue, RetryNever, "No record describes the upstream."},
+	DeadlinePast:           {http.StatusUnprocessableEntity, NotRunTrue, RetryNever, "The deadline is in the past."},
+	DeadlineUnreachable:    {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "The call cannot start before its deadline."},
+	TurnLimit:              {http.StatusForbidden, NotRunTrue, RetryNever, "The program has reached its turn limit."},
+	ProgramBudgetExhausted: {http.StatusPaymentRequired, NotRunTrue, RetryNever, "The budget of the program does not cover the call."},
+	TenantBudgetExhausted:  {http.StatusPaymentRequired, NotRunTrue, RetrySame, "The budget of the tenant does not cover the call."},
+	TenantLimit:            {http.StatusTooManyRequests, NotRunTrue, RetrySame, "The tenant has too many programs or calls under way."},
+	QueueFull:              {http.StatusTooManyRequests, NotRunTrue, RetrySame, "The queue of the engine group is full."},
+	RetryBudgetExhausted:   {http.StatusServiceUnavailable, NotRunUnknown, RetrySame, "The call failed and the retry budget is used up."},
+	OwnerUnavailable:       {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "The owner of the program cannot be reached now."},
+	NotOwner:               {http.StatusMisdirectedRequest, NotRunTrue, RetrySame, "This daemon does not own the program."},
+	StoreUnavailable:       {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "The platform cannot store what the call needs."},
+	BacklogFull:            {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "Too many changes wait for the platform."},
+	ShuttingDown:           {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "The daemon is stopping."},
+	UpstreamUnavailable:    {http.StatusBadGateway, NotRunTrue, RetrySame, "No upstream accepted a connection for the call."},
+	UpstreamFailed:         {http.StatusBadGateway, NotRunUnknown, RetrySame, "The upstream failed during an idempotent call."},
+	UpstreamTimeout:        {http.StatusGatewayTimeout, NotRunUnknown, RetrySame, "The upstream did not answer an idempotent call in time."},
+	OutcomeUnknown:         {http.StatusConflict, NotRunUnknown, RetryReadState, "The non-idempotent call may have run."},
+	StreamGone:             {http.StatusGone, NotRunFalse, RetryReadState, "The stream can no longer be resumed."},
+	StaleFencing:           {http.StatusConflict, NotRunTrue, RetryNever, "The order has an old fencing number."},
+	Conflict:               {http.StatusConflict, NotRunTrue, RetryReadState, "Another writer changed the object first."},
+	InvalidRecord:          {http.StatusUnprocessableEntity, NotRunTrue, RetryNever, "The record breaks a rule of its schema."},
+	RecordNotFound:         {http.StatusNotFound, NotRunTrue, RetryNever, "The record does not exist."},
+	CallerGone:             {statusClientClosedRequest, NotRunUnknown, RetrySame, "The caller closed its connection."},
+	Internal:               {http.StatusInternalServerError, NotRunUnknown, RetrySame, "The daemon has a fault."},
+}
+
+// Kinds returns every kind of the closed list, in no order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
+
+// Lookup returns the answer for a kind. A kind that is not in the list is reported as Internal.
+func Lookup(k Kind) Answer {
+	if a, ok := table[k]; ok {
+		return a
+	}
+	return table[Internal]
+}
+
+// Error is an error with a kind. RetryAfter is zero where no time can be stated.
+type Error struct {
+	Kind       Kind
+	Detail     string
+	RetryAfter time.Duration
+	NotRun     NotRun // Overrides the table where the daemon knows better; empty otherwise.
+	cause      error
+}
+
+// New returns an error of the kind with a detail for the reader.
+func New(k Kind, detail string) *Error { return &Error{Kind: k, Detail: detail} }
+
+// Newf is New with a format.
+func Newf(k Kind, format string, args ...any) *Error {
+	return &Error{Kind: k, Detail: errors.Newf(format, args...).Error()}
+}
+
+// Wrap returns an error of the kind that keeps cause for logs.
+func Wrap(k Kind, cause error, detail string) *Error {
+	return &Error{Kind: k, Detail: detail, cause: cause}
+}
+
+// After returns a copy of e with a retry time.
+func (e *Error) After(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	s := string(e.Kind)
+	if e.Detail != "" {
+		s += ": " + e.Detail
+	}
+	if e.cause != nil {
+		s += ": " + e.cause.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// From returns the kinded error in the chain of err. An error without a kind becomes Internal.
+func From(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Kind: Internal, cause: err}
+}
+
+// Is reports whether err has the kind.
+func Is(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
