--- /dev/null
+++ b/Makefile
@@ -0,0 +1,18 @@
+MODULES := api core daemon cli testbed
+PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
+
+.PHONY: build test race lint demo
+
+build:
+	go build -o bin/ ./daemon/cmd/... ./cli/cmd/... ./testbed/cmd/...
+
+lint:
+	@unformatted=$$(gofmt -l $(MODULES)); test -z "$$unformatted" || { echo "gofmt would change: $$unformatted"; exit 1; }
+	go vet $(PACKAGES)
+	go tool staticcheck $(PACKAGES)
+
+test: build
+	go test -race -timeout 20m $(PACKAGES)
+
+demo: build
+	./bin/demo
--- a/api/caller/caller.go
+++ b/api/caller/caller.go
@@ -83,6 +83,12 @@
 	ExpirySeconds int64  `json:"expiry_seconds,omitempty"` // Idle time in seconds after which the program ends.
 }
 
+// CreatedProgram is the answer to POST /v1/programs.
+type CreatedProgram struct {
+	Program Program `json:"program"`
+	Receipt string  `json:"receipt"`
+}
+
 // Program is the state of a program as its caller sees it.
 type Program struct {
 	ID              string `json:"id"`
@@ -117,7 +123,8 @@
 	Deadline *time.Time   `json:"deadline,omitempty"`
 	Model    *ModelCall   `json:"model,omitempty"`
 	Service  *ServiceCall `json:"service,omitempty"`
-	Window   []Turn       `json:"window,omitempty"` // Turns after the durable sequence, sent after a history_gap.
+	Receipt  string       `json:"receipt,omitempty"` // Receipt of the turn before the call.
+	Window   []Turn       `json:"window,omitempty"`  // Turns after the durable sequence, sent after a history_gap.
 }
 
 // ModelCall asks a model to continue the program's history with new messages.
@@ -169,7 +176,8 @@
 	Turn            Turn   `json:"turn"`
 	Digest          string `json:"digest"`
 	DurableSequence uint64 `json:"durable_sequence"`
-	Upstream        string `json:"upstream"`
+	Receipt         string `json:"receipt"` // Signed state after the turn; sent back with the next call.
+	Upstream        string `json:"upstream,omitempty"`
 	Repeated        bool   `json:"repeated,omitempty"` // The call had finished before; this is its recorded result.
 }
 
--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -177,6 +177,13 @@
 	return &c
 }
 
+// WithNotRun returns a copy of e that states whether the call ran, where the daemon knows better than the table.
+func (e *Error) WithNotRun(n NotRun) *Error {
+	c := *e
+	c.NotRun = n
+	return &c
+}
+
 // Error implements error.
 func (e *Error) Error() string {
 	s := string(e.Kind)
--- /dev/null
+++ b/core/program/complete.go
@@ -0,0 +1,147 @@
+package program
+
+import (
+	"time"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/journal"
+)
+
+// Outcome tells how an attempt ended.
+type Outcome string
+
+// Outcomes of an attempt.
+const (
+	OutcomeDone    Outcome = "done"     // The upstream answered; Turn is set.
+	OutcomeNotSent Outcome = "not_sent" // The call certainly did not leave the ingress.
+	OutcomeFailed  Outcome = "failed"   // The call left, and its answer was lost or was an error of the transport.
+)
+
+// Completion reports the end of an attempt to the owner.
+type Completion struct {
+	Tenant  string      `json:"tenant"`
+	Program string      `json:"program"`
+	Attempt string      `json:"attempt"`
+	Call    caller.Call `json:"call"`
+	Outcome Outcome     `json:"outcome"`
+	Turn    caller.Turn `json:"turn"`
+}
+
+// Complete records the outcome of an attempt. For OutcomeDone it returns the result for the caller. It is idempotent: a
+// completion that arrives twice returns the recorded result.
+func (o *Owner) Complete(now time.Time, c Completion) (*caller.Result, error) {
+	p, err := o.find(c.Tenant, c.Program)
+	if errkind.Is(err, errkind.ProgramNotFound) && c.Call.Receipt != "" {
+		p, err = o.restore(now, AdmitRequest{Tenant: c.Tenant, Program: c.Program, Call: c.Call})
+	}
+	if err != nil {
+		return nil, err
+	}
+	switch c.Outcome {
+	case OutcomeNotSent:
+		return nil, o.notSent(p, c)
+	case OutcomeFailed:
+		o.failed(p, c)
+		return nil, nil
+	case OutcomeDone:
+		return o.done(now, p, c)
+	default:
+		return nil, errkind.Newf(errkind.InvalidValue, "Outcome %q does not exist.", string(c.Outcome))
+	}
+}
+
+func (o *Owner) notSent(p *state, c Completion) error {
+	if p.inFlight != nil && p.inFlight.id == c.Attempt {
+		p.inFlight = nil
+	}
+	in, ok := p.intents[c.Call.CallKey]
+	if !ok || in.Attempt != c.Attempt {
+		return nil
+	}
+	cancel := &journal.Cancel{CallKey: c.Call.CallKey, Attempt: c.Attempt}
+	if _, err := o.append(p, journal.Entry{Cancel: cancel}); err != nil {
+		return err
+	}
+	delete(p.intents, c.Call.CallKey)
+	return nil
+}
+
+func (o *Owner) failed(p *state, c Completion) {
+	if p.inFlight != nil && p.inFlight.id == c.Attempt {
+		o.loseAttempt(p)
+	}
+}
+
+func (o *Owner) done(now time.Time, p *state, c Completion) (*caller.Result, error) {
+	if t, ok := p.turnWithKey(c.Call.CallKey); ok && t.Sequence == c.Call.Sequence {
+		return o.recorded(p, t, c)
+	}
+	if err := o.checkAttempt(p, c); err != nil {
+		return nil, err
+	}
+	if c.Call.Sequence != p.sequence()+1 || c.Call.Digest != p.digest() {
+		return nil, o.outOfPlace(p, c)
+	}
+	digest, err := caller.NextDigest(p.digest(), c.Turn)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.Internal, err, "")
+	}
+	if err := o.appendTurn(p, c.Turn, digest); err != nil {
+		return nil, err
+	}
+	p.inFlight, p.recovered, p.active = nil, false, now
+	return o.result(p, c.Turn, false), nil
+}
+
+// recorded answers a completion for a turn that is in the history. Another attempt of the same call may have been first;
+// its answer then differs from what this ingress streamed, so the caller must read the recorded one.
+func (o *Owner) recorded(p *state, t caller.Turn, c Completion) (*caller.Result, error) {
+	digest, err := caller.NextDigest(p.digestAt(t.Sequence-1), c.Turn)
+	if err != nil || digest != p.digestAt(t.Sequence) {
+		return nil, errkind.New(errkind.CallInProgress, "Another attempt of the call finished first.").WithNotRun(errkind.NotRunFalse)
+	}
+	return o.result(p, t, true), nil
+}
+
+// checkAttempt accepts the attempt in flight, the attempt of a recorded intent, and, after a takeover, an idempotent
+// attempt that the former owner admitted.
+func (o *Owner) checkAttempt(p *state, c Completion) error {
+	if p.inFlight != nil && p.inFlight.id == c.Attempt {
+		return nil
+	}
+	if in, ok := p.intents[c.Call.CallKey]; ok && in.Attempt == c.Attempt {
+		return nil
+	}
+	if p.inFlight == nil && p.recovered {
+		return nil
+	}
+	return errkind.New(errkind.CallInProgress, "The attempt was replaced by a newer one.").WithNotRun(errkind.NotRunUnknown)
+}
+
+// outOfPlace handles a completion whose turn no longer fits the history. The outcome of a non-idempotent call is kept.
+func (o *Owner) outOfPlace(p *state, c Completion) error {
+	if in, ok := p.intents[c.Call.CallKey]; ok && in.Attempt == c.Attempt {
+		const reason = "The response arrived after the program had moved on."
+		entry := journal.Entry{Resolved: &journal.Resolved{CallKey: c.Call.CallKey, Ran: true, Reason: reason}}
+		if _, err := o.append(p, entry); err != nil {
+			return err
+		}
+		p.resolve(c.Call.CallKey, true, reason)
+	}
+	if c.Call.Sequence > p.sequence()+1 {
+		return errkind.Newf(errkind.HistoryGap, "The owner has %d turns.", p.sequence())
+	}
+	return errkind.Newf(errkind.WrongSequence, "The next sequence is %d.", p.sequence()+1)
+}
+
+func (o *Owner) appendTurn(p *state, t caller.Turn, digest string) error {
+	entry := journal.Entry{Turn: &journal.Turn{Turn: t, Digest: digest, AtMillis: p.active.UnixMilli()}}
+	lsn, err := o.append(p, entry)
+	if err != nil {
+		return err
+	}
+	p.addTurn(t, digest)
+	p.pending = append(p.pending, pendingTurn{sequence: t.Sequence, lsn: lsn})
+	return nil
+}
--- /dev/null
+++ b/core/program/receipt.go
@@ -0,0 +1,79 @@
+package program
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"strings"
+
+	"jackdawbay.dev/api/errkind"
+)
+
+// Receipt states what a program may do and what it has done. It is signed, so that a caller can hand it to any daemon.
+type Receipt struct {
+	Program      string `json:"program"`
+	Tenant       string `json:"tenant"`
+	Class        string `json:"class,omitempty"`
+	Model        string `json:"model,omitempty"`
+	Parent       string `json:"parent,omitempty"`
+	BudgetTokens int64  `json:"budget"`
+	MaxTurns     int    `json:"max_turns"`
+	ExpiryMillis int64  `json:"expiry_ms"`
+	Sequence     uint64 `json:"seq"`
+	Digest       string `json:"digest"`
+	SpentTokens  int64  `json:"spent"`
+}
+
+// Signer signs and checks receipts. The first key signs; all keys are accepted, so that keys can be rotated.
+type Signer struct {
+	keys [][]byte
+}
+
+// NewSigner returns a signer. It needs at least one key.
+func NewSigner(keys ...[]byte) *Signer { return &Signer{keys: keys} }
+
+func mac(key []byte, body string) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte("jackdawbay receipt "))
+	h.Write([]byte(body))
+	return h.Sum(nil)
+}
+
+// Sign encodes a receipt.
+func (s *Signer) Sign(r Receipt) string {
+	// A struct of strings and numbers always encodes.
+	body, _ := json.Marshal(r)
+	text := base64.RawURLEncoding.EncodeToString(body)
+	return text + "." + base64.RawURLEncoding.EncodeToString(mac(s.keys[0], text))
+}
+
+// Verify decodes a receipt and checks its signature. A receipt that no key signed yields InvalidValue.
+func (s *Signer) Verify(text string) (Receipt, error) {
+	body, signature, ok := strings.Cut(text, ".")
+	if !ok {
+		return Receipt{}, errkind.New(errkind.InvalidValue, "Field receipt is not a receipt.")
+	}
+	got, err := base64.RawURLEncoding.DecodeString(signature)
+	if err != nil {
+		return Receipt{}, errkind.New(errkind.InvalidValue, "Field receipt is not a receipt.")
+	}
+	for _, key := range s.keys {
+		if hmac.Equal(got, mac(key, body)) {
+			return decodeReceipt(body)
+		}
+	}
+	return Receipt{}, errkind.New(errkind.InvalidValue, "Field receipt has no valid signature.")
+}
+
+func decodeReceipt(body string) (Receipt, error) {
+	raw, err := base64.RawURLEncoding.DecodeString(body)
+	if err != nil {
+		return Receipt{}, errkind.New(errkind.InvalidValue, "Field receipt is not a receipt.")
+	}
+	var r Receipt
+	if err := json.Unmarshal(raw, &r); err != nil {
+		return Receipt{}, errkind.New(errkind.InvalidValue, "Field receipt is not a receipt.")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/testbed/cmd/standin/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
