Add membership and configuration state machines

The roster holds members and shard ownership; plans for join, failure and departure list the seals and releases that come before the conditional write. An admission that is asked for again by the same attempt gets the same answer.

--- /dev/null
+++ b/core/configstate/configstate.go
@@ -0,0 +1,129 @@
+// Package configstate holds the records that a daemon has in force. A record is replaced only by a newer generation, from
+// whatever source it comes, so that no restart, lagging read or restored platform takes a change back.
+package configstate
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"sort"
+	"strconv"
+
+	"jackdawbay.dev/api/records"
+)
+
+// Stored is one record as the platform and the peers exchange it. Deleted marks a tombstone.
+type Stored struct {
+	Key        string          `json:"key"`
+	Generation int64           `json:"generation"`
+	Deleted    bool            `json:"deleted,omitempty"`
+	Value      json.RawMessage `json:"value"`
+}
+
+// Decoder decodes the value of a stored record. Deleted is true for a tombstone.
+type Decoder func(value []byte) (record records.Record, deleted bool, err error)
+
+// State is the newest generation of every record. It is not safe for concurrent use.
+type State struct {
+	decode  Decoder
+	stored  map[string]Stored
+	records map[string]records.Record
+	set     *records.Set
+	digest  string
+}
+
+// New returns a state without records.
+func New(decode Decoder) *State {
+	s := &State{decode: decode, stored: map[string]Stored{}, records: map[string]records.Record{}}
+	s.rebuild()
+	return s
+}
+
+// Offer applies the stored values that are newer than what is in force, and returns their keys. A value that cannot be
+// decoded is reported and leaves the older generation in force.
+func (s *State) Offer(values ...[]byte) (applied []string, faults []error) {
+	for _, v := range values {
+		key, err := s.offer(v)
+		if err != nil {
+			faults = append(faults, err)
+			continue
+		}
+		if key != "" {
+			applied = append(applied, key)
+		}
+	}
+	if len(applied) > 0 {
+		s.rebuild()
+	}
+	return applied, faults
+}
+
+func (s *State) offer(value []byte) (string, error) {
+	r, deleted, err := s.decode(value)
+	if err != nil {
+		return "", err
+	}
+	key := r.Key()
+	if old, ok := s.stored[key]; ok && old.Generation >= r.Generation {
+		return "", nil
+	}
+	s.stored[key] = Stored{Key: key, Generation: r.Generation, Deleted: deleted, Value: append([]byte(nil), value...)}
+	if deleted {
+		delete(s.records, key)
+	} else {
+		s.records[key] = r
+	}
+	return key, nil
+}
+
+func (s *State) rebuild() {
+	list := make([]records.Record, 0, len(s.records))
+	for _, r := range s.records {
+		list = append(list, r)
+	}
+	s.set = records.NewSet(list)
+	s.digest = s.computeDigest()
+}
+
+// Set returns the records in force.
+func (s *State) Set() *records.Set { return s.set }
+
+// Digest identifies the generations in force. Two daemons with the same digest have the same configuration.
+func (s *State) Digest() string { return s.digest }
+
+func (s *State) computeDigest() string {
+	keys := make([]string, 0, len(s.stored))
+	for k := range s.stored {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	h := sha256.New()
+	for _, k := range keys {
+		h.Write([]byte(k))
+		h.Write([]byte{0})
+		h.Write([]byte(strconv.FormatInt(s.stored[k].Generation, 10)))
+		h.Write([]byte{0})
+	}
+	return hex.EncodeToString(h.Sum(nil)[:8])
+}
+
+// Generations returns the generation of every record, tombstones included.
+func (s *State) Generations() map[string]int64 {
+	list := make(map[string]int64, len(s.stored))
+	for k, v := range s.stored {
+		list[k] = v.Generation
+	}
+	return list
+}
+
+// Newer returns the stored records whose generation is above the one that a peer or the platform has.
+func (s *State) Newer(than map[string]int64) []Stored {
+	var list []Stored
+	for k, v := range s.stored {
+		if v.Generation > than[k] {
+			list = append(list, v)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Key < list[j].Key })
+	return list
+}
--- /dev/null
+++ b/core/membership/plan.go
@@ -0,0 +1,135 @@
+package membership
+
+// Plan is a change of a roster that a coordinator carries out: first seal the journals in Seals, then ask the owners in
+// Releases to stop serving their shards, then write Roster conditionally. A shard whose owner does not release it is
+// given back with Keep.
+type Plan struct {
+	Roster   Roster
+	Seals    []string         // Incarnations whose journals are sealed first.
+	Releases map[string][]int // Shards by the owner that has to release them.
+
+	before Roster
+}
+
+func newPlan(r Roster) Plan {
+	return Plan{Roster: r.Clone(), before: r, Releases: map[string][]int{}}
+}
+
+// Empty reports whether the plan changes nothing.
+func (p Plan) Empty() bool { return p.Roster.Term == p.before.Term }
+
+// Join plans the entry of a member. A former incarnation of the same VM is dead, since a VM runs one daemon; its journal
+// is sealed.
+func Join(r Roster, m Member) Plan {
+	p := newPlan(r)
+	if _, ok := r.Member(m.Incarnation); ok {
+		return p
+	}
+	for _, old := range r.Members {
+		if old.VM == m.VM {
+			p.Seals = append(p.Seals, old.Incarnation)
+			p.Roster.remove(old.Incarnation)
+		}
+	}
+	p.Roster.insert(m)
+	if _, ok := p.Roster.Member(p.Roster.Coordinator); !ok {
+		p.Roster.Coordinator = m.Incarnation
+	}
+	p.rebalance()
+	return p
+}
+
+// Fail plans the removal of members that are dead. by becomes the coordinator when the former one is among them.
+func Fail(r Roster, by string, failed ...string) Plan {
+	p := newPlan(r)
+	for _, f := range failed {
+		if _, ok := r.Member(f); !ok {
+			continue
+		}
+		p.Seals = append(p.Seals, f)
+		p.Roster.remove(f)
+	}
+	if len(p.Seals) == 0 {
+		return p
+	}
+	if _, ok := p.Roster.Member(p.Roster.Coordinator); !ok {
+		p.Roster.Coordinator = by
+	}
+	p.rebalance()
+	return p
+}
+
+// Leave plans the departure of a member that stops in a planned way. Its shards are handed over, and the next member in
+// ring order becomes coordinator when it was the coordinator itself.
+func Leave(r Roster, incarnation string) Plan {
+	p := newPlan(r)
+	if _, ok := r.Member(incarnation); !ok || len(r.Members) == 1 {
+		return p
+	}
+	if r.Coordinator == incarnation {
+		deputy, ok := r.Deputy(func(string) bool { return false })
+		if ok {
+			p.Roster.Coordinator = deputy.Incarnation
+		}
+	}
+	p.Roster.remove(incarnation)
+	p.rebalance()
+	return p
+}
+
+// Reassign plans a higher epoch for shards whose owner does not serve them, for example because a coordinator died
+// between a release and the write of the roster.
+func Reassign(r Roster, shards []int) Plan {
+	p := newPlan(r)
+	if len(shards) == 0 {
+		return p
+	}
+	owners := assign(p.Roster.Members)
+	for _, s := range shards {
+		p.Roster.move(s, owners[s])
+	}
+	p.Roster.Term++
+	return p
+}
+
+// rebalance moves each shard to the owner that rendezvous hashing gives it. A shard of a member that stays is listed in
+// Releases.
+func (p *Plan) rebalance() {
+	p.Roster.Term++
+	for shard, owner := range assign(p.Roster.Members) {
+		former := p.Roster.Shards[shard].Owner
+		if former == owner {
+			continue
+		}
+		if p.needsRelease(former) {
+			p.Releases[former] = append(p.Releases[former], shard)
+		}
+		p.Roster.move(shard, owner)
+	}
+}
+
+// needsRelease reports whether a former owner is alive. Everyone in the roster before who is not sealed is.
+func (p *Plan) needsRelease(former string) bool {
+	if _, ok := p.before.Member(former); !ok {
+		return false
+	}
+	for _, s := range p.Seals {
+		if s == former {
+			return false
+		}
+	}
+	return true
+}
+
+// Keep leaves shards with their former owner, because it did not release them.
+func (p *Plan) Keep(shards ...int) {
+	for _, s := range shards {
+		p.Roster.Shards[s] = p.before.Shards[s]
+	}
+}
+
+// Rejoined reports whether a member left the roster, which ends its claim on its shards.
+func Rejoined(r Roster, incarnation string) bool {
+	_, ok := r.Member(incarnation)
+	return !ok
+}
--- /dev/null
+++ b/core/membership/roster.go
@@ -0,0 +1,221 @@
+// Package membership decides who belongs to a data centre and which daemon owns which shard. It holds the roster, the
+// plans by which a coordinator changes it, and the failure detector. It does no I/O; the daemon carries the plans out.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/dgryski/go-rendezvous"
+
+	"jackdawbay.dev/core/program"
+)
+
+// epochStep is the distance between the epochs of two owners of a shard. An owner counts its checkpoints in the numbers
+// between.
+const epochStep = 1 << 20
+
+// Member is one daemon incarnation of a data centre.
+type Member struct {
+	Incarnation string `json:"incarnation"`
+	VM          string `json:"vm"`
+	PeerAddress string `json:"peer_address"` // Host and port of the peer listener.
+	Leaving     bool   `json:"leaving,omitempty"`
+}
+
+// JournalRef names the part of a journal that a new owner of a shard has to replay: entries of the shard with epochs
+// from FromEpoch up to, not including, ToEpoch.
+type JournalRef struct {
+	Incarnation string `json:"incarnation"`
+	FromEpoch   uint64 `json:"from"`
+	ToEpoch     uint64 `json:"to"`
+}
+
+// Shard is the ownership of one shard. Chain lists the journals after the checkpoint in the order of their epochs.
+type Shard struct {
+	Owner      string       `json:"owner,omitempty"`
+	Epoch      uint64       `json:"epoch"`
+	Checkpoint string       `json:"checkpoint,omitempty"`
+	Since      uint64       `json:"since,omitempty"` // First epoch of the owner's journal that the checkpoint lacks.
+	Chain      []JournalRef `json:"chain,omitempty"`
+}
+
+// Roster is the state of a data centre. Each accepted change raises Term by one.
+type Roster struct {
+	DataCentre  string   `json:"data_centre"`
+	Term        uint64   `json:"term"`
+	Coordinator string   `json:"coordinator"`
+	Members     []Member `json:"members"` // Ordered by incarnation.
+	Shards      []Shard  `json:"shards"`
+}
+
+// New returns the first roster of a data centre, with its coordinator as the only member.
+func New(dataCentre string, coordinator Member) Roster {
+	r := Roster{
+		DataCentre:  dataCentre,
+		Term:        1,
+		Coordinator: coordinator.Incarnation,
+		Members:     []Member{coordinator},
+		Shards:      make([]Shard, program.ShardsPerDataCentre),
+	}
+	for i := range r.Shards {
+		r.Shards[i] = Shard{Owner: coordinator.Incarnation, Epoch: epochStep, Since: epochStep}
+	}
+	return r
+}
+
+// Clone returns a copy that shares nothing with r.
+func (r Roster) Clone() Roster {
+	c := r
+	c.Members = append([]Member(nil), r.Members...)
+	c.Shards = append([]Shard(nil), r.Shards...)
+	for i := range c.Shards {
+		c.Shards[i].Chain = append([]JournalRef(nil), r.Shards[i].Chain...)
+	}
+	return c
+}
+
+// Member returns the member with an incarnation.
+func (r Roster) Member(incarnation string) (Member, bool) {
+	for _, m := range r.Members {
+		if m.Incarnation == incarnation {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// OwnerOf returns the member that owns the shard of a program.
+func (r Roster) OwnerOf(programID string) (Member, bool) {
+	if len(r.Shards) != program.ShardsPerDataCentre {
+		return Member{}, false
+	}
+	return r.Member(r.Shards[program.ShardOf(programID)].Owner)
+}
+
+// ShardsOf returns the shards that an incarnation owns.
+func (r Roster) ShardsOf(incarnation string) []int {
+	var list []int
+	for i, s := range r.Shards {
+		if s.Owner == incarnation {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Neighbours returns the members that an incarnation probes: the next n in ring order, so that every member is probed by
+// n others and the cost of a member does not grow with the data centre.
+func (r Roster) Neighbours(incarnation string, n int) []Member {
+	at := -1
+	for i, m := range r.Members {
+		if m.Incarnation == incarnation {
+			at = i
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	var list []Member
+	for i := 1; i < len(r.Members) && len(list) < n; i++ {
+		list = append(list, r.Members[(at+i)%len(r.Members)])
+	}
+	return list
+}
+
+// Deputy returns the member that takes over when the coordinator fails: the next one in ring order that is not suspected.
+func (r Roster) Deputy(suspected func(incarnation string) bool) (Member, bool) {
+	for _, m := range r.Neighbours(r.Coordinator, len(r.Members)) {
+		if !m.Leaving && !suspected(m.Incarnation) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+// assign returns the owner of each shard by rendezvous hashing over the members that stay. Leaving members own nothing.
+func assign(members []Member) []string {
+	var names []string
+	for _, m := range members {
+		if !m.Leaving {
+			names = append(names, m.Incarnation)
+		}
+	}
+	owners := make([]string, program.ShardsPerDataCentre)
+	if len(names) == 0 {
+		return owners
+	}
+	table := rendezvous.New(names, xxhash.Sum64String)
+	for i := range owners {
+		owners[i] = table.Lookup(shardKey(i))
+	}
+	return owners
+}
+
+func shardKey(shard int) string {
+	return "shard-" + string(rune('A'+shard/26)) + string(rune('a'+shard%26))
+}
+
+// HashOwner returns the member that is responsible for a key, such as an engine group, by rendezvous hashing.
+func (r Roster) HashOwner(key string) (Member, bool) {
+	var names []string
+	for _, m := range r.Members {
+		if !m.Leaving {
+			names = append(names, m.Incarnation)
+		}
+	}
+	if len(names) == 0 {
+		return Member{}, false
+	}
+	return r.Member(rendezvous.New(names, xxhash.Sum64String).Lookup(key))
+}
+
+func (r *Roster) insert(m Member) {
+	r.Members = append(r.Members, m)
+	sort.Slice(r.Members, func(i, j int) bool { return r.Members[i].Incarnation < r.Members[j].Incarnation })
+}
+
+func (r *Roster) remove(incarnation string) {
+	kept := r.Members[:0]
+	for _, m := range r.Members {
+		if m.Incarnation != incarnation {
+			kept = append(kept, m)
+		}
+	}
+	r.Members = kept
+}
+
+// move gives a shard to a new owner and appends the journal of the former one to its chain.
+func (r *Roster) move(shard int, owner string) {
+	s := &r.Shards[shard]
+	next := s.Epoch + epochStep
+	if s.Owner != "" {
+		s.Chain = append(s.Chain, JournalRef{Incarnation: s.Owner, FromEpoch: s.Since, ToEpoch: next})
+	}
+	s.Owner, s.Epoch, s.Since = owner, next, next
+}
+
+// Checkpointed records that a checkpoint covers a shard up to, not including, an epoch of its present owner. It reports
+// false when the shard has another owner by now.
+func (r *Roster) Checkpointed(shard int, owner, checkpoint string, since uint64) bool {
+	s := &r.Shards[shard]
+	if s.Owner != owner || since < s.Epoch || since >= s.Epoch+epochStep {
+		return false
+	}
+	s.Checkpoint, s.Since, s.Chain = checkpoint, since, nil
+	return true
+}
+
+// Timing bounds of the failure detector.
+const (
+	ProbeInterval = time.Second
+	ProbeTimeout  = 500 * time.Millisecond
+
+	// ProbeFailures is how many probes in a row have to time out before a member is suspected. One lost packet or a pause
+	// of the garbage collector must not cost a takeover.
+	ProbeFailures = 2
+
+	// ProbeFanOut is how many ring neighbours a member probes.
+	ProbeFanOut = 2
+)
--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -54,6 +54,9 @@
 	if p.ended != "" {
 		return Admission{}, errkind.New(errkind.ProgramEnded, "Reason: "+p.ended+".")
 	}
+	if a, ok := o.readmit(p, req, hash); ok {
+		return a, nil
+	}
 	o.expireAttempt(now, p)
 	if err := o.checkOrder(p, req, hash); err != nil {
 		return Admission{}, err
@@ -64,6 +67,16 @@
 	return o.grant(now, p, req, hash)
 }
 
+// readmit answers an admission that is asked for again by the same attempt, because the first answer was lost. The ingress
+// sends a call only after it has an answer, so the attempt has not been sent.
+func (o *Owner) readmit(p *state, req AdmitRequest, hash string) (Admission, bool) {
+	a := p.inFlight
+	if a == nil || a.id != req.Attempt || a.requestHash != hash {
+		return Admission{}, false
+	}
+	return o.admission(p, req.Call, a.worstCase, a.await), true
+}
+
 // repeated answers a call that has finished, or refuses a call key with another body.
 func (o *Owner) repeated(p *state, c caller.Call, hash string) (*caller.Result, error) {
 	if r, ok := p.resolved[c.CallKey]; ok && r.ran {
@@ -205,6 +218,7 @@
 		idempotent:  req.Idempotent,
 		worstCase:   worst,
 		expires:     req.Expires,
+		await:       await,
 	}
 	return o.admission(p, req.Call, worst, await), nil
 }
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -23,6 +23,7 @@
 	idempotent  bool
 	worstCase   int64
 	expires     time.Time
+	await       journal.LSN // Entry of the intent; zero for an idempotent call.
 }
 
 // intent is a recorded non-idempotent call without an outcome.
