--- a/core/membership/plan.go
+++ b/core/membership/plan.go
@@ -133,3 +133,37 @@
 	_, ok := r.Member(incarnation)
 	return !ok
 }
+
+// FailAndJoin plans the removal of a dead coordinator by a daemon that enters the roster in its place.
+func FailAndJoin(r Roster, m Member, failed string) Plan {
+	p := newPlan(r)
+	for _, old := range r.Members {
+		if old.Incarnation == failed || old.VM == m.VM {
+			p.Seals = append(p.Seals, old.Incarnation)
+			p.Roster.remove(old.Incarnation)
+		}
+	}
+	p.Roster.insert(m)
+	p.Roster.Coordinator = m.Incarnation
+	p.rebalance()
+	return p
+}
+
+// RecordCheckpoint plans the entry of a stored checkpoint. It changes nothing when the shard has another owner by now.
+func RecordCheckpoint(r Roster, shard int, owner, checkpoint string, since uint64) Plan {
+	p := newPlan(r)
+	if shard < 0 || shard >= len(r.Shards) || !p.Roster.Checkpointed(shard, owner, checkpoint, since) {
+		return newPlan(r)
+	}
+	p.Roster.Term++
+	return p
+}
+
+// AfterRestore plans a roster for a platform that lost its newest writes. Restores tells the owners that their journals
+// may have lost segments, so that they store checkpoints.
+func AfterRestore(r Roster) Plan {
+	p := newPlan(r)
+	p.Roster.Restores++
+	p.Roster.Term++
+	return p
+}
--- a/core/membership/roster.go
+++ b/core/membership/roster.go
@@ -46,7 +46,9 @@
 	DataCentre  string   `json:"data_centre"`
 	Term        uint64   `json:"term"`
 	Coordinator string   `json:"coordinator"`
-	Members     []Member `json:"members"` // Ordered by incarnation.
+	WriteID     string   `json:"write_id"`           // Identifies the write, to resolve a lost answer.
+	Restores    uint64   `json:"restores,omitempty"` // Restores of the platform from an old backup that were noticed.
+	Members     []Member `json:"members"`            // Ordered by incarnation.
 	Shards      []Shard  `json:"shards"`
 }
 
--- a/core/program/replay.go
+++ b/core/program/replay.go
@@ -113,13 +113,18 @@
 		return 0, nil
 	}
 	last, err := o.journalHandover(shard)
+	o.DropShard(shard)
+	return last, err
+}
+
+// DropShard forgets a shard that has another owner by now. It journals nothing.
+func (o *Owner) DropShard(shard int) {
 	delete(o.shards, shard)
 	for id, p := range o.programs {
 		if p.shard == shard {
 			delete(o.programs, id)
 		}
 	}
-	return last, err
 }
 
 func (o *Owner) journalHandover(shard int) (journal.LSN, error) {
--- /dev/null
+++ b/daemon/cluster/agent.go
@@ -0,0 +1,288 @@
+// Package cluster keeps a daemon in the roster of its data centre: it joins, probes its neighbours, opens and closes the
+// shards that the roster gives it, and, as coordinator, carries out changes of the roster.
+package cluster
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/journal"
+	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/owner"
+	"jackdawbay.dev/daemon/peer"
+	"jackdawbay.dev/daemon/platform"
+)
+
+// Config describes an Agent.
+type Config struct {
+	VM          string
+	DataCentre  string
+	PeerAddress string // Address of the peer listener as other daemons reach it.
+	Signer      *program.Signer
+	Journal     journal.WriterConfig
+	MaxPrograms int
+}
+
+// Agent is the membership of one daemon. It is safe for concurrent use.
+type Agent struct {
+	cfg   Config
+	store platform.Store
+	peers *peer.Client
+	log   *slog.Logger
+
+	onEnded func([]program.Ended)
+	digest  func() string // Digest of the configuration in force.
+
+	onConfigDiffers func(membership.Member) // Called when a peer has another configuration.
+
+	mu       sync.RWMutex
+	roster   membership.Roster
+	version  uint64 // Platform version of the roster, zero when it came from a peer.
+	changed  chan struct{}
+	loop     *owner.Loop
+	cancel   context.CancelFunc
+	released map[int]uint64 // Shards that were handed over, with the epoch that ended.
+	opening  map[int]bool
+	leaving  bool
+
+	detector *membership.Detector
+	detectMu sync.Mutex
+
+	coordinator coordinatorState
+	remote      directory
+	wake        chan struct{}
+}
+
+// New returns an agent that has not joined. onEnded gets the programs that ended while idle. digest returns the digest of
+// the configuration in force.
+func New(cfg Config, store platform.Store, peers *peer.Client, log *slog.Logger, onEnded func([]program.Ended), digest func() string) *Agent {
+	return &Agent{
+		cfg:      cfg,
+		store:    store,
+		peers:    peers,
+		log:      log,
+		onEnded:  onEnded,
+		digest:   digest,
+		changed:  make(chan struct{}),
+		released: map[int]uint64{},
+		opening:  map[int]bool{},
+		detector: membership.NewDetector(),
+		remote:   newDirectory(),
+		wake:     make(chan struct{}, 1),
+	}
+}
+
+// OnConfigDiffers sets the function that is called when a peer has another configuration. It must be set before Run.
+func (a *Agent) OnConfigDiffers(f func(membership.Member)) { a.onConfigDiffers = f }
+
+// Loop returns the owner loop of the present incarnation.
+func (a *Agent) Loop() *owner.Loop {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.loop
+}
+
+// Incarnation returns the id of the present incarnation, empty before the agent runs.
+func (a *Agent) Incarnation() string {
+	if l := a.Loop(); l != nil {
+		return l.Incarnation()
+	}
+	return ""
+}
+
+// Roster returns the newest roster of the own data centre. It must not be changed.
+func (a *Agent) Roster() membership.Roster {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.roster
+}
+
+// Changed returns a channel that is closed at the next change of the roster or of the open shards.
+func (a *Agent) Changed() <-chan struct{} {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.changed
+}
+
+func (a *Agent) notifyLocked() {
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+// Self returns the member that this daemon is.
+func (a *Agent) Self() membership.Member {
+	return membership.Member{Incarnation: a.Incarnation(), VM: a.cfg.VM, PeerAddress: a.cfg.PeerAddress}
+}
+
+// Joined reports whether the roster lists the present incarnation.
+func (a *Agent) Joined() bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	if a.loop == nil {
+		return false
+	}
+	_, ok := a.roster.Member(a.loop.Incarnation())
+	return ok
+}
+
+// Timing of the agent's loop.
+const (
+	loopInterval = 100 * time.Millisecond
+	joinInterval = 500 * time.Millisecond
+
+	// pauseLimit is the pause after which the roster is read again before anything else is believed. It is above what a
+	// busy machine costs and below the time in which a successor takes over.
+	pauseLimit = 2 * time.Second
+)
+
+// Run keeps the membership until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	a.startIncarnation(ctx)
+	go a.runProbes(ctx)
+	go a.runCoordinator(ctx)
+	tick := time.NewTicker(loopInterval)
+	defer tick.Stop()
+	pause := membership.NewPauseDetector(time.Now(), pauseLimit)
+	var lastJoin time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-a.wake:
+		case <-tick.C:
+		case <-a.Loop().Fenced():
+			a.startIncarnation(ctx)
+		}
+		if pause.Tick(time.Now()) {
+			a.log.Warn("process was paused; the roster is read again")
+			a.refreshFromPlatform(ctx)
+		}
+		a.checkEvicted(ctx)
+		if !a.Joined() && !a.Leaving() && time.Since(lastJoin) > joinInterval {
+			lastJoin = time.Now()
+			a.join(ctx)
+		}
+		a.syncShards(ctx)
+	}
+}
+
+// Leaving reports whether the daemon stops in a planned way.
+func (a *Agent) Leaving() bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.leaving
+}
+
+func (a *Agent) poke() {
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// startIncarnation drops all shards and begins with a new id and an empty journal.
+func (a *Agent) startIncarnation(ctx context.Context) {
+	id := a.cfg.VM + "-" + ulid.Make().String()
+	loop := owner.NewLoop(program.Config{
+		Incarnation: id,
+		VM:          a.cfg.VM,
+		DataCentre:  a.cfg.DataCentre,
+		Signer:      a.cfg.Signer,
+		Journal:     a.cfg.Journal,
+		MaxPrograms: a.cfg.MaxPrograms,
+	}, a.store, a.log, a.onEnded)
+	loopCtx, cancel := context.WithCancel(ctx)
+	a.mu.Lock()
+	if a.cancel != nil {
+		a.cancel()
+	}
+	a.loop, a.cancel = loop, cancel
+	a.released = map[int]uint64{}
+	a.opening = map[int]bool{}
+	a.notifyLocked()
+	a.mu.Unlock()
+	go loop.Run(loopCtx)
+	a.log.Info("incarnation started", "incarnation", id)
+}
+
+// checkEvicted begins a new incarnation when a roster of the data centre no longer lists this one.
+func (a *Agent) checkEvicted(ctx context.Context) {
+	a.mu.RLock()
+	joinedTerm := a.coordinator.joinedTerm
+	term := a.roster.Term
+	a.mu.RUnlock()
+	if joinedTerm == 0 || a.Joined() || a.Leaving() || term <= joinedTerm {
+		return
+	}
+	a.log.Warn("roster no longer lists this daemon", "term", term)
+	a.mu.Lock()
+	a.coordinator.joinedTerm = 0
+	a.mu.Unlock()
+	a.startIncarnation(ctx)
+}
+
+// OfferRoster takes over a roster if it is newer than the one known. Version is its platform version, zero if unknown.
+func (a *Agent) OfferRoster(r membership.Roster, version uint64) {
+	if r.DataCentre != a.cfg.DataCentre {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if r.Term < a.roster.Term || (r.Term == a.roster.Term && version <= a.version) {
+		return
+	}
+	gone := missingMembers(a.roster, r)
+	a.roster, a.version = r, version
+	if a.loop != nil {
+		if _, ok := r.Member(a.loop.Incarnation()); ok {
+			a.coordinator.joinedTerm = r.Term
+		}
+	}
+	a.detectMu.Lock()
+	a.detector.Retain(r)
+	a.detectMu.Unlock()
+	a.notifyLocked()
+	a.poke()
+	if len(gone) > 0 && a.loop != nil {
+		go a.loseIngresses(a.loop, gone)
+	}
+}
+
+func missingMembers(before, after membership.Roster) []string {
+	var gone []string
+	for _, m := range before.Members {
+		if _, ok := after.Member(m.Incarnation); !ok {
+			gone = append(gone, m.Incarnation)
+		}
+	}
+	return gone
+}
+
+// loseIngresses gives up the calls that dead daemons were sending.
+func (a *Agent) loseIngresses(loop *owner.Loop, gone []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := loop.Do(ctx, func(_ time.Time, o *program.Owner) {
+		for _, g := range gone {
+			o.IngressLost(g)
+		}
+	})
+	if err != nil {
+		a.log.Warn("attempts of lost daemons are not given up yet", "error", err)
+	}
+}
+
+// OwnerOf returns the member that owns a program of the own data centre. It returns OwnerUnavailable while there is none.
+func (a *Agent) OwnerOf(programID string) (membership.Member, error) {
+	m, ok := a.Roster().OwnerOf(programID)
+	if !ok {
+		return membership.Member{}, errkind.New(errkind.OwnerUnavailable, "").After(joinInterval)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/daemon/cluster/probes.go
@@ -0,0 +1,130 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/daemon/peer"
+)
+
+// runProbes probes the ring neighbours at a fixed rate.
+func (a *Agent) runProbes(ctx context.Context) {
+	tick := time.NewTicker(membership.ProbeInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			a.probeNeighbours(ctx)
+		}
+	}
+}
+
+func (a *Agent) probeNeighbours(ctx context.Context) {
+	targets := a.Roster().Neighbours(a.Incarnation(), membership.ProbeFanOut)
+	var group sync.WaitGroup
+	for _, m := range targets {
+		group.Go(func() { a.observe(ctx, m, a.probe(ctx, m)) })
+	}
+	group.Wait()
+}
+
+// observe records the result of a probe and acts on a suspicion.
+func (a *Agent) observe(ctx context.Context, m membership.Member, result membership.ProbeResult) {
+	a.detectMu.Lock()
+	suspected := a.detector.Observe(time.Now(), m.Incarnation, result)
+	a.detectMu.Unlock()
+	if suspected {
+		a.Suspect(ctx, m, result == membership.ProbeRefused)
+	}
+}
+
+// Suspect reports a member that does not answer to the coordinator, or replaces the coordinator when it is the suspect
+// and this daemon is its deputy.
+func (a *Agent) Suspect(ctx context.Context, m membership.Member, refused bool) {
+	r := a.Roster()
+	if _, ok := r.Member(m.Incarnation); !ok {
+		return
+	}
+	switch {
+	case r.Coordinator == a.Incarnation():
+		a.confirmAndEvict(ctx, m.Incarnation)
+	case r.Coordinator == m.Incarnation:
+		a.replaceCoordinator(ctx, r, m)
+	default:
+		a.reportSuspect(ctx, r, m, refused)
+	}
+}
+
+func (a *Agent) reportSuspect(ctx context.Context, r membership.Roster, m membership.Member, refused bool) {
+	coordinator, ok := r.Member(r.Coordinator)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
+	defer cancel()
+	report := peer.Suspect{Incarnation: m.Incarnation, Refused: refused}
+	if err := a.peers.Post(ctx, coordinator.PeerAddress, peer.PathSuspect, report, nil); err != nil {
+		a.log.Debug("suspicion was not reported", "suspect", m.VM, "error", err)
+		a.observe(ctx, coordinator, resultOf(err))
+	}
+}
+
+func resultOf(err error) membership.ProbeResult {
+	if isRefused(err) {
+		return membership.ProbeRefused
+	}
+	return membership.ProbeTimeOut
+}
+
+// replaceCoordinator acts for the deputy. Any other member that suspects the coordinator tells the deputy.
+func (a *Agent) replaceCoordinator(ctx context.Context, r membership.Roster, coordinator membership.Member) {
+	deputy, ok := r.Deputy(func(incarnation string) bool {
+		a.detectMu.Lock()
+		defer a.detectMu.Unlock()
+		return a.detector.Suspected(incarnation)
+	})
+	if !ok {
+		return
+	}
+	if deputy.Incarnation != a.Incarnation() {
+		ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
+		defer cancel()
+		report := peer.Suspect{Incarnation: coordinator.Incarnation}
+		if err := a.peers.Post(ctx, deputy.PeerAddress, peer.PathSuspect, report, nil); err != nil {
+			a.detectMu.Lock()
+			a.detector.Observe(time.Now(), deputy.Incarnation, resultOf(err))
+			a.detectMu.Unlock()
+		}
+		return
+	}
+	if !a.coordinator.replacing.TryLock() {
+		return
+	}
+	defer a.coordinator.replacing.Unlock()
+	if !a.coordinatorDead(ctx, coordinator) {
+		return
+	}
+	fresh, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
+	if err != nil || fresh.Coordinator != coordinator.Incarnation {
+		a.OfferRoster(fresh, version)
+		return
+	}
+	a.takeOver(ctx, fresh, version, a.Self())
+}
+
+// compareWithPeer fetches what a peer has newer: the roster, and through the configuration's own path the records.
+func (a *Agent) compareWithPeer(ctx context.Context, m membership.Member, p peer.Probe) {
+	if p.Term > a.Roster().Term {
+		var push peer.RosterPush
+		if err := a.peers.Get(ctx, m.PeerAddress, peer.PathRoster, &push); err == nil {
+			a.OfferRoster(push.Roster, 0)
+		}
+	}
+	if p.Config != a.digest() && a.onConfigDiffers != nil {
+		a.onConfigDiffers(m)
+	}
+}
--- /dev/null
+++ b/daemon/cluster/shards.go
@@ -0,0 +1,213 @@
+package cluster
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/core/journal"
+	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/owner"
+	"jackdawbay.dev/daemon/peer"
+	"jackdawbay.dev/daemon/platform"
+)
+
+// syncShards opens the shards that the roster gives to this incarnation and drops those that it no longer has.
+func (a *Agent) syncShards(ctx context.Context) {
+	loop := a.Loop()
+	r := a.Roster()
+	var open map[int]uint64
+	err := loop.Do(ctx, func(_ time.Time, o *program.Owner) { open = o.Shards() })
+	if err != nil {
+		return
+	}
+	a.dropLost(ctx, loop, r, open)
+	wanted := a.wanted(loop, r, open)
+	if len(wanted) == 0 {
+		return
+	}
+	go a.openShards(ctx, loop, r, wanted)
+}
+
+// wanted marks the shards to open now as being opened and returns them.
+func (a *Agent) wanted(loop *owner.Loop, r membership.Roster, open map[int]uint64) []int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.loop != loop {
+		return nil
+	}
+	var list []int
+	for _, s := range r.ShardsOf(loop.Incarnation()) {
+		if _, ok := open[s]; ok || a.opening[s] {
+			continue
+		}
+		if ended, ok := a.released[s]; ok && ended >= r.Shards[s].Epoch {
+			continue
+		}
+		a.opening[s] = true
+		list = append(list, s)
+	}
+	return list
+}
+
+func (a *Agent) dropLost(ctx context.Context, loop *owner.Loop, r membership.Roster, open map[int]uint64) {
+	var lost []int
+	for s, epoch := range open {
+		if r.Shards[s].Owner != loop.Incarnation() && r.Shards[s].Epoch > epoch {
+			lost = append(lost, s)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	// The next round repeats what is refused here.
+	_ = loop.Do(ctx, func(_ time.Time, o *program.Owner) {
+		for _, s := range lost {
+			o.DropShard(s)
+		}
+	})
+}
+
+// openShards replays shards from the platform and starts to serve them. A failure is repeated by the next round.
+func (a *Agent) openShards(ctx context.Context, loop *owner.Loop, r membership.Roster, shards []int) {
+	start := time.Now()
+	defer func() {
+		a.mu.Lock()
+		for _, s := range shards {
+			delete(a.opening, s)
+		}
+		a.notifyLocked()
+		a.mu.Unlock()
+	}()
+	replays, err := replayShards(ctx, a.store, r, shards)
+	if err != nil {
+		a.log.Warn("shards cannot be opened", "shards", len(shards), "error", err)
+		sleep(ctx, joinInterval)
+		return
+	}
+	err = loop.Do(ctx, func(now time.Time, o *program.Owner) {
+		for _, s := range shards {
+			o.OpenShard(now, s, r.Shards[s].Epoch, replays[s])
+		}
+	})
+	if err != nil {
+		a.log.Warn("shards cannot be opened", "shards", len(shards), "error", err)
+		return
+	}
+	a.log.Info("shards opened", "shards", len(shards), "term", r.Term, "ms", time.Since(start).Milliseconds())
+}
+
+// replayShards rebuilds the programs of shards from their checkpoints and chains. Each journal is read once.
+func replayShards(ctx context.Context, store platform.Store, r membership.Roster, shards []int) (map[int]*program.Replay, error) {
+	needed := map[int]bool{}
+	journals := map[string]bool{}
+	for _, s := range shards {
+		needed[s] = true
+		for _, ref := range r.Shards[s].Chain {
+			journals[ref.Incarnation] = true
+		}
+	}
+	entries := map[string][]journal.Entry{}
+	for incarnation := range journals {
+		keep := func(e journal.Entry) bool { return needed[e.Shard] }
+		list, err := owner.ReadJournal(ctx, store, platform.KindJournal, incarnation, keep)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read journal of %s", incarnation)
+		}
+		entries[incarnation] = list
+	}
+	replays := map[int]*program.Replay{}
+	for _, s := range shards {
+		replay, err := replayShard(ctx, store, r.Shards[s], s, entries)
+		if err != nil {
+			return nil, errors.Wrapf(err, "replay shard %d", s)
+		}
+		replays[s] = replay
+	}
+	return replays, nil
+}
+
+func replayShard(ctx context.Context, store platform.Store, s membership.Shard, shard int, journals map[string][]journal.Entry) (*program.Replay, error) {
+	replay := program.NewReplay(shard)
+	if s.Checkpoint != "" {
+		all := func(journal.Entry) bool { return true }
+		list, err := owner.ReadJournal(ctx, store, platform.KindCheckpoint, s.Checkpoint, all)
+		if err != nil {
+			return nil, errors.Wrapf(err, "read checkpoint %s", s.Checkpoint)
+		}
+		if err := applyAll(replay, list); err != nil {
+			return nil, err
+		}
+	}
+	for _, ref := range s.Chain {
+		var list []journal.Entry
+		for _, e := range journals[ref.Incarnation] {
+			if e.Shard == shard && e.Epoch >= ref.FromEpoch && e.Epoch < ref.ToEpoch {
+				list = append(list, e)
+			}
+		}
+		if err := applyAll(replay, list); err != nil {
+			return nil, errors.Wrapf(err, "journal of %s", ref.Incarnation)
+		}
+	}
+	return replay, nil
+}
+
+func applyAll(replay *program.Replay, list []journal.Entry) error {
+	for _, e := range list {
+		if err := replay.Apply(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Handover stops serving shards and waits until all their entries are durable. It lists the shards for which both held.
+func (a *Agent) Handover(ctx context.Context, h peer.Handover) peer.HandoverDone {
+	if h.Term != a.Roster().Term {
+		return peer.HandoverDone{}
+	}
+	loop := a.Loop()
+	last := map[int]journal.LSN{}
+	err := loop.Do(ctx, func(_ time.Time, o *program.Owner) {
+		a.closeShards(o, h.Shards, last)
+	})
+	if err != nil {
+		return peer.HandoverDone{}
+	}
+	var done peer.HandoverDone
+	for _, s := range h.Shards {
+		lsn, ok := last[s]
+		if !ok || loop.AwaitDurable(ctx, lsn) != nil {
+			continue
+		}
+		done.Released = append(done.Released, s)
+	}
+	return done
+}
+
+// closeShards runs on the owner loop.
+func (a *Agent) closeShards(o *program.Owner, shards []int, last map[int]journal.LSN) {
+	open := o.Shards()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, s := range shards {
+		epoch, ok := open[s]
+		if !ok {
+			if !a.opening[s] {
+				// Nothing was served under this epoch, so there is nothing to flush.
+				a.released[s] = a.roster.Shards[s].Epoch
+				last[s] = 0
+			}
+			continue
+		}
+		lsn, err := o.CloseShard(s)
+		if err != nil {
+			continue
+		}
+		a.released[s] = epoch
+		last[s] = lsn
+	}
+}
--- /dev/null
+++ b/daemon/owner/journal.go
@@ -0,0 +1,125 @@
+package owner
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/core/journal"
+	"jackdawbay.dev/daemon/platform"
+)
+
+// DecodeSegment decodes the value of a journal object.
+func DecodeSegment(value []byte) (journal.Segment, error) {
+	var s journal.Segment
+	if err := json.Unmarshal(value, &s); err != nil {
+		return s, errors.Wrapf(journal.ErrCorrupt, "%v", err)
+	}
+	return s, nil
+}
+
+// maxSealRaces bounds how often a seal runs into a segment that the living owner stores at the same time.
+const maxSealRaces = 200
+
+// Seal fences an incarnation: it creates the next free slot of its journal with a seal. Sealing a sealed journal again
+// changes nothing.
+func Seal(ctx context.Context, store platform.Store, incarnation, by, reason string) error {
+	slot, sealed, err := lastSlot(ctx, store, incarnation)
+	if err != nil || sealed {
+		return err
+	}
+	for range maxSealRaces {
+		slot++
+		s := journal.Segment{
+			Incarnation: incarnation,
+			Slot:        slot,
+			FlushID:     "seal/" + by,
+			Seal:        &journal.Seal{By: by, Reason: reason},
+		}
+		_, err := store.Put(ctx, platform.KindJournal, journal.SegmentName(incarnation, slot), 0, s)
+		conflict, isConflict := platform.AsConflict(err)
+		if !isConflict {
+			return errors.Wrap(err, "seal journal")
+		}
+		if conflict.Current == nil {
+			return errors.New("seal journal: conflict without an object")
+		}
+		stored, err := DecodeSegment(conflict.Current.Value)
+		if err != nil {
+			return err
+		}
+		if stored.Seal != nil {
+			return nil
+		}
+	}
+	return errors.New("seal journal: the owner writes faster than it can be sealed")
+}
+
+// lastSlot finds the last used slot by doubling steps and then halving them, so that it reads few objects of a long
+// journal.
+func lastSlot(ctx context.Context, store platform.Store, incarnation string) (slot uint64, sealed bool, err error) {
+	exists := func(after uint64) (journal.Segment, bool, error) {
+		page, err := store.List(ctx, platform.KindJournal, incarnation+".", journal.SegmentName(incarnation, after), 1)
+		if err != nil || len(page.Items) == 0 {
+			return journal.Segment{}, false, err
+		}
+		s, err := DecodeSegment(page.Items[0].Value)
+		return s, true, err
+	}
+	var last journal.Segment
+	low, step := uint64(0), uint64(1)
+	for {
+		s, ok, err := exists(low + step - 1)
+		if err != nil {
+			return 0, false, err
+		}
+		if ok {
+			last = s
+			low = s.Slot
+			step *= 2
+			continue
+		}
+		if step == 1 {
+			return low, last.Seal != nil, nil
+		}
+		step /= 2
+	}
+}
+
+// ReadJournal reads the entries of an incarnation's journal for which keep returns true.
+func ReadJournal(ctx context.Context, store platform.Store, kind, incarnation string, keep func(journal.Entry) bool) ([]journal.Entry, error) {
+	reader := journal.NewReader(incarnation, 1)
+	var entries []journal.Entry
+	after := ""
+	for {
+		page, err := store.List(ctx, kind, incarnation+".", after, 0)
+		if err != nil {
+			return nil, err
+		}
+		for _, item := range page.Items {
+			list, err := readSegment(reader, item)
+			if err != nil {
+				return nil, err
+			}
+			for _, e := range list {
+				if keep(e) {
+					entries = append(entries, e)
+				}
+			}
+			after = item.Name
+		}
+		if !page.More || len(page.Items) == 0 {
+			return entries, nil
+		}
+	}
+}
+
+func readSegment(reader *journal.Reader, item platform.Object) ([]journal.Entry, error) {
+	s, err := DecodeSegment(item.Value)
+	if err != nil {
+		return nil, errors.Wrapf(err, "object %s", item.Name)
+	}
+	list, err := reader.Add(s)
+	return list, errors.Wrapf(err, "object %s", item.Name)
+}
--- /dev/null
+++ b/daemon/owner/loop.go
@@ -0,0 +1,280 @@
+// Package owner runs the state machine of a shard owner: one goroutine holds the programs, another stores the journal.
+package owner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/journal"
+	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/platform"
+)
+
+// queueLength bounds the operations that wait for the loop. A full queue refuses further ones.
+const queueLength = 4096
+
+// tickInterval is how often idle programs and lost attempts are looked for.
+const tickInterval = time.Second
+
+// Loop owns a program.Owner. All access goes through Do, which runs functions one after another.
+type Loop struct {
+	incarnation string
+	owner       *program.Owner
+	store       platform.Store
+	log         *slog.Logger
+	onEnded     func([]program.Ended)
+
+	ops     chan func(time.Time)
+	flush   chan struct{}
+	waiters []waiter
+	fenced  chan struct{}
+	done    chan struct{}
+	failing bool
+}
+
+type waiter struct {
+	lsn   journal.LSN
+	ready chan error
+}
+
+// NewLoop returns a loop for a fresh incarnation. onEnded is called with programs that ended while idle.
+func NewLoop(cfg program.Config, store platform.Store, log *slog.Logger, onEnded func([]program.Ended)) *Loop {
+	return &Loop{
+		incarnation: cfg.Incarnation,
+		owner:       program.NewOwner(cfg),
+		store:       store,
+		log:         log.With("incarnation", cfg.Incarnation),
+		onEnded:     onEnded,
+		ops:         make(chan func(time.Time), queueLength),
+		flush:       make(chan struct{}, 1),
+		fenced:      make(chan struct{}),
+		done:        make(chan struct{}),
+	}
+}
+
+// Incarnation returns the id under which the loop journals.
+func (l *Loop) Incarnation() string { return l.incarnation }
+
+// Fenced is closed when another daemon has sealed the journal.
+func (l *Loop) Fenced() <-chan struct{} { return l.fenced }
+
+// Do runs f on the loop and waits for it. It refuses with BacklogFull when too many operations wait.
+func (l *Loop) Do(ctx context.Context, f func(now time.Time, o *program.Owner)) error {
+	ran := make(chan struct{})
+	op := func(now time.Time) {
+		f(now, l.owner)
+		close(ran)
+	}
+	select {
+	case l.ops <- op:
+	case <-l.done:
+		return errkind.New(errkind.NotOwner, "")
+	default:
+		return errkind.New(errkind.BacklogFull, "The owner has too many requests.").After(100 * time.Millisecond)
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-l.done:
+		return errkind.New(errkind.NotOwner, "")
+	case <-ctx.Done():
+		// The operation may still run. Every operation can be repeated.
+		return errkind.Wrap(errkind.OwnerUnavailable, ctx.Err(), "")
+	}
+}
+
+// Run serves operations until the context ends.
+func (l *Loop) Run(ctx context.Context) {
+	defer close(l.done)
+	go l.storeJournal(ctx)
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			l.failWaiters(errkind.New(errkind.NotOwner, ""))
+			return
+		case op := <-l.ops:
+			op(time.Now())
+			l.wakeFlush()
+		case now := <-tick.C:
+			if ended := l.owner.Tick(now); len(ended) > 0 {
+				l.onEnded(ended)
+			}
+			l.wakeFlush()
+		}
+	}
+}
+
+func (l *Loop) wakeFlush() {
+	if _, ok := l.owner.Journal().Wake(); !ok {
+		return
+	}
+	select {
+	case l.flush <- struct{}{}:
+	default:
+	}
+}
+
+// AwaitDurable waits until a journal entry is stored. When the context ends first, the entry may still become durable.
+func (l *Loop) AwaitDurable(ctx context.Context, lsn journal.LSN) error {
+	if lsn == 0 {
+		return nil
+	}
+	w := waiter{lsn: lsn, ready: make(chan error, 1)}
+	err := l.Do(ctx, func(_ time.Time, o *program.Owner) {
+		switch {
+		case o.Journal().Fenced():
+			w.ready <- errkind.New(errkind.NotOwner, "")
+		case o.Journal().Durable() >= lsn:
+			w.ready <- nil
+		default:
+			l.waiters = append(l.waiters, w)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case err := <-w.ready:
+		return err
+	case <-ctx.Done():
+		return errkind.Wrap(errkind.StoreUnavailable, ctx.Err(), "")
+	}
+}
+
+func (l *Loop) notifyWaiters(durable journal.LSN) {
+	kept := l.waiters[:0]
+	for _, w := range l.waiters {
+		if w.lsn <= durable {
+			w.ready <- nil
+			continue
+		}
+		kept = append(kept, w)
+	}
+	l.waiters = kept
+}
+
+func (l *Loop) failWaiters(err error) {
+	for _, w := range l.waiters {
+		w.ready <- err
+	}
+	l.waiters = nil
+}
+
+// storeJournal creates the segments that the writer cuts, one at a time.
+func (l *Loop) storeJournal(ctx context.Context) {
+	for ctx.Err() == nil {
+		segment, wake, ok := l.nextSegment(ctx)
+		if ok {
+			l.storeSegment(ctx, segment)
+			continue
+		}
+		l.sleep(ctx, wake)
+	}
+}
+
+func (l *Loop) nextSegment(ctx context.Context) (segment journal.Segment, wake time.Time, ok bool) {
+	// A refused operation is repeated after the sleep.
+	_ = l.Do(ctx, func(now time.Time, o *program.Owner) {
+		if segment, ok = o.Journal().Next(now); ok {
+			return
+		}
+		if at, waiting := o.Journal().Wake(); waiting {
+			wake = at
+		}
+	})
+	return segment, wake, ok
+}
+
+func (l *Loop) sleep(ctx context.Context, wake time.Time) {
+	if wake.IsZero() {
+		select {
+		case <-ctx.Done():
+		case <-l.flush:
+		}
+		return
+	}
+	timer := time.NewTimer(time.Until(wake))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (l *Loop) storeSegment(ctx context.Context, s journal.Segment) {
+	start := time.Now()
+	name := journal.SegmentName(s.Incarnation, s.Slot)
+	_, err := l.store.Put(ctx, platform.KindJournal, name, 0, s)
+	elapsed := time.Since(start)
+	if conflict, ok := platform.AsConflict(err); ok {
+		l.resolveConflict(ctx, conflict, elapsed)
+		return
+	}
+	err = errors.Wrap(err, "store journal segment")
+	doErr := l.Do(ctx, func(_ time.Time, o *program.Owner) {
+		w := o.Journal()
+		if err != nil {
+			l.noteFailure(err)
+			w.Failed()
+			return
+		}
+		l.noteSuccess()
+		w.Succeeded(elapsed)
+		l.notifyWaiters(w.Durable())
+	})
+	if doErr != nil {
+		l.log.Warn("journal result not recorded", "error", doErr)
+	}
+}
+
+// resolveConflict decides whether the object in the slot is the writer's own, stored by a create whose answer was lost.
+func (l *Loop) resolveConflict(ctx context.Context, c *platform.ConflictError, elapsed time.Duration) {
+	if c.Current == nil {
+		return
+	}
+	stored, err := DecodeSegment(c.Current.Value)
+	if err != nil {
+		l.log.Error("object in the journal slot cannot be read", "error", err)
+	}
+	doErr := l.Do(ctx, func(_ time.Time, o *program.Owner) {
+		w := o.Journal()
+		if w.Conflict(stored, elapsed) {
+			l.notifyWaiters(w.Durable())
+			return
+		}
+		l.log.Warn("journal is sealed by another daemon", "slot", stored.Slot)
+		l.failWaiters(errkind.New(errkind.NotOwner, ""))
+		l.closeFenced()
+	})
+	if doErr != nil {
+		l.log.Warn("journal result not recorded", "error", doErr)
+	}
+}
+
+func (l *Loop) closeFenced() {
+	select {
+	case <-l.fenced:
+	default:
+		close(l.fenced)
+	}
+}
+
+func (l *Loop) noteFailure(err error) {
+	if !l.failing {
+		l.log.Warn("journal cannot be stored", "error", err)
+	}
+	l.failing = true
+}
+
+func (l *Loop) noteSuccess() {
+	if l.failing {
+		l.log.Info("journal is stored again")
+	}
+	l.failing = false
+}
--- /dev/null
+++ b/daemon/peer/peer.go
@@ -0,0 +1,256 @@
+// Package peer defines the messages between daemons and the client that sends them. Messages are JSON over HTTP on a
+// listener of their own; each carries a key that all daemons share.
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/configstate"
+	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/transport"
+)
+
+// Paths of the peer listener.
+const (
+	PathProbe       = "/peer/v1/probe"
+	PathRoster      = "/peer/v1/roster"
+	PathJoin        = "/peer/v1/join"
+	PathLeave       = "/peer/v1/leave"
+	PathSuspect     = "/peer/v1/suspect"
+	PathHandover    = "/peer/v1/handover"
+	PathCheckpoint  = "/peer/v1/checkpoint"
+	PathRecords     = "/peer/v1/records"
+	PathGenerations = "/peer/v1/records/generations"
+	PathMembers     = "/peer/v1/members"
+	PathCreate      = "/peer/v1/programs"
+	PathDescribe    = "/peer/v1/programs/describe"
+	PathHistory     = "/peer/v1/programs/history"
+	PathEnd         = "/peer/v1/programs/end"
+	PathAdmit       = "/peer/v1/calls/admit"
+	PathComplete    = "/peer/v1/calls/complete"
+	PathAcquire     = "/peer/v1/slots/acquire"
+	PathRelease     = "/peer/v1/slots/release"
+	PathStream      = "/peer/v1/streams"
+)
+
+// Probe is the answer to a probe.
+type Probe struct {
+	Incarnation string `json:"i"`
+	Term        uint64 `json:"t"`
+	Config      string `json:"c"`           // Digest of the configuration in force.
+	Ready       bool   `json:"r,omitempty"` // Whether callers are served.
+}
+
+// Suspect reports a member that did not answer.
+type Suspect struct {
+	Incarnation string `json:"incarnation"`
+	Refused     bool   `json:"refused"` // Nothing listens at its address.
+}
+
+// Handover asks an owner to stop serving shards. Term is that of the roster before the change.
+type Handover struct {
+	Term   uint64 `json:"term"`
+	Shards []int  `json:"shards"`
+}
+
+// HandoverDone lists the shards that were released with all their entries durable.
+type HandoverDone struct {
+	Released []int `json:"released"`
+}
+
+// Checkpointed tells the coordinator that a checkpoint of a shard is stored.
+type Checkpointed struct {
+	Shard      int    `json:"shard"`
+	Owner      string `json:"owner"`
+	Checkpoint string `json:"checkpoint"`
+	Since      uint64 `json:"since"`
+}
+
+// MemberState is what a member reports to its coordinator for the status.
+type MemberState struct {
+	Incarnation string           `json:"incarnation"`
+	VM          string           `json:"vm"`
+	Generations map[string]int64 `json:"generations"`
+	Shards      []int            `json:"shards"` // Shards that it serves.
+	Unknown     []UnknownOutcome `json:"unknown,omitempty"`
+}
+
+// UnknownOutcome names a non-idempotent call that may have run.
+type UnknownOutcome struct {
+	Program string `json:"program"`
+	CallKey string `json:"call_key"`
+}
+
+// Records carries stored records from peer to peer.
+type Records struct {
+	Records []configstate.Stored `json:"records"`
+}
+
+// Generations lists the generations that a daemon has.
+type Generations struct {
+	Generations map[string]int64 `json:"generations"`
+}
+
+// Create asks an owner to start a program.
+type Create struct {
+	Tenant string               `json:"tenant"`
+	ID     string               `json:"id"`
+	Body   caller.CreateProgram `json:"body"`
+}
+
+// ProgramRef names a program of a tenant.
+type ProgramRef struct {
+	Tenant string `json:"tenant"`
+	ID     string `json:"id"`
+	From   uint64 `json:"from,omitempty"`
+	Reason string `json:"reason,omitempty"`
+}
+
+// History is a part of a program's turns.
+type History struct {
+	Turns []caller.Turn `json:"turns"`
+}
+
+// Acquire asks a dispatcher for an engine slot. The answer comes when the slot is granted.
+type Acquire struct {
+	Ticket        string    `json:"ticket"`
+	Group         string    `json:"group"`
+	Program       string    `json:"program"`
+	Parent        string    `json:"parent,omitempty"`
+	Tenant        string    `json:"tenant"`
+	Class         string    `json:"class,omitempty"`
+	Model         string    `json:"model"`
+	PromptTokens  int64     `json:"prompt_tokens"`
+	HistoryTokens int64     `json:"history_tokens"`
+	MaxTokens     int64     `json:"max_tokens"`
+	SpentTokens   int64     `json:"spent_tokens"`
+	Deadline      time.Time `json:"deadline"`
+	Exclude       []string  `json:"exclude,omitempty"` // Engines that failed for this call.
+}
+
+// Slot is a granted engine slot.
+type Slot struct {
+	Engine  string    `json:"engine"`
+	Address string    `json:"address"`
+	Expires time.Time `json:"expires"`
+}
+
+// Release gives a slot back.
+type Release struct {
+	Ticket  string       `json:"ticket"`
+	Group   string       `json:"group"`
+	Engine  string       `json:"engine"`
+	Program string       `json:"program"`
+	Failed  bool         `json:"failed,omitempty"`
+	Usage   caller.Usage `json:"usage"`
+}
+
+// AdmitRequest and Completion travel as they are.
+type (
+	AdmitRequest = program.AdmitRequest
+	Completion   = program.Completion
+)
+
+// RosterPush carries a new roster.
+type RosterPush struct {
+	Roster membership.Roster `json:"roster"`
+}
+
+// Keys are the keys of the peer listener: the first is sent, all are accepted, so that keys can be rotated.
+type Keys []string
+
+// Accepts reports whether a request carries one of the keys.
+func (k Keys) Accepts(r *http.Request) bool {
+	got, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return false
+	}
+	match := 0
+	for _, key := range k {
+		match |= subtle.ConstantTimeCompare([]byte(got), []byte(key))
+	}
+	return match == 1
+}
+
+// ErrUnreachable is returned when no answer came. The request may have had its effect, unless ErrNotSent is in the chain.
+var ErrUnreachable = errors.New("daemon did not answer")
+
+// Client sends messages to other daemons. It is safe for concurrent use.
+type Client struct {
+	keys  Keys
+	http  *http.Client
+	bytes atomic.Int64
+}
+
+// NewClient returns a client.
+func NewClient(keys Keys, o transport.Options) *Client {
+	return &Client{keys: keys, http: transport.NewClient(o)}
+}
+
+// Bytes returns the bytes of the bodies sent and received so far.
+func (c *Client) Bytes() int64 { return c.bytes.Load() }
+
+// Post sends a message and decodes the answer. An error answer of the peer becomes an errkind.Error.
+func (c *Client) Post(ctx context.Context, address, path string, message, into any) error {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		return errors.Wrap(err, "encode message")
+	}
+	return c.do(ctx, http.MethodPost, address, path, raw, into)
+}
+
+// Get reads from a peer.
+func (c *Client) Get(ctx context.Context, address, path string, into any) error {
+	return c.do(ctx, http.MethodGet, address, path, nil, into)
+}
+
+func (c *Client) do(ctx context.Context, method, address, path string, body []byte, into any) error {
+	resp, err := c.Open(ctx, method, address, path, body)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := transport.ReadAll(resp.Body, transport.MaxResponseBytes)
+	c.bytes.Add(int64(len(data)))
+	if err != nil {
+		return errors.Mark(err, ErrUnreachable)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errkind.Parse(data)
+	}
+	if into == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode answer"), ErrUnreachable)
+	}
+	return nil
+}
+
+// Open sends a request and returns the response with its body unread, for streams.
+func (c *Client) Open(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Mark(err, transport.ErrNotSent)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.keys[0])
+	req.Header.Set("User-Agent", "")
+	c.bytes.Add(int64(len(body)))
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, errors.Mark(err, ErrUnreachable)
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/daemon/upstream/engine.go
@@ -0,0 +1,378 @@
+// Package upstream holds the clients of engines, tool services and plain services. No client repeats a request by itself.
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tmaxmax/go-sse"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/daemon/transport"
+)
+
+// Errors of upstream calls.
+var (
+	// ErrNotSent means that no connection was made.
+	ErrNotSent = transport.ErrNotSent
+	// ErrRefused means that the engine answered with an error before it started to generate.
+	ErrRefused = errors.New("engine refused the request")
+	// ErrBroken means that the answer ended early or made no sense.
+	ErrBroken = errors.New("answer of the upstream is incomplete")
+	// ErrGone means that a stream can no longer be resumed.
+	ErrGone = errors.New("stream is no longer kept")
+	// ErrStaleFencing means that the engine has seen a higher fencing token.
+	ErrStaleFencing = errors.New("engine has seen a higher fencing token")
+)
+
+// Engines speaks to model engines. It is safe for concurrent use.
+type Engines struct {
+	key  string
+	http *http.Client
+}
+
+// NewEngines returns a client. The key is sent to every engine.
+func NewEngines(key string, o transport.Options) *Engines {
+	return &Engines{key: key, http: transport.NewClient(o)}
+}
+
+// Chat is one model call.
+type Chat struct {
+	RequestID string
+	Program   string
+	Model     string
+	Messages  []caller.Message
+	MaxTokens int
+}
+
+// Answer is the whole answer of an engine.
+type Answer struct {
+	Message caller.Message
+	Usage   caller.Usage
+}
+
+type chatBody struct {
+	Model         string           `json:"model"`
+	Messages      []caller.Message `json:"messages"`
+	MaxTokens     int              `json:"max_tokens,omitempty"`
+	Stream        bool             `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type chunk struct {
+	Choices []struct {
+		Delta struct {
+			Content   string          `json:"content"`
+			ToolCalls []toolCallDelta `json:"tool_calls"`
+		} `json:"delta"`
+	} `json:"choices"`
+	Usage *struct {
+		PromptTokens     int64 `json:"prompt_tokens"`
+		CompletionTokens int64 `json:"completion_tokens"`
+		Details          struct {
+			CachedTokens int64 `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+type toolCallDelta struct {
+	Index    int                 `json:"index"`
+	ID       string              `json:"id"`
+	Type     string              `json:"type"`
+	Function caller.ToolFunction `json:"function"`
+}
+
+func (e *Engines) request(ctx context.Context, method, address, path string, body []byte) (*http.Response, error) {
+	var reader io.Reader
+	if body != nil {
+		reader = transport.OnceBody(body)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotSent)
+	}
+	req.ContentLength = int64(len(body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+e.key)
+	return e.http.Do(req)
+}
+
+// Stream runs a model call and passes each piece of text to onText as it arrives. An error of onText ends the call.
+func (e *Engines) Stream(ctx context.Context, address string, c Chat, onText func(string) error) (Answer, error) {
+	body := chatBody{Model: c.Model, Messages: c.Messages, MaxTokens: c.MaxTokens, Stream: true}
+	body.StreamOptions.IncludeUsage = true
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return Answer{}, errors.Mark(err, ErrNotSent)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/chat/completions", transport.OnceBody(raw))
+	if err != nil {
+		return Answer{}, errors.Mark(err, ErrNotSent)
+	}
+	req.ContentLength = int64(len(raw))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+e.key)
+	req.Header.Set("X-Request-Id", c.RequestID)
+	req.Header.Set("X-Program", c.Program)
+	resp, err := e.http.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	return readStream(resp, onText)
+}
+
+// Resume reads the rest of a stream from a byte offset of its text. The answer holds only that rest.
+func (e *Engines) Resume(ctx context.Context, address, requestID string, offset int, onText func(string) error) (Answer, error) {
+	path := fmt.Sprintf("/v1/requests/%s/stream?offset=%d", url.PathEscape(requestID), offset)
+	resp, err := e.request(ctx, http.MethodGet, address, path, nil)
+	if err != nil {
+		return Answer{}, err
+	}
+	return readStream(resp, onText)
+}
+
+func readStream(resp *http.Response, onText func(string) error) (Answer, error) {
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusGone {
+		return Answer{}, ErrGone
+	}
+	if resp.StatusCode != http.StatusOK {
+		text, _ := transport.ReadAll(resp.Body, 4096)
+		return Answer{}, errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
+	}
+	a := accumulator{onText: onText}
+	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: 1 << 20}) {
+		if err != nil {
+			return a.answer(), errors.Mark(errors.Wrap(err, "read stream"), ErrBroken)
+		}
+		done, err := a.add(event.Data)
+		if err != nil {
+			return a.answer(), err
+		}
+		if done {
+			return a.finish()
+		}
+	}
+	return a.answer(), errors.Wrap(ErrBroken, "stream ended without its end mark")
+}
+
+// accumulator builds the answer from chunks.
+type accumulator struct {
+	onText func(string) error
+	text   strings.Builder
+	tools  []caller.ToolCall
+	usage  *caller.Usage
+}
+
+func (a *accumulator) add(data string) (done bool, err error) {
+	if data == "[DONE]" {
+		return true, nil
+	}
+	var c chunk
+	if err := json.Unmarshal([]byte(data), &c); err != nil {
+		return false, errors.Mark(errors.Wrap(err, "decode chunk"), ErrBroken)
+	}
+	if c.Usage != nil {
+		a.usage = &caller.Usage{
+			PromptTokens:     c.Usage.PromptTokens,
+			CachedTokens:     c.Usage.Details.CachedTokens,
+			CompletionTokens: c.Usage.CompletionTokens,
+		}
+	}
+	if len(c.Choices) == 0 {
+		return false, nil
+	}
+	for _, t := range c.Choices[0].Delta.ToolCalls {
+		if err := a.addTool(t); err != nil {
+			return false, err
+		}
+	}
+	text := c.Choices[0].Delta.Content
+	if text == "" {
+		return false, nil
+	}
+	a.text.WriteString(text)
+	return false, a.onText(text)
+}
+
+// maxToolCalls bounds the tool calls of one message.
+const maxToolCalls = 128
+
+func (a *accumulator) addTool(d toolCallDelta) error {
+	if d.Index < 0 || d.Index >= maxToolCalls {
+		return errors.Wrapf(ErrBroken, "tool call index %d", d.Index)
+	}
+	for len(a.tools) <= d.Index {
+		a.tools = append(a.tools, caller.ToolCall{Type: "function"})
+	}
+	t := &a.tools[d.Index]
+	if d.ID != "" {
+		t.ID = d.ID
+	}
+	t.Function.Name += d.Function.Name
+	t.Function.Arguments += d.Function.Arguments
+	return nil
+}
+
+func (a *accumulator) answer() Answer {
+	m := caller.Message{Role: "assistant", Content: caller.Text(a.text.String()), ToolCalls: a.tools}
+	ans := Answer{Message: m}
+	if a.usage != nil {
+		ans.Usage = *a.usage
+	}
+	return ans
+}
+
+// finish checks that the engine reported its usage, since budgets depend on it.
+func (a *accumulator) finish() (Answer, error) {
+	if a.usage == nil {
+		return a.answer(), errors.Wrap(ErrBroken, "stream has no usage")
+	}
+	return a.answer(), nil
+}
+
+// Cancel stops a request and frees its slot.
+func (e *Engines) Cancel(ctx context.Context, address, requestID string) error {
+	resp, err := e.request(ctx, http.MethodDelete, address, "/v1/requests/"+url.PathEscape(requestID), nil)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(resp, nil)
+}
+
+// ModelState is one model that an engine holds.
+type ModelState struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	State    string   `json:"state"`
+}
+
+// Load is an engine's report, which lags.
+type Load struct {
+	AtMillis      int64        `json:"at_ms"`
+	Running       int          `json:"running"`
+	Waiting       int          `json:"waiting"`
+	Slots         int          `json:"slots"`
+	CachedTokens  int64        `json:"cached_tokens"`
+	CacheCapacity int64        `json:"cache_capacity"`
+	Role          string       `json:"role"`
+	Models        []ModelState `json:"models"`
+	FencingToken  uint64       `json:"fencing_token"`
+}
+
+// Load reads an engine's report.
+func (e *Engines) Load(ctx context.Context, address string) (Load, error) {
+	var l Load
+	err := e.get(ctx, address, "/v1/load", &l)
+	return l, err
+}
+
+// CacheEvent is one change of an engine's prefix cache.
+type CacheEvent struct {
+	Seq        uint64 `json:"seq"`
+	Type       string `json:"type"`
+	Program    string `json:"program"`
+	PrefixHash string `json:"prefix_hash"`
+	Tokens     int64  `json:"tokens"`
+}
+
+// CacheEvents is one page of cache events. Gap is true when events before it are lost.
+type CacheEvents struct {
+	Next   uint64       `json:"next"`
+	Gap    bool         `json:"gap"`
+	Events []CacheEvent `json:"events"`
+}
+
+// CacheEvents reads events since a position.
+func (e *Engines) CacheEvents(ctx context.Context, address string, since uint64) (CacheEvents, error) {
+	var c CacheEvents
+	err := e.get(ctx, address, fmt.Sprintf("/v1/cache/events?since=%d&wait_ms=0", since), &c)
+	return c, err
+}
+
+// CachedProgram is the cache that an engine holds for one program.
+type CachedProgram struct {
+	Program string `json:"program"`
+	Tokens  int64  `json:"tokens"`
+}
+
+// Cache reads what an engine holds now.
+func (e *Engines) Cache(ctx context.Context, address string) ([]CachedProgram, error) {
+	var c struct {
+		Programs []CachedProgram `json:"programs"`
+	}
+	err := e.get(ctx, address, "/v1/cache", &c)
+	return c.Programs, err
+}
+
+// Order is a command to an engine. FencingToken is the roster term of the daemon that gives it.
+type Order struct {
+	FencingToken uint64 `json:"fencing_token"`
+	Type         string `json:"type"`
+	Model        string `json:"model,omitempty"`
+	Version      string `json:"version,omitempty"`
+	Adapter      string `json:"adapter,omitempty"`
+	Role         string `json:"role,omitempty"`
+	Program      string `json:"program,omitempty"`
+}
+
+// Types of orders.
+const (
+	OrderLoadModel    = "load_model"
+	OrderDropModel    = "drop_model"
+	OrderLoadAdapter  = "load_adapter"
+	OrderDropAdapter  = "drop_adapter"
+	OrderSetRole      = "set_role"
+	OrderReleaseCache = "release_cache"
+)
+
+// Order sends a command.
+func (e *Engines) Order(ctx context.Context, address string, o Order) error {
+	raw, err := json.Marshal(o)
+	if err != nil {
+		return err
+	}
+	resp, err := e.request(ctx, http.MethodPost, address, "/v1/orders", raw)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(resp, nil)
+}
+
+func (e *Engines) get(ctx context.Context, address, path string, into any) error {
+	resp, err := e.request(ctx, http.MethodGet, address, path, nil)
+	if err != nil {
+		return err
+	}
+	return decodeAnswer(resp, into)
+}
+
+func decodeAnswer(resp *http.Response, into any) error {
+	defer func() { _ = resp.Body.Close() }()
+	body, err := transport.ReadAll(resp.Body, transport.MaxResponseBytes)
+	if err != nil {
+		return errors.Mark(err, ErrBroken)
+	}
+	switch {
+	case resp.StatusCode == http.StatusConflict:
+		return ErrStaleFencing
+	case resp.StatusCode != http.StatusOK:
+		return errors.Wrapf(ErrRefused, "status %d", resp.StatusCode)
+	case into == nil:
+		return nil
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode answer"), ErrBroken)
+	}
+	return nil
+}
--- /dev/null
+++ b/daemon/upstream/service.go
@@ -0,0 +1,105 @@
+package upstream
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/daemon/transport"
+)
+
+// Services speaks to tool services and plain services. Every request takes a new connection and a body that cannot be
+// rewound, so that Go's transport can never send it twice.
+type Services struct {
+	key  string
+	http *http.Client
+}
+
+// NewServices returns a client.
+func NewServices(key string, o transport.Options) *Services {
+	o.NoReuse = true
+	return &Services{key: key, http: transport.NewClient(o)}
+}
+
+// ServiceRequest is one request to a service. IdempotencyKey is empty for a service that does not honour such keys.
+type ServiceRequest struct {
+	Method         string
+	Path           string
+	Body           json.RawMessage
+	IdempotencyKey string
+}
+
+// Send makes one request. ErrNotSent means that it certainly did not run; any other error leaves that open.
+func (s *Services) Send(ctx context.Context, address string, r ServiceRequest) (caller.ServiceResponse, error) {
+	if !strings.HasPrefix(r.Path, "/") {
+		return caller.ServiceResponse{}, errors.Wrap(ErrNotSent, "path does not start with a slash")
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.Path, transport.OnceBody(r.Body))
+	if err != nil {
+		return caller.ServiceResponse{}, errors.Mark(err, ErrNotSent)
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	if r.IdempotencyKey != "" {
+		req.Header.Set("Idempotency-Key", r.IdempotencyKey)
+	}
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return caller.ServiceResponse{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := transport.ReadAll(resp.Body, transport.MaxResponseBytes)
+	if err != nil {
+		return caller.ServiceResponse{}, errors.Mark(err, ErrBroken)
+	}
+	return caller.ServiceResponse{Status: resp.StatusCode, Body: asJSON(body)}, nil
+}
+
+// asJSON keeps a JSON body and wraps any other as a string, so that a turn can always be encoded.
+func asJSON(body []byte) json.RawMessage {
+	if len(body) == 0 {
+		return nil
+	}
+	if json.Valid(body) {
+		return body
+	}
+	// A string always encodes.
+	text, _ := json.Marshal(string(body))
+	return text
+}
+
+// Lookup asks a service for the outcome of an idempotency key. found is false when the key never ran.
+func (s *Services) Lookup(ctx context.Context, address, key string) (response caller.ServiceResponse, found bool, err error) {
+	path := "/v1/idempotency/" + url.PathEscape(key)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return caller.ServiceResponse{}, false, err
+	}
+	req.Header.Set("Authorization", "Bearer "+s.key)
+	resp, err := s.http.Do(req)
+	if err != nil {
+		return caller.ServiceResponse{}, false, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := transport.ReadAll(resp.Body, transport.MaxResponseBytes)
+	if err != nil {
+		return caller.ServiceResponse{}, false, err
+	}
+	switch resp.StatusCode {
+	case http.StatusNotFound:
+		return caller.ServiceResponse{}, false, nil
+	case http.StatusOK:
+		if err := json.Unmarshal(body, &response); err != nil {
+			return response, false, errors.Mark(err, ErrBroken)
+		}
+		return response, true, nil
+	default:
+		return response, false, errors.Wrapf(ErrRefused, "status %d", resp.StatusCode)
+	}
+}
