Add the dispatcher of an engine group

Ingress daemons need one place per engine group that orders calls by program and grants engine slots. The dispatcher queues tickets by attained service with ageing, chooses engines by expected finish and recompute, and refuses early with a retry time.

--- /dev/null
+++ b/core/schedule/config.go
@@ -0,0 +1,87 @@
+package schedule
+
+import (
+	"time"
+
+	"jackdawbay.dev/api/records"
+)
+
+// Mechanism is a set of mechanisms of a dispatcher, used to switch them off one by one in experiments.
+type Mechanism uint
+
+// Mechanisms of a dispatcher.
+const (
+	ServiceOrder   Mechanism = 1 << iota // Least attained service first; off: first come, first served.
+	CachePlacement                       // The missing prefix counts in the choice of an engine.
+	PrefixHold                           // A call waits for the busy engine that holds its prefix.
+	MemoryLimit                          // The contexts in flight on an engine fit in its memory.
+	PausedProtect                        // New programs wait while they would evict prefixes that return soon.
+	CacheRelease                         // Prefixes that are not worth their memory are released.
+)
+
+// Config holds the settings of a Dispatcher that no record sets. Zero fields take the defaults.
+type Config struct {
+	Placement              records.Placement
+	QueueDepth             int           // Waiting tickets of all classes.
+	MaxPrograms            int           // Programs whose service and prefixes are remembered.
+	GrantTTL               time.Duration // Time after which a grant without Renew or Release expires.
+	PrefillTokensPerSecond float64       // Speed of an engine on a prompt.
+	DecodeTokensPerSecond  float64       // Speed of an engine on one response in a usual batch.
+	ServiceUnit            float64       // Attained service, in prefill tokens, at which the penalty starts to grow.
+	ServicePenalty         float64       // Seconds of penalty for each doubling of attained service.
+	AdmissionDelay         time.Duration // Longest wait of a new program for room beside paused prefixes.
+	Off                    Mechanism
+}
+
+// Defaults of Config.
+const (
+	DefaultQueueDepth             = 5000
+	DefaultMaxPrograms            = 20_000
+	DefaultGrantTTL               = 2 * time.Minute
+	DefaultPrefillTokensPerSecond = 8000
+	DefaultDecodeTokensPerSecond  = 40
+	DefaultServiceUnit            = 4000
+	DefaultServicePenalty         = 8
+	DefaultAdmissionDelay         = 10 * time.Second
+)
+
+// minAgeing keeps every ticket's wait bounded when a record sets no ageing, in priority for each second.
+const minAgeing = 0.05
+
+// maxLanes bounds the distinct pairs of model and adapter with their own queue.
+const maxLanes = 256
+
+func (c Config) withDefaults() Config {
+	setInt(&c.QueueDepth, DefaultQueueDepth)
+	setInt(&c.MaxPrograms, DefaultMaxPrograms)
+	setDuration(&c.GrantTTL, DefaultGrantTTL)
+	setDuration(&c.AdmissionDelay, DefaultAdmissionDelay)
+	setFloat(&c.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
+	setFloat(&c.DecodeTokensPerSecond, DefaultDecodeTokensPerSecond)
+	setFloat(&c.ServiceUnit, DefaultServiceUnit)
+	setFloat(&c.ServicePenalty, DefaultServicePenalty)
+	if c.Placement == (records.Placement{}) {
+		c.Placement = records.DefaultPlacement("")
+	}
+	return c
+}
+
+func setInt(v *int, d int) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func setFloat(v *float64, d float64) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func setDuration(v *time.Duration, d time.Duration) {
+	if *v <= 0 {
+		*v = d
+	}
+}
+
+func (c *Config) on(m Mechanism) bool { return c.Off&m == 0 }
--- /dev/null
+++ b/core/schedule/enqueue.go
@@ -0,0 +1,215 @@
+package schedule
+
+import (
+	"time"
+
+	"jackdawbay.dev/api/errkind"
+)
+
+const (
+	// newProgramDepth is the part of the queue that first calls of programs may fill. The rest is kept for programs that
+	// have already used engine time.
+	newProgramDepth = 0.8
+	// queueRetryLevel is the part of a bound to which the queue has to fall before a refused call is asked to return.
+	queueRetryLevel = 0.75
+	minRetryAfter   = 250 * time.Millisecond
+	maxRetryAfter   = time.Minute
+	// noEngineRetry is the retry time when no engine serves the model; loading one takes longer than a second.
+	noEngineRetry = 2 * time.Second
+	// rankSamples bounds the tickets that are looked at to estimate a place in the queue.
+	rankSamples = 64
+)
+
+// Enqueue adds a ticket to the queue. It refuses with an errkind error; a refused call has not run.
+func (d *Dispatcher) Enqueue(now time.Time, t Ticket) error {
+	if _, ok := d.items[t.ID]; ok {
+		return errkind.New(errkind.CallInProgress, "The ticket is queued or granted.")
+	}
+	if t.ID == "" || t.Program == "" || t.PromptTokens < 0 {
+		return errkind.New(errkind.InvalidValue, "A ticket needs an id, a program and a prompt of zero tokens or more.")
+	}
+	if err := d.checkDepth(t); err != nil {
+		return err
+	}
+	l := d.lane(laneKey{t.Model, t.Adapter})
+	if l == nil {
+		return errkind.New(errkind.QueueFull, "Too many models and adapters are in use.").After(maxRetryAfter)
+	}
+	if l.slots == 0 {
+		e := errkind.New(errkind.UpstreamUnavailable, "No engine has the model ready.")
+		return e.After(noEngineRetry)
+	}
+	return d.add(now, t, l)
+}
+
+// add puts a ticket into its lane unless its deadline cannot be met.
+func (d *Dispatcher) add(now time.Time, t Ticket, l *lane) error {
+	if d.epoch.IsZero() {
+		d.epoch = now
+	}
+	if t.Enqueued.IsZero() || t.Enqueued.After(now) {
+		t.Enqueued = now
+	}
+	it := d.newItem()
+	it.Ticket = t
+	it.lane = l
+	it.program = d.lookup(t.Program, t.Parent, t.SpentTokens)
+	it.root = it.program.root
+	it.key = d.key(it)
+	if err := d.checkDeadline(now, it); err != nil {
+		d.recycle(it)
+		return err
+	}
+	d.resume(now, it)
+	d.seq++
+	it.seq = d.seq
+	it.state = stateLane
+	l.queue.push(it)
+	d.items[t.ID] = it
+	d.waiting++
+	d.class(t.Class).waiting++
+	return nil
+}
+
+// resume ends the pause of a program.
+func (d *Dispatcher) resume(now time.Time, it *item) {
+	p := it.program
+	p.inFlight++
+	p.ended = false
+	if p.pausedAt.IsZero() {
+		return
+	}
+	pause := now.Sub(p.pausedAt).Seconds()
+	p.pausedAt = time.Time{}
+	c := d.class(it.Class)
+	c.pause = average(c.pause, pause)
+	if p.pause == 0 {
+		p.pause = pause
+	}
+	p.pause += (pause - p.pause) / 2
+}
+
+func (d *Dispatcher) checkDepth(t Ticket) error {
+	depth := d.cfg.QueueDepth
+	if t.SpentTokens == 0 && t.HistoryTokens == 0 {
+		depth = int(float64(depth) * newProgramDepth)
+	}
+	if d.waiting >= max(depth, 1) {
+		return d.queueFull(d.waiting, depth)
+	}
+	c := d.class(t.Class)
+	if c.limit.QueueDepth > 0 && c.waiting >= c.limit.QueueDepth {
+		return d.queueFull(c.waiting, c.limit.QueueDepth)
+	}
+	return nil
+}
+
+// queueFull states when the queue will have drained below its bound at the present rate.
+func (d *Dispatcher) queueFull(waiting, depth int) error {
+	excess := float64(waiting) - queueRetryLevel*float64(depth)
+	e := errkind.Newf(errkind.QueueFull, "%d calls wait.", waiting)
+	return e.After(clampRetry(excess / d.drainRate()))
+}
+
+// checkDeadline refuses a ticket that cannot start in time to end before its deadline.
+func (d *Dispatcher) checkDeadline(now time.Time, it *item) error {
+	if it.Deadline.IsZero() {
+		return nil
+	}
+	left := it.Deadline.Sub(now).Seconds()
+	if left <= 0 {
+		return errkind.New(errkind.DeadlinePast, "")
+	}
+	wait := d.expectedWait(it)
+	if wait+d.runSeconds(it) <= left {
+		return nil
+	}
+	e := errkind.Newf(errkind.DeadlineUnreachable, "The expected wait is %.1f s.", wait)
+	return e.After(clampRetry(wait + d.runSeconds(it) - left))
+}
+
+func clampRetry(seconds float64) time.Duration {
+	after := time.Duration(seconds * float64(time.Second))
+	return min(max(after, minRetryAfter), maxRetryAfter)
+}
+
+// expectedWait estimates the seconds until a ticket gets a slot, from the tickets of its lane that go before it.
+func (d *Dispatcher) expectedWait(it *item) float64 {
+	q := it.lane.queue.items
+	if len(q) == 0 && d.hasFree(it.lane) {
+		return 0
+	}
+	step := max(len(q)/rankSamples, 1)
+	sampled, ahead := 0, 0
+	for i := 0; i < len(q); i += step {
+		sampled++
+		if q[i].key <= it.key {
+			ahead++
+		}
+	}
+	rank := 1.0
+	if sampled > 0 {
+		rank += float64(len(q)) * float64(ahead) / float64(sampled)
+	}
+	return rank * d.serviceSeconds() / float64(max(it.lane.slots, 1))
+}
+
+func (d *Dispatcher) hasFree(l *lane) bool {
+	for _, e := range d.free {
+		if _, ok := e.lanes[l]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Dispatcher) serviceSeconds() float64 {
+	if d.meanService > 0 {
+		return d.meanService
+	}
+	return defaultService
+}
+
+// drainRate returns the tickets that leave the queue in a second when all slots are in use.
+func (d *Dispatcher) drainRate() float64 {
+	slots := 0
+	for _, e := range d.engines {
+		if !e.Leaving {
+			slots += e.Slots
+		}
+	}
+	return float64(max(slots, 1)) / d.serviceSeconds()
+}
+
+// Cancel takes back a ticket. A granted ticket keeps its slot until Release, since the engine may still run the call.
+func (d *Dispatcher) Cancel(id string) {
+	it := d.items[id]
+	if it == nil || it.state == stateGranted {
+		return
+	}
+	d.detach(it)
+	d.leaveQueue(it)
+	it.program.inFlight--
+	delete(d.items, id)
+	d.recycle(it)
+}
+
+func (d *Dispatcher) leaveQueue(it *item) {
+	d.waiting--
+	d.class(it.Class).waiting--
+}
+
+func (d *Dispatcher) newItem() *item {
+	n := len(d.freeItems)
+	if n == 0 {
+		return &item{timerPos: -1}
+	}
+	it := d.freeItems[n-1]
+	d.freeItems = d.freeItems[:n-1]
+	return it
+}
+
+func (d *Dispatcher) recycle(it *item) {
+	*it = item{timerPos: -1}
+	d.freeItems = append(d.freeItems, it)
+}
--- /dev/null
+++ b/core/schedule/next.go
@@ -0,0 +1,263 @@
+package schedule
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// maxSteps bounds the tickets that one Next sets aside before it gives up; each ticket is set aside a few times only.
+	maxSteps = 32
+	// loadSlope is the part by which a full batch slows a response, relative to an empty one.
+	loadSlope = 0.5
+	// maxHold bounds the wait for a busy engine.
+	maxHold = 30 * time.Second
+	// parkStep is the time after which a parked ticket is looked at again.
+	parkStep = 500 * time.Millisecond
+	// remoteSeconds is the cost in seconds of using an engine of another region, besides its round trip.
+	remoteSeconds = 1.0
+)
+
+// Next grants the best ticket a slot of its best engine. It returns false when no ticket can start now.
+func (d *Dispatcher) Next(now time.Time) (Grant, bool) {
+	d.expire(now)
+	for range maxSteps {
+		it := d.best()
+		if it == nil {
+			return Grant{}, false
+		}
+		if it.state == stateBound {
+			return d.grant(now, it, it.engine), true
+		}
+		if e := d.place(now, it); e != nil {
+			return d.grant(now, it, e), true
+		}
+	}
+	return Grant{}, false
+}
+
+// best returns the first ticket in queue order that an engine with a free slot could take.
+func (d *Dispatcher) best() *item {
+	var best *item
+	for _, e := range d.free {
+		h := e.bound.head()
+		if h != nil && d.fits(e, h) && (best == nil || before(h, best)) {
+			best = h
+		}
+	}
+	for _, l := range d.laneList {
+		h := l.queue.head()
+		if h == nil || (best != nil && before(best, h)) {
+			continue
+		}
+		for _, e := range d.free {
+			if d.open(e, h) {
+				best = h
+				break
+			}
+		}
+	}
+	return best
+}
+
+// open reports whether an engine with a free slot may take a ticket from a lane. A ticket that waits for this engine and
+// goes first in the queue order reserves the slot, so that a large context is not passed for ever.
+func (d *Dispatcher) open(e *engine, it *item) bool {
+	if _, ok := e.lanes[it.lane]; !ok {
+		return false
+	}
+	h := e.bound.head()
+	return h == nil || before(it, h)
+}
+
+// fits reports whether the context of a call fits beside the contexts in flight on an engine.
+func (d *Dispatcher) fits(e *engine, it *item) bool {
+	if e.CacheTokens <= 0 || e.granted == 0 || !d.cfg.on(MemoryLimit) {
+		return true
+	}
+	return e.pinned+d.context(it) <= e.CacheTokens
+}
+
+func (d *Dispatcher) context(it *item) int64 { return it.PromptTokens + int64(d.output(it)) }
+
+// place chooses the engine of a ticket. It returns nil when the ticket has been set aside.
+func (d *Dispatcher) place(now time.Time, it *item) *engine {
+	free, cost, evicts := d.bestFree(now, it)
+	if holder, hold := d.bestBusyHolder(now, it, cost); holder != nil {
+		d.bind(it, holder, now.Add(hold))
+		return nil
+	}
+	if free == nil {
+		d.bind(it, d.roomiest(it), now.Add(maxHold))
+		return nil
+	}
+	if d.shouldPark(now, it, evicts) {
+		d.park(now, it)
+		return nil
+	}
+	return free
+}
+
+// bestFree returns the engine with a free slot that has the least cost, its cost, and the seconds of recompute that its
+// evictions are expected to cause.
+func (d *Dispatcher) bestFree(now time.Time, it *item) (*engine, float64, float64) {
+	var best *engine
+	bestCost, bestEvicts := math.Inf(1), 0.0
+	for _, e := range d.free {
+		if !d.open(e, it) || !d.fits(e, it) {
+			continue
+		}
+		cost, evicts := d.cost(now, it, e)
+		if cost < bestCost {
+			best, bestCost, bestEvicts = e, cost, evicts
+		}
+	}
+	return best, bestCost, bestEvicts
+}
+
+// cost is the expected time to finish on an engine with a free slot, weighted for latency, plus the recompute that the
+// choice causes, weighted for cache.
+func (d *Dispatcher) cost(now time.Time, it *item, e *engine) (cost, evicts float64) {
+	w := d.cfg.Placement
+	missing := d.missingSeconds(it, e)
+	finish := missing + e.RoundTrip.Seconds()
+	if backlog := e.prefillEnd.Sub(now); backlog > 0 {
+		finish += backlog.Seconds()
+	}
+	load := float64(e.granted+e.foreign) / float64(e.Slots)
+	finish += loadSlope * load * d.output(it) / d.cfg.DecodeTokensPerSecond
+	if e.Remote {
+		finish += remoteSeconds
+	}
+	evicts = d.evictionSeconds(now, it, e)
+	return w.LatencyWeight*finish + w.CacheWeight*(missing+evicts), evicts
+}
+
+// missingSeconds is the time to compute the part of the prompt that an engine does not hold.
+func (d *Dispatcher) missingSeconds(it *item, e *engine) float64 {
+	missing := it.PromptTokens - d.cachedOn(it, e)
+	return float64(missing) / d.cfg.PrefillTokensPerSecond
+}
+
+// cachedOn returns the prompt tokens that an engine is expected to hold.
+func (d *Dispatcher) cachedOn(it *item, e *engine) int64 {
+	if !d.cfg.on(CachePlacement) {
+		return 0
+	}
+	history := min(it.HistoryTokens, it.PromptTokens)
+	if x := it.program.prefixOn(e); x != nil {
+		return min(x.tokens, history)
+	}
+	if !it.program.seen && it.PreferredEngine == e.Name {
+		return history
+	}
+	return 0
+}
+
+// evictionSeconds estimates the later recompute of what a call pushes out of an engine's cache. Only the oldest prefix is
+// looked at, since engines evict in that order.
+func (d *Dispatcher) evictionSeconds(now time.Time, it *item, e *engine) float64 {
+	if e.CacheTokens <= 0 || !d.cfg.on(PausedProtect) {
+		return 0
+	}
+	added := d.context(it) - d.cachedOn(it, e)
+	over := min(e.heldTokens+added-e.CacheTokens, added)
+	victim := e.prefixes.oldest()
+	if over <= 0 || victim == nil || victim.program == it.program {
+		return 0
+	}
+	return float64(over) / d.cfg.PrefillTokensPerSecond * d.returnChance(now, victim.program)
+}
+
+// returnChance estimates the chance that a program uses its prefix before it would be evicted anyway. Tool pauses have a
+// heavy tail: the longer a pause has lasted, the longer it is expected to last.
+func (d *Dispatcher) returnChance(now time.Time, p *program) float64 {
+	if p.ended {
+		return 0
+	}
+	if p.pausedAt.IsZero() {
+		return 1
+	}
+	expected := p.pause
+	if expected <= 0 {
+		expected = defaultPause
+	}
+	paused := now.Sub(p.pausedAt).Seconds()
+	return 2 * expected / (2*expected + paused)
+}
+
+// bestBusyHolder returns a busy engine that holds the prefix, when waiting there costs less than freeCost, and how long
+// the wait stays worth it.
+func (d *Dispatcher) bestBusyHolder(now time.Time, it *item, freeCost float64) (*engine, time.Duration) {
+	if it.held || !d.cfg.on(PrefixHold) || !d.cfg.on(CachePlacement) {
+		return nil, 0
+	}
+	w := d.cfg.Placement
+	var best *engine
+	bestCost, bestHold := freeCost, 0.0
+	for _, x := range it.program.prefixes {
+		e := x.engine
+		if _, ok := e.lanes[it.lane]; !ok || e.freePos >= 0 {
+			continue
+		}
+		missing := d.missingSeconds(it, e)
+		run := (w.LatencyWeight + w.CacheWeight) * missing
+		wait := d.slotSeconds(e)
+		if cost := run + w.LatencyWeight*wait; cost < bestCost {
+			best, bestCost = e, cost
+			bestHold = (freeCost - run) / max(w.LatencyWeight, 0.01)
+		}
+	}
+	hold := min(bestHold, maxHold.Seconds())
+	return best, time.Duration(hold * float64(time.Second))
+}
+
+// slotSeconds estimates the wait for a slot of a busy engine.
+func (d *Dispatcher) slotSeconds(e *engine) float64 {
+	ahead := float64(len(e.bound.items) + 1)
+	return ahead * e.service / float64(max(e.Slots, 1))
+}
+
+// roomiest returns the open engine with the most memory beside the contexts in flight.
+func (d *Dispatcher) roomiest(it *item) *engine {
+	var best *engine
+	for _, e := range d.free {
+		if !d.open(e, it) {
+			continue
+		}
+		if best == nil || e.CacheTokens-e.pinned > best.CacheTokens-best.pinned {
+			best = e
+		}
+	}
+	return best
+}
+
+func (d *Dispatcher) bind(it *item, e *engine, until time.Time) {
+	d.detach(it)
+	it.state = stateBound
+	it.held = true
+	it.engine = e
+	e.bound.push(it)
+	d.timers.set(it, until)
+}
+
+// shouldPark reports whether a new program waits because its prompt would evict prefixes that return soon.
+func (d *Dispatcher) shouldPark(now time.Time, it *item, evicts float64) bool {
+	if evicts <= 0 || it.program.seen || it.HistoryTokens > 0 {
+		return false
+	}
+	w := d.cfg.Placement
+	if w.CacheWeight*evicts <= w.LatencyWeight*parkStep.Seconds() {
+		return false
+	}
+	return it.parkedAt.IsZero() || now.Sub(it.parkedAt) < d.cfg.AdmissionDelay
+}
+
+func (d *Dispatcher) park(now time.Time, it *item) {
+	if it.parkedAt.IsZero() {
+		it.parkedAt = now
+	}
+	d.detach(it)
+	it.state = stateParked
+	d.timers.set(it, now.Add(parkStep))
+}
--- /dev/null
+++ b/core/schedule/types.go
@@ -0,0 +1,87 @@
+// Package schedule decides the order and the placement of model calls. A Dispatcher holds the queue and the slots of one
+// engine group in one data centre. The package does no I/O; times are passed in, and equal inputs give equal decisions.
+package schedule
+
+import "time"
+
+// Ticket is one call that waits for an engine slot. The ID is unique for each attempt.
+type Ticket struct {
+	ID              string
+	Program         string
+	Tenant          string
+	Class           string
+	Model           string
+	Adapter         string // Empty for the base model.
+	PromptTokens    int64
+	HistoryTokens   int64 // Part of PromptTokens that earlier calls of the program sent or received.
+	MaxTokens       int64
+	SpentTokens     int64 // Attained service of the program, for a dispatcher that has not seen it before.
+	Deadline        time.Time
+	Enqueued        time.Time
+	PreferredEngine string // Engine of the last call, for a dispatcher that has not seen the program before.
+	Parent          string // Program that started this one as a sub-agent.
+}
+
+// Grant gives a ticket one slot of an engine until Expires.
+type Grant struct {
+	Ticket       string
+	Engine       string
+	Expires      time.Time
+	CachedTokens int64 // Prompt tokens that the engine is expected to hold.
+}
+
+// ReadyModel is a model that an engine serves.
+type ReadyModel struct {
+	Name     string
+	Adapters []string
+}
+
+// Engine describes one engine to a dispatcher.
+type Engine struct {
+	Name        string
+	Slots       int
+	CacheTokens int64 // Zero means unknown: no limit by memory applies.
+	Models      []ReadyModel
+	Leaving     bool          // Gets no new work.
+	Remote      bool          // In another region.
+	RoundTrip   time.Duration // Network time that a call to the engine adds.
+}
+
+// CacheEventType is the type of a cache event of an engine.
+type CacheEventType string
+
+// Types of cache events.
+const (
+	CacheStored   CacheEventType = "stored"
+	CacheEvicted  CacheEventType = "evicted"
+	CacheReleased CacheEventType = "released"
+	CacheGap      CacheEventType = "gap" // Events of the engine were lost.
+)
+
+// CacheEvent reports a change in the prefix cache of an engine. For CacheStored, Tokens is the length of the prefix that
+// is held; for CacheEvicted it is the length that is left.
+type CacheEvent struct {
+	Engine  string
+	Type    CacheEventType
+	Program string
+	Tokens  int64
+}
+
+// HeldPrefix is a prefix in a listing of an engine's cache.
+type HeldPrefix struct {
+	Program string
+	Tokens  int64
+}
+
+// OrderType is the type of an Order.
+type OrderType string
+
+// OrderReleaseCache tells an engine to drop the prefix of a program.
+const OrderReleaseCache OrderType = "release_cache"
+
+// Order is a command for an engine.
+type Order struct {
+	Type    OrderType
+	Engine  string
+	Program string
+}
