--- /dev/null
+++ b/testbed/standin/control/response.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrorBody is the body of every error response.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the error inside an ErrorBody.
+type ErrorDetail struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// WriteJSON sends a JSON response. It keeps the characters <, > and & as they are, so that stored values come back
+// byte for byte.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	e := json.NewEncoder(w)
+	e.SetEscapeHTML(false)
+	// The connection may be gone; there is no second way to tell the client.
+	_ = e.Encode(body)
+}
+
+// WriteError sends an error response.
+func WriteError(w http.ResponseWriter, status int, code, message string) {
+	WriteJSON(w, status, ErrorBody{Error: ErrorDetail{Code: code, Message: message}})
+}
+
+// RequireKey returns a handler that responds with 401 to requests without one of the keys. No keys means no check.
+func RequireKey(keys []string, next http.Handler) http.Handler {
+	if len(keys) == 0 {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, PathPrefix) && !validKey(keys, r.Header.Get("Authorization")) {
+			WriteError(w, http.StatusUnauthorized, "unauthorized", "The bearer key is missing or wrong.")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func validKey(keys []string, header string) bool {
+	got, ok := strings.CutPrefix(header, "Bearer ")
+	if !ok {
+		return false
+	}
+	for _, key := range keys {
+		if subtle.ConstantTimeCompare([]byte(got), []byte(key)) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// ReadKeys reads a key file: one key a line, all valid, so that keys can be rotated. An empty path yields no keys.
+func ReadKeys(path string) ([]string, error) {
+	if path == "" {
+		return nil, nil
+	}
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read key file")
+	}
+	keys := strings.Fields(string(content))
+	if len(keys) == 0 {
+		return nil, errors.Newf("key file %s holds no key", path)
+	}
+	return keys, nil
+}
--- /dev/null
+++ b/testbed/standin/engine/engine.go
@@ -0,0 +1,453 @@
+// Package engine is a stand-in for a model engine with continuous batching and a prefix cache. It implements the
+// section "Engines" of docs/protocols.md.
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/testbed/standin/control"
+)
+
+// Bounds of the state that an engine keeps.
+const (
+	maxWaiting      = 4096
+	maxKeptRequests = 8192
+	maxKeptEvents   = 1000
+	maxLoadSamples  = 4096
+	maxOrders       = 10_000
+)
+
+// Config configures a Server. Durations are divided by Speed.
+type Config struct {
+	Keys             []string // Valid bearer keys; empty accepts every request.
+	Models           []string // Ready at the start, as NAME or NAME=VERSION.
+	Role             string
+	Slots            int
+	Timing           Timing
+	CacheTokens      int
+	LoadLag          time.Duration
+	EventLag         time.Duration
+	EventGapEvery    int // Every n-th cache event is lost; zero loses none.
+	ChecksFencing    bool
+	ModelLoadTime    time.Duration
+	KeepStreams      time.Duration // How long an ended stream can be resumed; not divided by Speed.
+	KVBytesPerToken  int           // Size of an exported cache.
+	Reply            ReplyConfig
+	Speed            float64
+	MaxRequestTokens int // Longest prompt; zero has no limit.
+}
+
+// DefaultConfig returns the settings of a mid-size engine with one model.
+func DefaultConfig() Config {
+	return Config{
+		Models: []string{"model-a=1"},
+		Role:   "mixed",
+		Slots:  16,
+		Timing: Timing{
+			PrefillTokensPerSecond: 8000,
+			DecodePerToken:         20 * time.Millisecond,
+			DecodeGrowth:           time.Millisecond,
+		},
+		CacheTokens:     400_000,
+		LoadLag:         200 * time.Millisecond,
+		EventLag:        200 * time.Millisecond,
+		ModelLoadTime:   30 * time.Second,
+		KeepStreams:     time.Minute,
+		KVBytesPerToken: 128,
+		Speed:           1,
+	}
+}
+
+// States of a model.
+const (
+	ModelLoading  = "loading"
+	ModelReady    = "ready"
+	ModelDraining = "draining"
+)
+
+// Model is a model of an engine.
+type Model struct {
+	Name     string   `json:"name"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters"`
+	State    string   `json:"state"`
+}
+
+// Load is a load report.
+type Load struct {
+	AtMillis      int64   `json:"at_ms"`
+	Running       int     `json:"running"`
+	Waiting       int     `json:"waiting"`
+	Slots         int     `json:"slots"`
+	CachedTokens  int     `json:"cached_tokens"`
+	CacheCapacity int     `json:"cache_capacity"`
+	Role          string  `json:"role"`
+	Models        []Model `json:"models"`
+	FencingToken  int64   `json:"fencing_token"`
+}
+
+type loadSample struct {
+	at   time.Time
+	load Load
+}
+
+type heldEvent struct {
+	at    time.Time
+	event CacheEvent
+	lost  bool
+}
+
+// Server is the stand-in. Use its Handler with an http.Server and end it with Close.
+type Server struct {
+	cfg     Config
+	faults  *control.Injector
+	handler http.Handler
+	stop    context.CancelFunc
+	done    chan struct{}
+	wake    chan struct{}
+
+	mu       sync.Mutex
+	batch    batch
+	cache    *cache
+	calls    map[string]*call // By request id.
+	ended    []*call          // In order of their end, for expiry.
+	models   []Model
+	role     string
+	fencing  int64
+	orders   []Order
+	samples  []loadSample
+	events   []heldEvent
+	nextSeq  int64
+	inFlight map[string]int // Running and waiting requests by model.
+}
+
+// New starts an engine.
+func New(cfg Config) *Server {
+	if cfg.Speed <= 0 {
+		cfg.Speed = 1
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	s := &Server{
+		cfg:      cfg,
+		faults:   control.NewInjector(),
+		stop:     stop,
+		done:     make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+		batch:    batch{timing: cfg.Timing, slots: max(1, cfg.Slots)},
+		calls:    map[string]*call{},
+		role:     cfg.Role,
+		inFlight: map[string]int{},
+	}
+	s.cache = newCache(cfg.CacheTokens, s.recordEvent)
+	for _, m := range cfg.Models {
+		name, version, _ := strings.Cut(m, "=")
+		s.models = append(s.models, Model{Name: name, Version: version, Adapters: []string{}, State: ModelReady})
+	}
+	s.sample()
+	s.handler = s.routes()
+	go s.run(ctx)
+	return s
+}
+
+// Handler serves the protocol and the control interface.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+// Faults returns the faults of this stand-in.
+func (s *Server) Faults() *control.Injector { return s.faults }
+
+// Close stops the engine; open streams end without [DONE].
+func (s *Server) Close() {
+	s.stop()
+	<-s.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.calls {
+		c.end(stateCancelled)
+	}
+}
+
+func (s *Server) scaled(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / s.cfg.Speed)
+}
+
+// minSleep is the shortest wait of the step loop. Timers are not exact below it, so shorter steps run in groups that
+// keep the total time right.
+const minSleep = time.Millisecond
+
+// run executes the steps of the batch in time.
+func (s *Server) run(ctx context.Context) {
+	defer close(s.done)
+	due := time.Now()
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		d, work, ok := s.batch.plan()
+		s.mu.Unlock()
+		if !ok {
+			select {
+			case <-s.wake:
+				due = time.Now()
+			case <-ctx.Done():
+			}
+			continue
+		}
+		due = due.Add(s.scaled(d))
+		if wait := time.Until(due); wait >= minSleep {
+			control.Sleep(ctx.Done(), wait)
+		}
+		s.mu.Lock()
+		s.batch.apply(work)
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) wakeLoop() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// sample records the load for late reports. The caller holds the lock, except in New.
+func (s *Server) sample() {
+	now := time.Now()
+	cutoff := now.Add(-s.scaled(s.cfg.LoadLag))
+	// The newest sample before the cutoff is still needed.
+	first := 0
+	for first+1 < len(s.samples) && !s.samples[first+1].at.After(cutoff) {
+		first++
+	}
+	first = max(first, len(s.samples)-maxLoadSamples)
+	s.samples = append(slices.Delete(s.samples, 0, first), loadSample{at: now, load: s.currentLoad()})
+}
+
+func (s *Server) currentLoad() Load {
+	models := slices.Clone(s.models)
+	for i := range models {
+		models[i].Adapters = slices.Clone(models[i].Adapters)
+	}
+	return Load{
+		Running:       len(s.batch.running),
+		Waiting:       len(s.batch.waiting),
+		Slots:         s.batch.slots,
+		CachedTokens:  s.cache.used,
+		CacheCapacity: s.cfg.CacheTokens,
+		Role:          s.role,
+		Models:        models,
+		FencingToken:  s.fencing,
+	}
+}
+
+// Load returns the load as it was before the lag.
+func (s *Server) Load() Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := time.Now().Add(-s.scaled(s.cfg.LoadLag))
+	load := s.samples[0].load
+	for _, sample := range s.samples {
+		if sample.at.After(at) {
+			break
+		}
+		load = sample.load
+	}
+	load.AtMillis = at.UnixMilli()
+	return load
+}
+
+// recordEvent keeps a cache event. The caller holds the lock.
+func (s *Server) recordEvent(e CacheEvent) {
+	s.nextSeq++
+	e.Seq = s.nextSeq
+	lost := s.cfg.EventGapEvery > 0 && e.Seq%int64(s.cfg.EventGapEvery) == 0
+	s.events = append(s.events, heldEvent{at: time.Now().Add(s.scaled(s.cfg.EventLag)), event: e, lost: lost})
+	if excess := len(s.events) - maxKeptEvents; excess > 0 {
+		s.events = slices.Delete(s.events, 0, excess)
+	}
+}
+
+// EventPage is the response to a request for cache events.
+type EventPage struct {
+	Next   int64        `json:"next"`
+	Gap    bool         `json:"gap"`
+	Events []CacheEvent `json:"events"`
+}
+
+// Events returns the cache events after seq that are visible by now, and when the next one becomes visible.
+func (s *Server) Events(seq int64) (EventPage, time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	page := EventPage{Next: seq, Events: []CacheEvent{}}
+	if s.faults.Faults().WatchGap || seq > s.nextSeq {
+		page.Next, page.Gap = s.nextSeq, true
+		return page, time.Time{}
+	}
+	now := time.Now()
+	for i, h := range s.events {
+		if h.event.Seq <= seq {
+			continue
+		}
+		if h.at.After(now) {
+			return page, h.at
+		}
+		page.Gap = page.Gap || h.lost || i == 0 && h.event.Seq > seq+1
+		page.Next = h.event.Seq
+		if !h.lost {
+			page.Events = append(page.Events, h.event)
+		}
+	}
+	return page, time.Time{}
+}
+
+// Order is an order to an engine.
+type Order struct {
+	FencingToken int64  `json:"fencing_token"`
+	Type         string `json:"type"`
+	Model        string `json:"model,omitempty"`
+	Version      string `json:"version,omitempty"`
+	Adapter      string `json:"adapter,omitempty"`
+	Role         string `json:"role,omitempty"`
+	Program      string `json:"program,omitempty"`
+}
+
+// Errors of orders.
+var (
+	errStaleFencing  = errors.New("the fencing token is below the highest that this engine has seen")
+	errUnknownModel  = errors.New("the model is not loaded")
+	errInvalidOrder  = errors.New("the order has an unknown type or lacks a field")
+	errTooManyOrders = errors.New("the engine has run too many orders for a test")
+)
+
+// Execute runs an order.
+func (s *Server) Execute(o Order) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg.ChecksFencing && o.FencingToken < s.fencing {
+		return errStaleFencing
+	}
+	if len(s.orders) >= maxOrders {
+		return errTooManyOrders
+	}
+	if err := s.execute(o); err != nil {
+		return err
+	}
+	// An engine that ignores tokens reports the token of the order that it ran last.
+	s.fencing = o.FencingToken
+	s.orders = append(s.orders, o)
+	s.sample()
+	return nil
+}
+
+func (s *Server) execute(o Order) error {
+	i := slices.IndexFunc(s.models, func(m Model) bool { return m.Name == o.Model })
+	switch o.Type {
+	case "load_model":
+		if o.Model == "" {
+			return errInvalidOrder
+		}
+		s.loadModel(i, o)
+	case "drop_model":
+		if i < 0 {
+			return errUnknownModel
+		}
+		s.models[i].State = ModelDraining
+		s.removeDrained(o.Model)
+	case "load_adapter", "drop_adapter":
+		if o.Adapter == "" {
+			return errInvalidOrder
+		}
+		if i < 0 {
+			return errUnknownModel
+		}
+		adapters := slices.DeleteFunc(s.models[i].Adapters, func(a string) bool { return a == o.Adapter })
+		if o.Type == "load_adapter" {
+			adapters = append(adapters, o.Adapter)
+		}
+		s.models[i].Adapters = adapters
+	case "set_role":
+		if o.Role == "" {
+			return errInvalidOrder
+		}
+		s.role = o.Role
+	case "release_cache":
+		if o.Program == "" {
+			return errInvalidOrder
+		}
+		s.cache.release(o.Program)
+	default:
+		return errInvalidOrder
+	}
+	return nil
+}
+
+// loadModel starts loading a model. A model that is ready in this version stays as it is; another version replaces it
+// and drops the cache, whose values depend on the weights.
+func (s *Server) loadModel(i int, o Order) {
+	m := Model{Name: o.Model, Version: o.Version, Adapters: []string{}, State: ModelLoading}
+	switch {
+	case i < 0:
+		s.models = append(s.models, m)
+	case s.models[i].Version == o.Version && s.models[i].State != ModelDraining:
+		return
+	default:
+		s.models[i] = m
+		s.cache.clear()
+	}
+	time.AfterFunc(s.scaled(s.cfg.ModelLoadTime), func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for i := range s.models {
+			if n := &s.models[i]; n.Name == o.Model && n.Version == o.Version && n.State == ModelLoading {
+				n.State = ModelReady
+			}
+		}
+		s.sample()
+	})
+}
+
+// removeDrained removes a draining model after its last request.
+func (s *Server) removeDrained(model string) {
+	if s.inFlight[model] > 0 {
+		return
+	}
+	s.models = slices.DeleteFunc(s.models, func(m Model) bool { return m.Name == model && m.State == ModelDraining })
+}
+
+// serves tells whether a model, or a model with an adapter as MODEL:ADAPTER, is ready. It returns the model.
+func (s *Server) serves(name string) (string, bool) {
+	base, adapter, hasAdapter := strings.Cut(name, ":")
+	for _, m := range s.models {
+		switch {
+		case m.State != ModelReady:
+		case m.Name == name:
+			return name, true
+		case hasAdapter && m.Name == base && slices.Contains(m.Adapters, adapter):
+			return base, true
+		}
+	}
+	return "", false
+}
+
+// Orders returns the orders that ran, in order.
+func (s *Server) Orders() []Order {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.orders)
+}
+
+// completionRequest is the part of a chat-completions request that the model uses.
+type completionRequest struct {
+	Model         string            `json:"model"`
+	Messages      []json.RawMessage `json:"messages"`
+	MaxTokens     int               `json:"max_tokens"`
+	Stream        bool              `json:"stream"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
--- /dev/null
+++ b/testbed/standin/engine/handlers.go
@@ -0,0 +1,212 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	"jackdawbay.dev/testbed/standin/control"
+)
+
+// Bounds of request bodies in bytes: a prompt of 620,000 tokens, and an exported cache.
+const (
+	maxCompletionBytes = 16 << 20
+	maxImportBytes     = 256 << 20
+	maxOrderBytes      = 1 << 16
+)
+
+// maxEventWait bounds the wait of a request for cache events.
+const maxEventWait = 60 * time.Second
+
+func (s *Server) routes() http.Handler {
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r.HandleFunc("/v1/chat/completions", s.complete).Methods(http.MethodPost)
+	r.HandleFunc("/v1/requests/{id}/stream", s.resume).Methods(http.MethodGet)
+	r.HandleFunc("/v1/requests/{id}", s.cancelRequest).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/load", func(w http.ResponseWriter, _ *http.Request) {
+		control.WriteJSON(w, http.StatusOK, s.Load())
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache", s.cachePrograms).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache/events", s.cacheEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/cache/export", s.exportCache).Methods(http.MethodPost)
+	r.HandleFunc("/v1/cache/import", s.importCache).Methods(http.MethodPost)
+	r.HandleFunc("/v1/orders", s.order).Methods(http.MethodPost)
+	r.HandleFunc("/control/orders", func(w http.ResponseWriter, _ *http.Request) {
+		control.WriteJSON(w, http.StatusOK, map[string]any{"orders": s.Orders()})
+	}).Methods(http.MethodGet)
+	r.Handle("/control/faults", s.faults).Methods(http.MethodGet, http.MethodPut)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		control.WriteError(w, http.StatusNotFound, "not_found", "There is no such path.")
+	})
+	return s.faults.Wrap(control.RequireKey(s.cfg.Keys, r), func(r *http.Request) bool {
+		return r.Method == http.MethodPost && r.URL.Path != "/v1/cache/export" || r.Method == http.MethodDelete
+	})
+}
+
+func badRequest(w http.ResponseWriter, message string) {
+	control.WriteError(w, http.StatusBadRequest, "bad_request", message)
+}
+
+func decode(w http.ResponseWriter, r *http.Request, limit int64, body any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit)).Decode(body)
+	if err != nil {
+		badRequest(w, err.Error())
+	}
+	return err == nil
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	var body completionRequest
+	if !decode(w, r, maxCompletionBytes, &body) {
+		return
+	}
+	if len(body.Messages) == 0 || body.MaxTokens < 0 {
+		badRequest(w, "messages is empty or max_tokens is negative.")
+		return
+	}
+	c, refused := s.submit(r.Header.Get("X-Request-Id"), r.Header.Get("X-Program"), body)
+	if refused != nil {
+		control.WriteError(w, refused.status, refused.code, refused.message)
+		return
+	}
+	if body.Stream {
+		s.stream(w, r, c, 0)
+		return
+	}
+	s.respond(w, r, c)
+}
+
+func (s *Server) lookup(r *http.Request) *call {
+	id, err := url.PathUnescape(mux.Vars(r)["id"])
+	if err != nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	return s.calls[id]
+}
+
+func (s *Server) resume(w http.ResponseWriter, r *http.Request) {
+	c := s.lookup(r)
+	if c == nil {
+		control.WriteError(w, http.StatusGone, "gone", "The stream is not kept.")
+		return
+	}
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	s.mu.Lock()
+	cancelled := c.state == stateCancelled
+	valid := err == nil && offset >= 0 && offset <= len(c.text) &&
+		(offset == len(c.text) || utf8.RuneStart(c.text[offset]))
+	s.mu.Unlock()
+	switch {
+	case cancelled:
+		control.WriteError(w, http.StatusGone, "gone", "The request was cancelled.")
+	case !valid:
+		control.WriteError(w, http.StatusBadRequest, "bad_offset", "The offset is outside the text or inside a character.")
+	default:
+		s.stream(w, r, c, offset)
+	}
+}
+
+func (s *Server) cancelRequest(w http.ResponseWriter, r *http.Request) {
+	if c := s.lookup(r); c != nil {
+		s.cancel(c)
+	}
+	control.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) cachePrograms(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	programs := s.cache.programs()
+	s.mu.Unlock()
+	control.WriteJSON(w, http.StatusOK, map[string]any{"programs": programs})
+}
+
+// pollInterval is how often a waiting request for cache events looks for new ones.
+const pollInterval = 10 * time.Millisecond
+
+func (s *Server) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, err := strconv.ParseInt("0"+q.Get("since"), 10, 64)
+	waitMillis, waitErr := strconv.ParseInt("0"+q.Get("wait_ms"), 10, 64)
+	if err != nil || waitErr != nil {
+		badRequest(w, "since or wait_ms is not a number of at least 0.")
+		return
+	}
+	deadline := time.Now().Add(min(maxEventWait, time.Duration(min(waitMillis, maxEventWait.Milliseconds()))*time.Millisecond))
+	for {
+		page, _ := s.Events(since)
+		if page.Gap || page.Next > since || !time.Now().Before(deadline) {
+			control.WriteJSON(w, http.StatusOK, page)
+			return
+		}
+		control.Sleep(r.Context().Done(), pollInterval)
+		if r.Context().Err() != nil {
+			return
+		}
+	}
+}
+
+func (s *Server) exportCache(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Program string `json:"program"`
+	}
+	if !decode(w, r, maxOrderBytes, &body) {
+		return
+	}
+	s.mu.Lock()
+	kv, tokens, ok := s.cache.export(body.Program, s.cfg.KVBytesPerToken)
+	s.mu.Unlock()
+	if !ok {
+		control.WriteError(w, http.StatusNotFound, "not_found", "The program has no cache on this engine.")
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("X-Tokens", strconv.Itoa(tokens))
+	_, _ = w.Write(kv)
+}
+
+func (s *Server) importCache(w http.ResponseWriter, r *http.Request) {
+	program := r.URL.Query().Get("program")
+	kv, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxImportBytes))
+	if err != nil || program == "" {
+		badRequest(w, "The program is missing or the body is incomplete.")
+		return
+	}
+	s.mu.Lock()
+	tokens, err := s.cache.importBody(program, kv, s.cfg.KVBytesPerToken)
+	s.sample()
+	s.mu.Unlock()
+	if err != nil {
+		badRequest(w, err.Error())
+		return
+	}
+	control.WriteJSON(w, http.StatusOK, map[string]int{"tokens": tokens})
+}
+
+func (s *Server) order(w http.ResponseWriter, r *http.Request) {
+	var o Order
+	if !decode(w, r, maxOrderBytes, &o) {
+		return
+	}
+	err := s.Execute(o)
+	switch {
+	case err == nil:
+		control.WriteJSON(w, http.StatusOK, map[string]bool{"accepted": true})
+	case errors.Is(err, errStaleFencing):
+		control.WriteError(w, http.StatusConflict, "stale_fencing", err.Error())
+	case errors.Is(err, errUnknownModel):
+		control.WriteError(w, http.StatusNotFound, "model_not_loaded", err.Error())
+	default:
+		badRequest(w, strings.TrimSpace(err.Error()))
+	}
+}
--- /dev/null
+++ b/testbed/standin/engine/text.go
@@ -0,0 +1,126 @@
+package engine
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+)
+
+// Bounds of the drawn length of a reply in tokens.
+const (
+	MinReplyTokens = 16
+	MaxReplyTokens = 271
+)
+
+// tokenBytes is the number of bytes of a message that count as one prompt token.
+const tokenBytes = 4
+
+// words are the tokens of a reply. Some have characters of several bytes, so that a client that confuses bytes with
+// characters in a stream offset fails.
+var words = []string{
+	"order", "route", "jersey", "printer", "deposit", "zażółć", "pallet", "truck", "invoice", "stock", "meter", "grid",
+	"łódź", "harbor", "booking", "captain",
+}
+
+// MessageTokens returns the prompt tokens of one message in JSON.
+func MessageTokens(message json.RawMessage) int {
+	return (len(compact(message)) + tokenBytes - 1) / tokenBytes
+}
+
+// PromptTokens returns the prompt tokens of a list of messages.
+func PromptTokens(messages []json.RawMessage) int {
+	total := 0
+	for _, m := range messages {
+		total += MessageTokens(m)
+	}
+	return total
+}
+
+// PrefixHash returns the prefix_hash of cache events: the first 16 bytes of the SHA-256 of the JSON array of the
+// messages without white space, in hexadecimal.
+func PrefixHash(messages []json.RawMessage) string {
+	h := sha256.New()
+	h.Write([]byte("["))
+	for i, m := range messages {
+		if i > 0 {
+			h.Write([]byte(","))
+		}
+		h.Write(compact(m))
+	}
+	h.Write([]byte("]"))
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// ReplyConfig fixes what a reply depends on besides the call.
+type ReplyConfig struct {
+	Seed   uint64
+	Tokens int // Length before max_tokens applies; zero draws it from the call.
+}
+
+// Reply returns the tokens of the reply to a call, whose concatenation is its text. It is a function of its arguments,
+// so a test can predict the text of a call. The first token holds the number of messages of the prompt. maxTokens zero
+// is no limit.
+func Reply(cfg ReplyConfig, model string, messages []json.RawMessage, maxTokens int) []string {
+	h := sha256.New()
+	_ = binary.Write(h, binary.LittleEndian, cfg.Seed)
+	h.Write([]byte(model))
+	h.Write([]byte(PrefixHash(messages)))
+	var seed [32]byte
+	copy(seed[:], h.Sum(nil))
+	rng := rand.New(rand.NewChaCha8(seed))
+	length := MinReplyTokens + rng.IntN(MaxReplyTokens-MinReplyTokens+1)
+	if cfg.Tokens > 0 {
+		length = cfg.Tokens
+	}
+	if maxTokens > 0 {
+		length = min(length, maxTokens)
+	}
+	tokens := make([]string, 0, length)
+	tokens = append(tokens, "messages="+strconv.Itoa(len(messages)))
+	for len(tokens) < length {
+		tokens = append(tokens, " "+words[rng.IntN(len(words))])
+	}
+	return tokens
+}
+
+// ReplyText returns the text of a reply.
+func ReplyText(cfg ReplyConfig, model string, messages []json.RawMessage, maxTokens int) string {
+	return strings.Join(Reply(cfg, model, messages, maxTokens), "")
+}
+
+func compact(message json.RawMessage) []byte {
+	var b bytes.Buffer
+	if err := json.Compact(&b, message); err != nil {
+		return message
+	}
+	return b.Bytes()
+}
+
+// assistantMessage returns the message with which a client appends a reply to its history.
+func assistantMessage(text string) json.RawMessage {
+	var b bytes.Buffer
+	e := json.NewEncoder(&b)
+	e.SetEscapeHTML(false)
+	// Encoding a struct of two strings cannot fail.
+	_ = e.Encode(struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	}{"assistant", text})
+	return compact(b.Bytes())
+}
+
+// matchKey identifies a message in the prefix cache regardless of the order of its fields.
+func matchKey(message json.RawMessage) [16]byte {
+	normal := []byte(message)
+	var fields map[string]any
+	if json.Unmarshal(message, &fields) == nil {
+		normal, _ = json.Marshal(fields)
+	}
+	sum := sha256.Sum256(normal)
+	return [16]byte(sum[:16])
+}
--- /dev/null
+++ b/testbed/standin/platform/server.go
@@ -0,0 +1,487 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"math"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+	"golang.org/x/time/rate"
+
+	"jackdawbay.dev/testbed/standin/control"
+)
+
+// Limits of a watch.
+const (
+	DefaultWatchWait = 10 * time.Second
+	MaxWatchWait     = 60 * time.Second
+)
+
+// RevisionHeader is the header of every response with the current revision.
+const RevisionHeader = "Platform-Revision"
+
+// maxRequestBytes leaves room for the envelope around a value and lets slightly larger values reach the check for 413.
+const maxRequestBytes = 4 << 20
+
+// Config configures a Server.
+type Config struct {
+	Keys            []string // Valid bearer keys; empty accepts every request.
+	WritesPerSecond float64  // Zero is unlimited; the burst is one second's worth.
+	ReadsPerSecond  float64  // Zero is unlimited; watches count as reads.
+	KeptEvents      int      // Events kept for watches; zero is DefaultKeptEvents.
+}
+
+// VM is a machine in the VM list.
+type VM struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"` // live or leaving
+}
+
+// VMList is the body of PUT /control/vms: the list becomes visible after the lag.
+type VMList struct {
+	VMs       []VM  `json:"vms"`
+	LagMillis int64 `json:"lag_ms"`
+}
+
+// Stats counts calls. Rate-limited calls appear only in RateLimited, calls in an outage nowhere.
+type Stats struct {
+	Writes         int64 `json:"writes"`
+	Reads          int64 `json:"reads"` // Includes watches.
+	Watches        int64 `json:"watches"`
+	WatchesWaiting int64 `json:"watches_waiting"`
+	RateLimited    int64 `json:"rate_limited"`
+	Conflicts      int64 `json:"conflicts"`
+	BytesIn        int64 `json:"bytes_in"`  // Request bodies.
+	BytesOut       int64 `json:"bytes_out"` // Response bodies.
+}
+
+// Server is the stand-in. Use its Handler with an http.Server.
+type Server struct {
+	faults  *control.Injector
+	writes  *rate.Limiter
+	reads   *rate.Limiter
+	handler http.Handler
+
+	mu         sync.Mutex
+	store      *store
+	changed    chan struct{} // Closes at the next write or restore.
+	vms        []VM
+	pendingVMs []pendingVMs
+	stats      Stats
+}
+
+type pendingVMs struct {
+	at  time.Time
+	vms []VM
+}
+
+// New returns an empty platform.
+func New(cfg Config) *Server {
+	s := &Server{
+		faults:  control.NewInjector(),
+		writes:  newLimiter(cfg.WritesPerSecond),
+		reads:   newLimiter(cfg.ReadsPerSecond),
+		store:   newStore(cfg.KeptEvents),
+		changed: make(chan struct{}),
+		vms:     []VM{},
+	}
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r.HandleFunc("/v1/objects/{kind}/{name}", s.limited(s.reads, s.get)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/objects/{kind}/{name}", s.limited(s.writes, s.put)).Methods(http.MethodPut)
+	r.HandleFunc("/v1/objects/{kind}/{name}", s.limited(s.writes, s.delete)).Methods(http.MethodDelete)
+	r.HandleFunc("/v1/objects/{kind}", s.limited(s.reads, s.list)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/watch/{kind}", s.limited(s.reads, s.watch)).Methods(http.MethodGet)
+	r.HandleFunc("/v1/vms", s.limited(s.reads, s.listVMs)).Methods(http.MethodGet)
+	r.Handle("/control/faults", s.faults).Methods(http.MethodGet, http.MethodPut)
+	r.HandleFunc("/control/snapshot", s.controlSnapshot).Methods(http.MethodPost)
+	r.HandleFunc("/control/restore", s.controlRestore).Methods(http.MethodPost)
+	r.HandleFunc("/control/vms", s.controlVMs).Methods(http.MethodPut)
+	r.HandleFunc("/control/stats", s.controlStats).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		control.WriteError(w, http.StatusNotFound, "not_found", "There is no such path.")
+	})
+	faulty := s.faults.Wrap(control.RequireKey(cfg.Keys, r), func(r *http.Request) bool {
+		return r.Method == http.MethodPut || r.Method == http.MethodDelete
+	})
+	s.handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		faulty.ServeHTTP(&revisionWriter{ResponseWriter: w, server: s}, r)
+	})
+	return s
+}
+
+func newLimiter(perSecond float64) *rate.Limiter {
+	if perSecond <= 0 {
+		return rate.NewLimiter(rate.Inf, 0)
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), int(math.Ceil(perSecond)))
+}
+
+// Handler serves the protocol and the control interface.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+// Faults returns the faults of this stand-in.
+func (s *Server) Faults() *control.Injector { return s.faults }
+
+// Stats returns the counts of calls.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// Snapshot keeps the present state for Restore.
+func (s *Server) Snapshot() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.takeSnapshot()
+}
+
+// Restore goes back to the last snapshot, or to an empty platform without one.
+func (s *Server) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.store.restore()
+	s.notify()
+}
+
+// SetVMs sets the VM list, visible after the lag.
+func (s *Server) SetVMs(vms []VM, lag time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pendingVMs = append(s.pendingVMs, pendingVMs{at: time.Now().Add(lag), vms: vms})
+}
+
+// notify wakes the watches. The caller holds the lock.
+func (s *Server) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// revisionWriter adds the revision at the time of the response and counts the bytes of the body.
+type revisionWriter struct {
+	http.ResponseWriter
+	server *Server
+	wrote  bool
+}
+
+// WriteHeader adds the revision header.
+func (w *revisionWriter) WriteHeader(status int) {
+	w.wrote = true
+	w.server.mu.Lock()
+	revision := w.server.store.revision
+	w.server.mu.Unlock()
+	w.Header().Set(RevisionHeader, strconv.FormatInt(revision, 10))
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write counts the bytes.
+func (w *revisionWriter) Write(b []byte) (int, error) {
+	if !w.wrote {
+		w.WriteHeader(http.StatusOK)
+	}
+	n, err := w.ResponseWriter.Write(b)
+	w.server.mu.Lock()
+	w.server.stats.BytesOut += int64(n)
+	w.server.mu.Unlock()
+	return n, err
+}
+
+// Unwrap lets http.ResponseController flush.
+func (w *revisionWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (s *Server) limited(limiter *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		allowed := limiter.Allow()
+		s.mu.Lock()
+		switch {
+		case !allowed:
+			s.stats.RateLimited++
+		case limiter == s.writes:
+			s.stats.Writes++
+		default:
+			s.stats.Reads++
+		}
+		s.mu.Unlock()
+		if !allowed {
+			wait := max(1, int64(math.Ceil(1000/float64(limiter.Limit()))))
+			w.Header().Set("Retry-After-Ms", strconv.FormatInt(wait, 10))
+			control.WriteError(w, http.StatusTooManyRequests, "rate_limited", "The rate of calls is above the limit.")
+			return
+		}
+		next(w, r)
+	}
+}
+
+func pathValue(r *http.Request, name string) string {
+	raw := mux.Vars(r)[name]
+	value, err := url.PathUnescape(raw)
+	if err != nil {
+		return raw
+	}
+	return value
+}
+
+func integer(r *http.Request, name string) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 {
+		return 0, errors.Newf("the parameter %s is not a number of at least 0", name)
+	}
+	return n, nil
+}
+
+func badRequest(w http.ResponseWriter, err error) {
+	control.WriteError(w, http.StatusBadRequest, "bad_request", err.Error())
+}
+
+type conflictBody struct {
+	control.ErrorBody
+	Current *Object `json:"current"`
+}
+
+func writeStoreError(w http.ResponseWriter, err error, current *Object) {
+	switch {
+	case errors.Is(err, ErrConflict):
+		body := conflictBody{Current: current}
+		body.Error = control.ErrorDetail{Code: "conflict", Message: err.Error()}
+		control.WriteJSON(w, http.StatusConflict, body)
+	case errors.Is(err, ErrTooLarge):
+		control.WriteError(w, http.StatusRequestEntityTooLarge, "too_large", err.Error())
+	case errors.Is(err, ErrGap):
+		control.WriteError(w, http.StatusGone, "gap", err.Error())
+	default:
+		control.WriteError(w, http.StatusNotFound, "not_found", err.Error())
+	}
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	stale := s.faults.TakeStaleRead()
+	s.mu.Lock()
+	o, err := s.store.get(pathValue(r, "kind"), pathValue(r, "name"), stale)
+	s.mu.Unlock()
+	if err != nil {
+		writeStoreError(w, err, nil)
+		return
+	}
+	control.WriteJSON(w, http.StatusOK, o)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	s.mu.Lock()
+	s.stats.BytesIn += int64(len(raw))
+	s.mu.Unlock()
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeStoreError(w, ErrTooLarge, nil)
+		return
+	}
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	var body struct {
+		IfVersion int64           `json:"if_version"`
+		Value     json.RawMessage `json:"value"`
+	}
+	if err := json.Unmarshal(raw, &body); err != nil {
+		badRequest(w, err)
+		return
+	}
+	var value bytes.Buffer
+	if err := json.Compact(&value, body.Value); err != nil {
+		badRequest(w, errors.New("the field value is missing"))
+		return
+	}
+	s.mu.Lock()
+	o, current, err := s.store.put(pathValue(r, "kind"), pathValue(r, "name"), body.IfVersion, value.Bytes())
+	s.countWrite(err)
+	s.mu.Unlock()
+	if err != nil {
+		writeStoreError(w, err, current)
+		return
+	}
+	o.Value = nil
+	control.WriteJSON(w, http.StatusOK, o)
+}
+
+// countWrite wakes the watches after a write. The caller holds the lock.
+func (s *Server) countWrite(err error) {
+	switch {
+	case err == nil:
+		s.notify()
+	case errors.Is(err, ErrConflict):
+		s.stats.Conflicts++
+	}
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	ifVersion, err := integer(r, "if_version")
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	s.mu.Lock()
+	version, current, err := s.store.delete(pathValue(r, "kind"), pathValue(r, "name"), ifVersion)
+	s.countWrite(err)
+	s.mu.Unlock()
+	if err != nil {
+		writeStoreError(w, err, current)
+		return
+	}
+	control.WriteJSON(w, http.StatusOK, map[string]int64{"version": version})
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	limit, err := integer(r, "limit")
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	q := r.URL.Query()
+	stale := s.faults.TakeStaleRead()
+	s.mu.Lock()
+	revision, items, more := s.store.list(pathValue(r, "kind"), q.Get("prefix"), q.Get("after"),
+		int(min(limit, DefaultListLimit)), stale)
+	s.mu.Unlock()
+	if items == nil {
+		items = []Object{}
+	}
+	control.WriteJSON(w, http.StatusOK, map[string]any{"revision": revision, "items": items, "more": more})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	since, err := integer(r, "since")
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	waitMillis, err := integer(r, "wait_ms")
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	wait := DefaultWatchWait
+	if r.URL.Query().Has("wait_ms") {
+		wait = min(MaxWatchWait, time.Duration(min(waitMillis, MaxWatchWait.Milliseconds()))*time.Millisecond)
+	}
+	s.mu.Lock()
+	s.stats.Watches++
+	s.stats.WatchesWaiting++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.stats.WatchesWaiting--
+		s.mu.Unlock()
+	}()
+	s.awaitEvents(w, r, since, wait)
+}
+
+func (s *Server) awaitEvents(w http.ResponseWriter, r *http.Request, since int64, wait time.Duration) {
+	kind, prefix := pathValue(r, "kind"), r.URL.Query().Get("prefix")
+	deadline := time.NewTimer(wait)
+	defer deadline.Stop()
+	// A pending watch counts as a call for each second that it waits.
+	charge := time.NewTicker(time.Second)
+	defer charge.Stop()
+	expired := false
+	for {
+		faultsChanged := s.faults.Changed()
+		f := s.faults.Faults()
+		s.mu.Lock()
+		changed := s.changed
+		revision, events, err := s.store.eventsAfter(kind, prefix, since)
+		s.mu.Unlock()
+		switch {
+		case f.Refuse:
+			panic(http.ErrAbortHandler)
+		case f.Outage:
+			control.WriteError(w, http.StatusServiceUnavailable, "unavailable", "The stand-in is in an outage.")
+			return
+		case f.WatchGap:
+			writeStoreError(w, ErrGap, nil)
+			return
+		case err != nil:
+			writeStoreError(w, err, nil)
+			return
+		case len(events) > 0 || expired:
+			if events == nil {
+				events = []Event{}
+			}
+			control.WriteJSON(w, http.StatusOK, map[string]any{"revision": revision, "events": events})
+			return
+		}
+		select {
+		case <-changed:
+		case <-faultsChanged:
+		case <-charge.C:
+			s.reads.Allow()
+		case <-deadline.C:
+			expired = true
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (s *Server) listVMs(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	now := time.Now()
+	kept := s.pendingVMs[:0]
+	for _, p := range s.pendingVMs {
+		if p.at.After(now) {
+			kept = append(kept, p)
+			continue
+		}
+		s.vms = p.vms
+	}
+	s.pendingVMs = kept
+	vms := s.vms
+	s.mu.Unlock()
+	if vms == nil {
+		vms = []VM{}
+	}
+	control.WriteJSON(w, http.StatusOK, map[string]any{"vms": vms})
+}
+
+func (s *Server) controlSnapshot(w http.ResponseWriter, _ *http.Request) {
+	s.Snapshot()
+	control.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) controlRestore(w http.ResponseWriter, _ *http.Request) {
+	s.Restore()
+	control.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) controlVMs(w http.ResponseWriter, r *http.Request) {
+	var list VMList
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(&list); err != nil {
+		badRequest(w, err)
+		return
+	}
+	for _, vm := range list.VMs {
+		if vm.State != "live" && vm.State != "leaving" {
+			badRequest(w, errors.Newf("the state of VM %s is neither live nor leaving", vm.Name))
+			return
+		}
+	}
+	s.SetVMs(list.VMs, time.Duration(list.LagMillis)*time.Millisecond)
+	control.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func (s *Server) controlStats(w http.ResponseWriter, _ *http.Request) {
+	control.WriteJSON(w, http.StatusOK, s.Stats())
+}
