--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -17,7 +17,10 @@
 	Ingress    string      `json:"ingress"` // Incarnation that will send the call.
 	Idempotent bool        `json:"idempotent"`
 	Upstream   string      `json:"upstream,omitempty"` // Service that the call goes to.
-	Expires    time.Time   `json:"expires"`            // When the attempt is given up.
+	// KeyHonoured is set when the upstream runs a repeated idempotency key once, so that a call with an unknown outcome can
+	// be sent again under the same key.
+	KeyHonoured bool      `json:"key_honoured,omitempty"`
+	Expires     time.Time `json:"expires"` // When the attempt is given up.
 }
 
 // Admission lets the ingress send a call, or returns the recorded result of one that has finished.
@@ -33,6 +36,9 @@
 	Digest        string           `json:"digest"` // Digest before the call.
 	Durable       uint64           `json:"durable"`
 
+	Parent string  `json:"parent,omitempty"`
+	Before Receipt `json:"before"` // State before the call.
+
 	// AwaitLSN is the journal entry that must be durable before the call is sent. Zero needs none.
 	AwaitLSN journal.LSN `json:"-"`
 }
@@ -111,7 +117,9 @@
 func (o *Owner) checkOrder(p *state, req AdmitRequest, hash string) error {
 	c := req.Call
 	if in, ok := p.intents[c.CallKey]; ok {
-		return intentError(in, hash)
+		if !req.KeyHonoured || !in.unknown || in.RequestHash != hash {
+			return intentError(in, hash)
+		}
 	}
 	if c.Sequence <= p.sequence() {
 		return errkind.Newf(errkind.WrongSequence, "The next sequence is %d.", p.sequence()+1)
@@ -254,6 +262,8 @@
 		WorstCase:     worst,
 		Digest:        p.digest(),
 		Durable:       p.durableSequence(o.writer.Durable()),
+		Parent:        p.created.Parent,
+		Before:        p.receipt(),
 		AwaitLSN:      await,
 	}
 	if c.Kind == caller.CallModel {
--- a/core/program/owner.go
+++ b/core/program/owner.go
@@ -234,6 +234,16 @@
 	return append([]caller.Turn(nil), p.turns[from-1:]...), nil
 }
 
+// InFlight returns the sequence of the call that a program has in flight and the incarnation of the daemon that sends it.
+// The sequence is zero when there is none.
+func (o *Owner) InFlight(tenant, id string) (sequence uint64, ingress string, err error) {
+	p, err := o.find(tenant, id)
+	if err != nil || p.inFlight == nil {
+		return 0, "", err
+	}
+	return p.inFlight.sequence, p.inFlight.ingress, nil
+}
+
 // Ended names a program whose cache can be released.
 type Ended struct {
 	Program string
@@ -297,6 +307,31 @@
 	return list
 }
 
+// UnknownCall names a non-idempotent call that may have run.
+type UnknownCall struct {
+	Program string
+	CallKey string
+}
+
+// Unknown lists calls whose outcome is unknown, in order, up to a limit.
+func (o *Owner) Unknown(limit int) []UnknownCall {
+	var list []UnknownCall
+	for id, p := range o.programs {
+		for key, in := range p.intents {
+			if in.unknown {
+				list = append(list, UnknownCall{Program: id, CallKey: key})
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Program != list[j].Program {
+			return list[i].Program < list[j].Program
+		}
+		return list[i].CallKey < list[j].CallKey
+	})
+	return list[:min(len(list), limit)]
+}
+
 // Resolve records what an operator found out about a call whose outcome is unknown.
 func (o *Owner) Resolve(id, callKey string, ran bool, reason string) error {
 	if !o.Owns(id) {
--- a/daemon/cluster/agent.go
+++ b/daemon/cluster/agent.go
@@ -29,6 +29,12 @@
 	MaxPrograms int
 }
 
+// releasedShard is a shard that was handed over under an epoch.
+type releasedShard struct {
+	epoch uint64
+	at    time.Time
+}
+
 // Agent is the membership of one daemon. It is safe for concurrent use.
 type Agent struct {
 	cfg   Config
@@ -40,6 +46,7 @@
 	digest  func() string // Digest of the configuration in force.
 
 	onConfigDiffers func(membership.Member) // Called when a peer has another configuration.
+	onMembersGone   func([]string)          // Called with incarnations that left the roster.
 
 	mu       sync.RWMutex
 	roster   membership.Roster
@@ -47,7 +54,7 @@
 	changed  chan struct{}
 	loop     *owner.Loop
 	cancel   context.CancelFunc
-	released map[int]uint64 // Shards that were handed over, with the epoch that ended.
+	released map[int]releasedShard // Shards that were handed over.
 	opening  map[int]bool
 	leaving  bool
 
@@ -70,7 +77,7 @@
 		onEnded:  onEnded,
 		digest:   digest,
 		changed:  make(chan struct{}),
-		released: map[int]uint64{},
+		released: map[int]releasedShard{},
 		opening:  map[int]bool{},
 		detector: membership.NewDetector(),
 		remote:   newDirectory(),
@@ -169,6 +176,7 @@
 			a.join(ctx)
 		}
 		a.syncShards(ctx)
+		a.reclaim(ctx)
 	}
 }
 
@@ -203,7 +211,7 @@
 		a.cancel()
 	}
 	a.loop, a.cancel = loop, cancel
-	a.released = map[int]uint64{}
+	a.released = map[int]releasedShard{}
 	a.opening = map[int]bool{}
 	a.notifyLocked()
 	a.mu.Unlock()
@@ -252,6 +260,9 @@
 	if len(gone) > 0 && a.loop != nil {
 		go a.loseIngresses(a.loop, gone)
 	}
+	if len(gone) > 0 && a.onMembersGone != nil {
+		go a.onMembersGone(gone)
+	}
 }
 
 func missingMembers(before, after membership.Roster) []string {
--- a/daemon/cluster/shards.go
+++ b/daemon/cluster/shards.go
@@ -43,7 +43,7 @@
 		if _, ok := open[s]; ok || a.opening[s] {
 			continue
 		}
-		if ended, ok := a.released[s]; ok && ended >= r.Shards[s].Epoch {
+		if ended, ok := a.released[s]; ok && ended.epoch >= r.Shards[s].Epoch {
 			continue
 		}
 		a.opening[s] = true
@@ -198,7 +198,7 @@
 		if !ok {
 			if !a.opening[s] {
 				// Nothing was served under this epoch, so there is nothing to flush.
-				a.released[s] = a.roster.Shards[s].Epoch
+				a.released[s] = releasedShard{a.roster.Shards[s].Epoch, time.Now()}
 				last[s] = 0
 			}
 			continue
@@ -207,7 +207,15 @@
 		if err != nil {
 			continue
 		}
-		a.released[s] = epoch
+		a.released[s] = releasedShard{epoch, time.Now()}
 		last[s] = lsn
 	}
 }
+
+// appended returns the number of the last journal entry of this incarnation.
+func (a *Agent) appended(ctx context.Context) journal.LSN {
+	var last journal.LSN
+	// Without an answer there is nothing to wait for.
+	_ = a.Loop().Do(ctx, func(_ time.Time, o *program.Owner) { last = o.Journal().Appended() })
+	return last
+}
--- /dev/null
+++ b/daemon/config/agent.go
@@ -0,0 +1,284 @@
+// Package config keeps the records in force in a daemon. The coordinator of a data centre watches the platform and pushes
+// changes to its members; all others learn from their peers. A newer generation always wins, whatever its source.
+package config
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/records"
+	"jackdawbay.dev/core/configstate"
+	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/daemon/peer"
+	"jackdawbay.dev/daemon/platform"
+)
+
+// Cluster is what the agent needs of the membership.
+type Cluster interface {
+	IsCoordinator() bool
+	Incarnation() string
+	Roster() membership.Roster
+}
+
+// Agent holds the records in force. It is safe for concurrent use.
+type Agent struct {
+	store   platform.Store
+	peers   *peer.Client
+	cluster Cluster
+	log     *slog.Logger
+
+	mu      sync.RWMutex
+	state   *configstate.State
+	changed chan struct{}
+	syncing map[string]bool // Peers that are asked now.
+}
+
+// NewAgent returns an agent without records. The cluster is set with SetCluster before Run.
+func NewAgent(store platform.Store, peers *peer.Client, log *slog.Logger) *Agent {
+	return &Agent{
+		store:   store,
+		peers:   peers,
+		log:     log,
+		state:   configstate.New(records.FromStored),
+		changed: make(chan struct{}),
+		syncing: map[string]bool{},
+	}
+}
+
+// SetCluster connects the agent with the membership.
+func (a *Agent) SetCluster(c Cluster) { a.cluster = c }
+
+// Set returns the records in force.
+func (a *Agent) Set() *records.Set {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.state.Set()
+}
+
+// Digest identifies the configuration in force.
+func (a *Agent) Digest() string {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.state.Digest()
+}
+
+// Generations returns the generations in force.
+func (a *Agent) Generations() map[string]int64 {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.state.Generations()
+}
+
+// Newer returns the records that are newer here than at a peer.
+func (a *Agent) Newer(than map[string]int64) []configstate.Stored {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.state.Newer(than)
+}
+
+// Changed returns a channel that is closed at the next change.
+func (a *Agent) Changed() <-chan struct{} {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.changed
+}
+
+// Offer applies stored records that are newer than those in force and returns their keys.
+func (a *Agent) Offer(source string, values ...[]byte) []string {
+	a.mu.Lock()
+	applied, faults := a.state.Offer(values...)
+	if len(applied) > 0 {
+		close(a.changed)
+		a.changed = make(chan struct{})
+	}
+	a.mu.Unlock()
+	for _, f := range faults {
+		a.log.Error("record was not applied", "source", source, "error", f)
+	}
+	if len(applied) > 0 {
+		a.log.Info("records applied", "source", source, "count", len(applied), "digest", a.Digest())
+	}
+	return applied
+}
+
+// Accept applies records that a peer sent.
+func (a *Agent) Accept(r peer.Records) {
+	values := make([][]byte, 0, len(r.Records))
+	for _, s := range r.Records {
+		values = append(values, s.Value)
+	}
+	a.Offer("peer", values...)
+}
+
+const (
+	syncTimeout   = 2 * time.Second
+	watchWait     = 20 * time.Second
+	retryInterval = 500 * time.Millisecond
+)
+
+// Sync fetches what a peer has newer. Several calls for one peer at the same time do it once.
+func (a *Agent) Sync(m membership.Member) {
+	a.mu.Lock()
+	busy := a.syncing[m.Incarnation]
+	a.syncing[m.Incarnation] = true
+	a.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		a.mu.Lock()
+		delete(a.syncing, m.Incarnation)
+		a.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), syncTimeout)
+	defer cancel()
+	var r peer.Records
+	err := a.peers.Post(ctx, m.PeerAddress, peer.PathGenerations, peer.Generations{Generations: a.Generations()}, &r)
+	if err != nil {
+		a.log.Debug("records were not fetched", "peer", m.VM, "error", err)
+		return
+	}
+	a.Accept(r)
+}
+
+// Run reads the records once, and then watches the platform while this daemon is the coordinator.
+func (a *Agent) Run(ctx context.Context) error {
+	if _, err := a.list(ctx); err != nil {
+		a.log.Warn("records cannot be read from the platform", "error", err)
+	}
+	for ctx.Err() == nil {
+		if !a.cluster.IsCoordinator() {
+			wait(ctx, retryInterval)
+			continue
+		}
+		if err := a.watch(ctx); err != nil && ctx.Err() == nil {
+			a.log.Warn("watch of records ended", "error", err)
+			wait(ctx, retryInterval)
+		}
+	}
+	return ctx.Err()
+}
+
+// watch lists the records, writes back what the platform lost, and follows the changes.
+func (a *Agent) watch(ctx context.Context) error {
+	revision, err := a.list(ctx)
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil && a.cluster.IsCoordinator() {
+		next, events, err := a.store.Watch(ctx, platform.KindConfig, revision, watchWait)
+		if errors.Is(err, platform.ErrGap) {
+			a.log.Info("watch has a gap; records are listed again")
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if next < revision {
+			a.log.Warn("platform revision fell; records are listed again")
+			return nil
+		}
+		revision = next
+		a.applyEvents(ctx, events)
+	}
+	return nil
+}
+
+func (a *Agent) applyEvents(ctx context.Context, events []platform.Event) {
+	var values [][]byte
+	for _, e := range events {
+		if e.Type == "put" {
+			values = append(values, e.Object.Value)
+		}
+	}
+	if len(values) == 0 {
+		return
+	}
+	if applied := a.Offer("platform", values...); len(applied) > 0 {
+		a.push(ctx, applied)
+	}
+}
+
+// list applies all records of the platform. The coordinator writes back those that are newer in memory, which happens
+// when the platform was restored from an old backup.
+func (a *Agent) list(ctx context.Context) (uint64, error) {
+	revision, items, err := platform.ListAll(ctx, a.store, platform.KindConfig, "")
+	if err != nil {
+		return 0, err
+	}
+	values := make([][]byte, 0, len(items))
+	versions := map[string]uint64{}
+	for _, o := range items {
+		values = append(values, o.Value)
+		versions[o.Name] = o.Version
+	}
+	applied := a.Offer("platform", values...)
+	if !a.cluster.IsCoordinator() {
+		return revision, nil
+	}
+	if len(applied) > 0 {
+		a.push(ctx, applied)
+	}
+	a.writeBack(ctx, values, versions)
+	return revision, nil
+}
+
+func (a *Agent) writeBack(ctx context.Context, values [][]byte, versions map[string]uint64) {
+	stored := configstate.New(records.FromStored)
+	stored.Offer(values...)
+	for _, s := range a.Newer(stored.Generations()) {
+		_, err := a.store.Put(ctx, platform.KindConfig, s.Key, versions[s.Key], s.Value)
+		if err != nil {
+			a.log.Warn("newer record was not written back", "record", s.Key, "generation", s.Generation, "error", err)
+			continue
+		}
+		a.log.Warn("newer record written back", "record", s.Key, "generation", s.Generation)
+	}
+}
+
+// push sends records to every member. Probes repair what a push misses.
+func (a *Agent) push(ctx context.Context, keys []string) {
+	message := peer.Records{Records: a.records(keys)}
+	var group sync.WaitGroup
+	for _, m := range a.cluster.Roster().Members {
+		if m.Incarnation == a.cluster.Incarnation() {
+			continue
+		}
+		group.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
+			defer cancel()
+			if err := a.peers.Post(ctx, m.PeerAddress, peer.PathRecords, message, nil); err != nil {
+				a.log.Debug("records were not pushed", "member", m.VM, "error", err)
+			}
+		})
+	}
+	group.Wait()
+}
+
+func (a *Agent) records(keys []string) []configstate.Stored {
+	wanted := map[string]bool{}
+	for _, k := range keys {
+		wanted[k] = true
+	}
+	all := a.Newer(nil)
+	list := make([]configstate.Stored, 0, len(keys))
+	for _, s := range all {
+		if wanted[s.Key] {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/daemon/dispatch/pool.go
@@ -0,0 +1,148 @@
+// Package dispatch runs the dispatchers of the engine groups for which this daemon is responsible. It feeds them with load
+// reports and cache events, hands out slots, and gives the orders that release cache.
+package dispatch
+
+import (
+	"context"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/api/records"
+	"jackdawbay.dev/daemon/peer"
+	"jackdawbay.dev/daemon/upstream"
+)
+
+// Config describes a Pool.
+type Config struct {
+	DataCentre   string
+	PollInterval time.Duration // Time between two reads of an engine's load and cache events.
+}
+
+// Records returns the records in force.
+type Records func() *records.Set
+
+// Term returns the roster term, which orders carry as their fencing token.
+type Term func() uint64
+
+// Pool holds one group for each engine group that it was asked for. It is safe for concurrent use.
+type Pool struct {
+	cfg     Config
+	records Records
+	term    Term
+	engines *upstream.Engines
+	log     *slog.Logger
+
+	mu     sync.Mutex
+	groups map[string]*group
+	ctx    context.Context
+}
+
+// NewPool returns an empty pool.
+func NewPool(cfg Config, set Records, term Term, engines *upstream.Engines, log *slog.Logger) *Pool {
+	return &Pool{cfg: cfg, records: set, term: term, engines: engines, log: log, groups: map[string]*group{}}
+}
+
+// Run polls the engines of the groups until the context ends.
+func (p *Pool) Run(ctx context.Context) error {
+	p.mu.Lock()
+	p.ctx = ctx
+	p.mu.Unlock()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			for _, g := range p.all() {
+				g.tick(now)
+			}
+		}
+	}
+}
+
+const tickInterval = 50 * time.Millisecond
+
+func (p *Pool) all() []*group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]*group, 0, len(p.groups))
+	for _, g := range p.groups {
+		list = append(list, g)
+	}
+	return list
+}
+
+func (p *Pool) group(name string) *group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	g, ok := p.groups[name]
+	if !ok {
+		g = newGroup(p, name)
+		p.groups[name] = g
+		if p.ctx != nil {
+			go g.poll(p.ctx)
+		}
+	}
+	return g
+}
+
+// Acquire waits for a slot. The caller's context ends the wait; the call has not run then.
+func (p *Pool) Acquire(ctx context.Context, a peer.Acquire) (peer.Slot, error) {
+	g := p.group(a.Group)
+	g.refresh()
+	grant, err := g.acquire(ctx, a)
+	if err != nil {
+		return peer.Slot{}, err
+	}
+	u, ok := p.records().Upstream(grant.Engine)
+	if !ok {
+		g.release(peer.Release{Ticket: a.Ticket})
+		return peer.Slot{}, errkind.New(errkind.UpstreamUnavailable, "The engine's record was deleted.")
+	}
+	return peer.Slot{Engine: grant.Engine, Address: u.Address, Expires: grant.Expires}, nil
+}
+
+// Release gives a slot back.
+func (p *Pool) Release(r peer.Release) { p.group(r.Group).release(r) }
+
+// ProgramEnded releases the cache of a program in every group of this daemon.
+func (p *Pool) ProgramEnded(program string) {
+	for _, g := range p.all() {
+		g.programEnded(program)
+	}
+}
+
+// IngressLost frees the slots of a daemon incarnation that has left the roster.
+func (p *Pool) IngressLost(incarnation string) {
+	for _, g := range p.all() {
+		g.ingressLost(incarnation)
+	}
+}
+
+// TicketOf returns the id of a ticket, which names the incarnation that asks.
+func TicketOf(incarnation, attempt string) string { return incarnation + "/" + attempt }
+
+func ingressOf(ticket string) string {
+	incarnation, _, _ := strings.Cut(ticket, "/")
+	return incarnation
+}
+
+// Stats describes a group for the metrics.
+type Stats struct {
+	Group   string
+	Waiting int
+	Granted int
+}
+
+// Stats returns the state of all groups.
+func (p *Pool) Stats() []Stats {
+	var list []Stats
+	for _, g := range p.all() {
+		list = append(list, g.stats())
+	}
+	return list
+}
--- /dev/null
+++ b/daemon/ingress/model.go
@@ -0,0 +1,257 @@
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/oklog/ulid/v2"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/peer"
+	"jackdawbay.dev/daemon/upstream"
+)
+
+// maxResumes bounds how often one answer is resumed after its connection to the engine broke.
+const maxResumes = 3
+
+// answerModel runs a model call apart from the caller's connection, so that a caller whose connection broke can resume.
+func (s *Server) answerModel(w http.ResponseWriter, r *http.Request, c *call) {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
+	st, fresh := s.live.open(liveKey{c.tenant, c.program, c.body.Sequence, c.body.CallKey}, cancel)
+	if !fresh {
+		cancel()
+		s.deliver(w, r, c, st, 0)
+		return
+	}
+	s.start(ctx, cancel, c, st)
+	s.deliver(w, r, c, st, 0)
+}
+
+// start runs a model call in the background. A planned stop waits for it.
+func (s *Server) start(ctx context.Context, cancel context.CancelFunc, c *call, st *liveStream) {
+	s.inFlight.Add(1)
+	go func() {
+		defer s.inFlight.Done()
+		defer cancel()
+		result, err := s.runModel(ctx, c, st)
+		st.finish(result, err)
+		if err == nil {
+			s.metrics.finished(c.tenant, c.class, time.Since(c.started))
+		}
+	}()
+}
+
+// runModel makes a model call. After a failure before any text it tries another engine within the retry budget. Each try
+// is an attempt of its own, so that its worst case is charged.
+func (s *Server) runModel(ctx context.Context, c *call, st *liveStream) (*caller.Result, error) {
+	budget := s.retries.of("engines", c.limit.RetryRatio)
+	budget.First(time.Now())
+	var failed []string
+	for try := 1; ; try++ {
+		result, engine, err := s.tryModel(ctx, c, st, failed)
+		if err == nil {
+			return result, nil
+		}
+		failed = append(failed, engine)
+		again := engine != "" && transient(err) && st.length() == 0 && try < s.cfg.RetryAttempts && ctx.Err() == nil
+		if !again {
+			return nil, err
+		}
+		if !budget.Retry(time.Now()) {
+			return nil, errkind.Wrap(errkind.RetryBudgetExhausted, err, "")
+		}
+	}
+}
+
+// tryModel is one attempt. It returns the engine that it was sent to, empty when it was not sent.
+func (s *Server) tryModel(ctx context.Context, c *call, st *liveStream, failed []string) (*caller.Result, string, error) {
+	attempt := ulid.Make().String()
+	if err := s.boundOutput(c); err != nil {
+		return nil, "", err
+	}
+	a, err := s.admit(ctx, c, attempt)
+	if err != nil {
+		return nil, "", err
+	}
+	if a.Repeat != nil {
+		st.replay(a.Repeat)
+		return a.Repeat, "", nil
+	}
+	model, ok := s.records().Model(a.Model)
+	if !ok {
+		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
+		return nil, "", errkind.New(errkind.UnknownModel, "Model: "+a.Model+".")
+	}
+	acquire := c.acquire(s.streams.Incarnation(), attempt, a, model.Group, failed)
+	queued := time.Now()
+	slot, err := s.slots.Acquire(ctx, acquire)
+	if err != nil {
+		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
+		return nil, "", err
+	}
+	s.metrics.dispatched(c.tenant, c.class, time.Since(queued))
+	answer, err := s.stream(ctx, c, st, attempt, a, slot)
+	s.slots.Release(peer.Release{
+		Ticket:  acquire.Ticket,
+		Group:   model.Group,
+		Engine:  slot.Engine,
+		Program: c.program,
+		Failed:  err != nil && ctx.Err() == nil,
+		Usage:   answer.Usage,
+	})
+	if err != nil {
+		return nil, slot.Engine, s.modelFailed(ctx, c, attempt, err)
+	}
+	s.metrics.usage(c.tenant, c.class, answer.Usage, a.HistoryTokens)
+	result, err := s.finishModel(c, attempt, a, answer, slot.Engine)
+	return result, "", err
+}
+
+// defaultMaxTokens bounds the output of a call that names no bound and whose model's record has none.
+const defaultMaxTokens = 4096
+
+// boundOutput sets the output bound of a call, since the budget reserves it.
+func (s *Server) boundOutput(c *call) error {
+	if c.body.Model.MaxTokens > 0 {
+		return nil
+	}
+	bounded := *c.body.Model
+	bounded.MaxTokens = defaultMaxTokens
+	if m, ok := s.records().Model(bounded.Model); ok && m.MaxOutputTokens > 0 {
+		bounded.MaxTokens = m.MaxOutputTokens
+	}
+	c.body.Model = &bounded
+	return nil
+}
+
+func (c *call) acquire(incarnation, attempt string, a program.Admission, group string, failed []string) peer.Acquire {
+	return peer.Acquire{
+		Ticket:        incarnation + "/" + attempt,
+		Group:         group,
+		Program:       c.program,
+		Parent:        a.Parent,
+		Tenant:        c.tenant,
+		Class:         a.Class,
+		Model:         a.Model,
+		PromptTokens:  a.WorstCase - int64(c.body.Model.MaxTokens),
+		HistoryTokens: a.HistoryTokens,
+		MaxTokens:     int64(c.body.Model.MaxTokens),
+		SpentTokens:   a.SpentTokens,
+		Deadline:      c.deadline,
+		Exclude:       failed,
+	}
+}
+
+// stream passes the engine's answer on and resumes it when the connection to the engine breaks.
+func (s *Server) stream(ctx context.Context, c *call, st *liveStream, attempt string, a program.Admission, slot peer.Slot) (upstream.Answer, error) {
+	started := time.Now()
+	var last time.Time
+	onText := func(text string) error {
+		now := time.Now()
+		if last.IsZero() {
+			s.metrics.firstToken(c.tenant, c.class, now.Sub(started))
+		} else {
+			s.metrics.nextToken(c.tenant, c.class, now.Sub(last))
+		}
+		last = now
+		return st.append(text)
+	}
+	chat := upstream.Chat{
+		RequestID: attempt,
+		Program:   c.program,
+		Model:     a.Model,
+		Messages:  a.Messages,
+		MaxTokens: c.body.Model.MaxTokens,
+	}
+	start := st.length()
+	answer, err := s.engines.Stream(ctx, slot.Address, chat, onText)
+	for try := 0; try < maxResumes && resumable(ctx, err); try++ {
+		received := st.length() - start
+		var rest upstream.Answer
+		rest, err = s.engines.Resume(ctx, slot.Address, attempt, received, onText)
+		answer.Message.Content += rest.Message.Content
+		answer.Usage = rest.Usage
+		if len(rest.Message.ToolCalls) > 0 {
+			answer.Message.ToolCalls = rest.Message.ToolCalls
+		}
+	}
+	if err != nil {
+		s.cancelUpstream(slot.Address, attempt)
+	}
+	return answer, err
+}
+
+// resumable reports whether a stream broke after the engine had taken the request.
+func resumable(ctx context.Context, err error) bool {
+	if err == nil || ctx.Err() != nil {
+		return false
+	}
+	return !errors.IsAny(err, upstream.ErrRefused, upstream.ErrGone, upstream.ErrNotSent)
+}
+
+const cancelTimeout = time.Second
+
+// cancelUpstream frees the engine's slot for an answer that no one waits for.
+func (s *Server) cancelUpstream(address, attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if err := s.engines.Cancel(ctx, address, attempt); err != nil {
+		s.log.Debug("engine request was not cancelled", "request", attempt, "error", err)
+	}
+}
+
+func (s *Server) modelFailed(ctx context.Context, c *call, attempt string, cause error) error {
+	if errors.IsAny(cause, upstream.ErrNotSent, upstream.ErrRefused) {
+		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
+		return errkind.Wrap(errkind.UpstreamUnavailable, cause, "").After(time.Second)
+	}
+	s.reportQuietly(c.completion(attempt, program.OutcomeFailed))
+	switch {
+	case errors.Is(cause, errAbandoned), errors.Is(context.Cause(ctx), context.Canceled):
+		return errkind.Wrap(errkind.CallerGone, cause, "")
+	case ctx.Err() != nil:
+		return errkind.Wrap(errkind.UpstreamTimeout, cause, "")
+	default:
+		return errkind.Wrap(errkind.UpstreamFailed, cause, "")
+	}
+}
+
+func (s *Server) finishModel(c *call, attempt string, a program.Admission, answer upstream.Answer, engine string) (*caller.Result, error) {
+	request := *c.body.Model
+	request.Stream = false
+	done := c.completion(attempt, program.OutcomeDone)
+	done.Turn = caller.Turn{
+		Sequence: c.body.Sequence,
+		CallKey:  c.body.CallKey,
+		Kind:     caller.CallModel,
+		Model:    &request,
+		Message:  &answer.Message,
+		Usage:    answer.Usage,
+	}
+	result, err := s.finish(c, done, a)
+	if err != nil {
+		return nil, err
+	}
+	result.Upstream = engine
+	return result, nil
+}
+
+// deliver sends an answer to one reader, from a byte offset on, as events or whole.
+func (s *Server) deliver(w http.ResponseWriter, r *http.Request, c *call, st *liveStream, offset int) {
+	release := st.attach()
+	defer release()
+	if c.body.Model.Stream {
+		s.deliverEvents(w, r, c.tenant, st, offset)
+		return
+	}
+	result, err := st.wait(r.Context())
+	if err != nil {
+		s.refuse(w, c.tenant, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, result)
+}
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -24,25 +24,27 @@
 
 // Paths of the peer listener.
 const (
-	PathProbe       = "/peer/v1/probe"
-	PathRoster      = "/peer/v1/roster"
-	PathJoin        = "/peer/v1/join"
-	PathLeave       = "/peer/v1/leave"
-	PathSuspect     = "/peer/v1/suspect"
-	PathHandover    = "/peer/v1/handover"
-	PathCheckpoint  = "/peer/v1/checkpoint"
-	PathRecords     = "/peer/v1/records"
-	PathGenerations = "/peer/v1/records/generations"
-	PathMembers     = "/peer/v1/members"
-	PathCreate      = "/peer/v1/programs"
-	PathDescribe    = "/peer/v1/programs/describe"
-	PathHistory     = "/peer/v1/programs/history"
-	PathEnd         = "/peer/v1/programs/end"
-	PathAdmit       = "/peer/v1/calls/admit"
-	PathComplete    = "/peer/v1/calls/complete"
-	PathAcquire     = "/peer/v1/slots/acquire"
-	PathRelease     = "/peer/v1/slots/release"
-	PathStream      = "/peer/v1/streams"
+	PathProbe         = "/peer/v1/probe"
+	PathRoster        = "/peer/v1/roster"
+	PathJoin          = "/peer/v1/join"
+	PathLeave         = "/peer/v1/leave"
+	PathSuspect       = "/peer/v1/suspect"
+	PathHandover      = "/peer/v1/handover"
+	PathReclaim       = "/peer/v1/reclaim"
+	PathReleaseCaches = "/peer/v1/caches/release"
+	PathCheckpoint    = "/peer/v1/checkpoint"
+	PathRecords       = "/peer/v1/records"
+	PathGenerations   = "/peer/v1/records/generations"
+	PathMembers       = "/peer/v1/members"
+	PathCreate        = "/peer/v1/programs"
+	PathDescribe      = "/peer/v1/programs/describe"
+	PathHistory       = "/peer/v1/programs/history"
+	PathEnd           = "/peer/v1/programs/end"
+	PathAdmit         = "/peer/v1/calls/admit"
+	PathComplete      = "/peer/v1/calls/complete"
+	PathAcquire       = "/peer/v1/slots/acquire"
+	PathRelease       = "/peer/v1/slots/release"
+	PathStream        = "/peer/v1/streams"
 )
 
 // Probe is the answer to a probe.
@@ -85,6 +87,14 @@
 	Generations map[string]int64 `json:"generations"`
 	Shards      []int            `json:"shards"` // Shards that it serves.
 	Unknown     []UnknownOutcome `json:"unknown,omitempty"`
+	State       string           `json:"state"`
+	// JournalFailing is set while the daemon cannot store its journal.
+	JournalFailing bool `json:"journal_failing,omitempty"`
+}
+
+// ReleaseCaches names programs that ended.
+type ReleaseCaches struct {
+	Programs []string `json:"programs"`
 }
 
 // UnknownOutcome names a non-idempotent call that may have run.
@@ -118,6 +128,13 @@
 	Reason string `json:"reason,omitempty"`
 }
 
+// Described is the state of a program with the daemon that sends its call in flight.
+type Described struct {
+	Program  caller.Program `json:"program"`
+	Ingress  string         `json:"ingress,omitempty"`
+	InFlight uint64         `json:"in_flight,omitempty"` // Sequence of the call in flight, zero when there is none.
+}
+
 // History is a part of a program's turns.
 type History struct {
 	Turns []caller.Turn `json:"turns"`
