Add versioned records with a strict decoder

Operators need documents in two versions side by side. One table of fields drives the decoder, the defaults and the reference page, so the three cannot differ. Sets leave out tombstones.

--- a/api/records/defaults.go
+++ b/api/records/defaults.go
@@ -18,6 +18,7 @@
 		ToolTimeout:   30 * time.Second,
 		ProgramExpiry: time.Hour,
 		RetryRatio:    0.1,
+		MaxAttempts:   3,
 		Weight:        1,
 	}
 }
--- /dev/null
+++ b/api/records/page.go
@@ -0,0 +1,119 @@
+package records
+
+import (
+	"fmt"
+	"strings"
+)
+
+// FieldRow is one row of the description of a kind: a field with its path.
+type FieldRow struct {
+	Path     string    `json:"path"`
+	Type     FieldType `json:"type"`
+	Unit     string    `json:"unit,omitempty"`
+	Required bool      `json:"required"`
+	Default  string    `json:"default"`
+	Allowed  string    `json:"allowed"`
+	Doc      string    `json:"doc"`
+}
+
+// Rows returns a field and everything below it. The items of a list have the path name[], the entries of a map name{}.
+func Rows(f Field, path string) []FieldRow {
+	row := FieldRow{Path: path, Type: f.Type, Unit: f.Unit, Required: f.Required, Default: f.defaultText(), Allowed: f.Allowed(), Doc: f.Doc}
+	if f.Type == TypeObject {
+		row.Allowed = "the fields below"
+	}
+	rows := []FieldRow{row}
+	if f.Elem != nil {
+		suffix := "[]"
+		if f.Type == TypeMap {
+			suffix = "{}"
+		}
+		rows = append(rows, Rows(*f.Elem, path+suffix)...)
+	}
+	for _, c := range f.Fields {
+		rows = append(rows, Rows(c, joinPath(path, c.Name))...)
+	}
+	return rows
+}
+
+func (f Field) defaultText() string {
+	switch {
+	case f.Required:
+		return "required"
+	case f.Type == TypeList || f.Type == TypeMap:
+		return "empty"
+	case f.Type == TypeObject:
+		return "the defaults below"
+	case f.Default == "":
+		return "empty text"
+	}
+	if v, ok := f.Default.(float64); ok {
+		return number(v)
+	}
+	return fmt.Sprint(f.Default)
+}
+
+// MetadataRows returns the fields of every document beside the spec.
+func MetadataRows(k Kind) []FieldRow {
+	name := nameField
+	name.Format = nameFormat(k)
+	return append(Rows(name, "metadata.name"), Rows(generationField, "metadata.generation")...)
+}
+
+const pageHead = `# Records
+
+This page is generated from the table that the decoder and the command ` + "`jackdawbay explain`" + ` use. To write it again, run
+` + "`go run ./cli/cmd/jackdawbay explain --page > docs/records.md`" + `.
+
+A record is a document in YAML or JSON. A file can hold several YAML documents, separated by a line ` + "`---`" + `. Both versions
+can be used in one directory. The platform stores a record in the version in which the operator wrote it.
+
+` + "```yaml" + `
+apiVersion: jackdawbay/v2
+kind: DataCentre
+metadata:
+  name: falls-a
+spec:
+  region: merrimack
+` + "```" + `
+
+The decoder refuses unknown fields, repeated fields, wrong types, wrong units and values that are not allowed. It reports
+all faults at once. In the paths, ` + "`[]`" + ` is an item of a list and ` + "`{}`" + ` is an entry of a map.
+
+In version jackdawbay/v1, durations are numbers of seconds. In version jackdawbay/v2, they are text with a unit. Both have
+a resolution of 1 ms.
+
+The platform holds a record as an object of kind ` + "`config`" + ` with the name ` + "`<Kind>.<name>`" + `. A deleted record stays as a
+document with ` + "`deleted: true`" + `, a higher generation and no spec.
+
+## Fields of every record
+
+`
+
+// Page returns the reference page of all kinds and fields in both versions, in Markdown.
+func Page() string {
+	var sb strings.Builder
+	sb.WriteString(pageHead)
+	writeTable(&sb, MetadataRows(KindTenant))
+	fmt.Fprintf(&sb, "\nThe name of a Model is %s.\n", formatModelName.Text)
+	for _, k := range Kinds {
+		fmt.Fprintf(&sb, "\n## %s\n\n%s\n", k, kindDocs[k])
+		for _, v := range Versions {
+			s, _ := Schema(v, k)
+			fmt.Fprintf(&sb, "\n### %s in %s\n\n", k, v)
+			writeTable(&sb, Rows(s.Spec, "spec")[1:])
+		}
+	}
+	return sb.String()
+}
+
+func writeTable(sb *strings.Builder, rows []FieldRow) {
+	sb.WriteString("| field | type | unit | default | allowed | meaning |\n|---|---|---|---|---|---|\n")
+	for _, r := range rows {
+		cells := []string{"`" + r.Path + "`", string(r.Type), r.Unit, r.Default, r.Allowed, r.Doc}
+		for i := range cells {
+			cells[i] = strings.ReplaceAll(cells[i], "|", `\|`)
+		}
+		sb.WriteString("| " + strings.Join(cells, " | ") + " |\n")
+	}
+}
--- a/api/records/records.go
+++ b/api/records/records.go
@@ -1,5 +1,6 @@
 // Package records defines the records that operators write. The types in this file are the internal form that daemons
-// work with; the packages v1 and v2 hold the versioned forms that operators write, with conversion both ways.
+// work with. The packages v1 and v2 hold the versioned forms that operators write; Decode and Encode convert both ways
+// through the internal form.
 package records
 
 import (
@@ -31,7 +32,8 @@
 
 // DataCentre places a data centre in a region.
 type DataCentre struct {
-	Region string
+	Region                    string
+	WeightStoreBytesPerSecond int64 // Share of the weight store's rate that engines of the data centre may use together.
 }
 
 // Tenant is a customer. KeyHashes holds the SHA-256 of each valid bearer key in hexadecimal, two during a rotation.
@@ -71,6 +73,8 @@
 	CacheTokens            int64  // Size of the prefix cache in tokens.
 	ChecksFencing          bool   // Refuses an order with an old fencing token.
 	HonoursIdempotencyKeys bool   // Runs a repeated Idempotency-Key once and returns the first outcome.
+	OutcomeLookup          bool   // Serves GET /v1/idempotency/{key}.
+	Role                   string // Wanted role of an engine; empty leaves the role as it is.
 	Leaving                bool   // Gets no new work.
 	Routes                 []Route
 }
@@ -101,6 +105,7 @@
 	ToolTimeout   time.Duration // Deadline of a service call that its route does not set.
 	ProgramExpiry time.Duration // Idle time after which a program ends.
 	RetryRatio    float64       // Retries allowed for each first attempt.
+	MaxAttempts   int           // Attempts of one idempotent call, the first included.
 	Weight        float64       // Share of engine time relative to other classes.
 }
 
@@ -131,11 +136,14 @@
 	OutcomeNotRun ResolutionOutcome = "not_run"
 )
 
-// Record is one record of any kind in its internal form. Exactly the field of its kind is set.
+// Record is one record of any kind in its internal form. Exactly the field of its kind is set; none is set in a
+// tombstone.
 type Record struct {
 	Kind       Kind
 	Name       string
-	Generation int64 // Rises by one with each accepted change; set by apply.
+	Generation int64   // Rises by one with each accepted change; set by apply.
+	Version    Version `json:",omitempty"` // Version in which the operator wrote the record.
+	Deleted    bool    `json:",omitempty"` // Tombstone: the record was deleted with this generation.
 
 	DataCentre *DataCentre `json:",omitempty"`
 	Tenant     *Tenant     `json:",omitempty"`
--- a/api/records/set.go
+++ b/api/records/set.go
@@ -12,7 +12,7 @@
 	engines     map[string][]string
 }
 
-// NewSet indexes records. A later record with the same key replaces an earlier one.
+// NewSet indexes records. A later record with the same key replaces an earlier one. Tombstones are not part of a set.
 func NewSet(list []Record) *Set {
 	s := &Set{
 		byKey:       make(map[string]Record, len(list)),
@@ -23,6 +23,10 @@
 		engines:     map[string][]string{},
 	}
 	for _, r := range list {
+		if r.Deleted {
+			delete(s.byKey, r.Key())
+			continue
+		}
 		s.byKey[r.Key()] = r
 	}
 	for _, r := range s.byKey {
