--- /dev/null
+++ b/testbed/relay/relay_test.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+// echo starts a server that sends back what it gets and tells the address of each peer.
+func echo(t *testing.T) (string, <-chan string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	peers := make(chan string, 100)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			peers <- c.RemoteAddr().(*net.TCPAddr).IP.String()
+			go func() {
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+			}()
+		}
+	}()
+	return l.Addr().String(), peers
+}
+
+func start(t *testing.T, rules ...Rule) (*Relay, string, <-chan string) {
+	t.Helper()
+	target, peers := echo(t)
+	r, err := Start([]Link{{Listen: "127.0.0.1:0", Target: target}})
+	must.NoError(t, err)
+	t.Cleanup(r.Close)
+	must.NoError(t, r.SetRules(rules))
+	return r, target, peers
+}
+
+func dial(t *testing.T, r *Relay, from string) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}}
+	c, err := d.Dial("tcp", r.Addresses()[0])
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	must.NoError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	return c
+}
+
+// exchange sends bytes and returns what comes back with the error that ended it.
+func exchange(c net.Conn, payload []byte) ([]byte, error) {
+	go func() { _, _ = c.Write(payload) }()
+	got := make([]byte, len(payload))
+	n, err := io.ReadFull(c, got)
+	return got[:n], err
+}
+
+// blocked tells whether nothing arrives and nothing closes for a while.
+func blocked(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	_, err := exchange(c, []byte("lost"))
+	must.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+	netErr, ok := err.(net.Error)
+	return ok && netErr.Timeout()
+}
+
+func isReset(t *testing.T, c net.Conn) {
+	t.Helper()
+	_, err := c.Read(make([]byte, 1))
+	test.ErrorIs(t, err, syscall.ECONNRESET)
+}
+
+func TestFirstMatchingRuleWins(t *testing.T) {
+	r, target, _ := start(t)
+	hole, refuse := Rule{Mode: Blackhole}, Rule{Mode: Refuse}
+	from := func(rule Rule, prefix string) Rule { rule.From = prefix; return rule }
+	to := func(rule Rule, prefix string) Rule { rule.To = prefix; return rule }
+	cases := []struct {
+		name  string
+		rules []Rule
+		want  Mode
+	}{
+		{"no rule", nil, Pass},
+		{"source prefix", []Rule{from(hole, "127.0.2.")}, Blackhole},
+		{"other source prefix", []Rule{from(hole, "127.0.3.")}, Pass},
+		{"target", []Rule{to(refuse, target)}, Refuse},
+		{"other target", []Rule{to(refuse, "127.0.9.")}, Pass},
+		{"pass before a blackhole", []Rule{{From: "127.0.2.1", Mode: Pass}, hole}, Pass},
+		{"refuse before a blackhole", []Rule{refuse, hole}, Refuse},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			must.NoError(t, r.SetRules(tc.rules))
+			c := dial(t, r, "127.0.2.1")
+			switch tc.want {
+			case Blackhole:
+				test.True(t, blocked(t, c))
+			case Refuse:
+				isReset(t, c)
+			case Pass:
+				got, err := exchange(c, []byte("hello"))
+				test.NoError(t, err)
+				test.Eq(t, "hello", string(got))
+			}
+		})
+	}
+}
+
+func TestBlackhole(t *testing.T) {
+	cases := []struct {
+		name  string
+		use   func(t *testing.T, c net.Conn) // While the blackhole is on.
+		after []Rule
+	}{
+		{"idle connection", func(*testing.T, net.Conn) {}, nil},
+		{"connection with traffic", func(t *testing.T, c net.Conn) { test.True(t, blocked(t, c)) }, nil},
+		{"blackhole turns into refusal", func(*testing.T, net.Conn) {}, []Rule{{Mode: Refuse}}},
+		{"blackhole turns into a delay", func(*testing.T, net.Conn) {}, []Rule{{Mode: Pass, LatencyMillis: 1}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r, _, _ := start(t)
+			old := dial(t, r, "127.0.2.1")
+			_, err := exchange(old, []byte("hello"))
+			must.NoError(t, err)
+			must.NoError(t, r.SetRules([]Rule{{From: "127.0.2.", Mode: Blackhole}}))
+			fresh := dial(t, r, "127.0.2.2")
+			tc.use(t, old)
+			tc.use(t, fresh)
+			test.True(t, blocked(t, fresh))
+			must.NoError(t, r.SetRules(tc.after))
+			isReset(t, old)
+			isReset(t, fresh)
+			test.Eq(t, 5, r.Stats()[0].BytesToTarget)
+		})
+	}
+}
+
+func TestRefusalResetsOpenConnections(t *testing.T) {
+	r, _, _ := start(t)
+	c, other := dial(t, r, "127.0.2.1"), dial(t, r, "127.0.4.1")
+	_, err := exchange(c, []byte("hello"))
+	must.NoError(t, err)
+	must.NoError(t, r.SetRules([]Rule{{From: "127.0.2.", Mode: Refuse}}))
+	isReset(t, c)
+	_, err = exchange(other, []byte("hello"))
+	test.NoError(t, err)
+}
+
+func TestLatencyAndRate(t *testing.T) {
+	const size = 256 << 10
+	cases := []struct {
+		name     string
+		rule     Rule
+		min, max time.Duration
+	}{
+		{"no rule", Rule{Mode: Pass}, 0, 2 * time.Second},
+		// A delay that held back each chunk in turn would take 16 times as long.
+		{"delay does not lower throughput", Rule{Mode: Pass, LatencyMillis: 150}, 300 * time.Millisecond, 2 * time.Second},
+		// The two directions have a rate each and overlap; the first chunk passes at once.
+		{"rate", Rule{Mode: Pass, BytesPerSecond: 480 << 10}, 500 * time.Millisecond, 5 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r, _, _ := start(t, tc.rule)
+			payload := bytes.Repeat([]byte("0123456789abcdef"), size/16)
+			c := dial(t, r, "127.0.2.1")
+			began := time.Now()
+			got, err := exchange(c, payload)
+			took := time.Since(began)
+			must.NoError(t, err)
+			test.True(t, bytes.Equal(payload, got))
+			test.Between(t, tc.min, took, tc.max)
+		})
+	}
+}
+
+func TestStatsCountBytesByPair(t *testing.T) {
+	r, target, peers := start(t)
+	for _, from := range []string{"127.0.2.1", "127.0.2.1", "127.0.2.2"} {
+		c := dial(t, r, from)
+		_, err := exchange(c, []byte("hello"))
+		must.NoError(t, err)
+		test.Eq(t, from, <-peers, test.Sprint("the target sees the source"))
+		must.NoError(t, c.(*net.TCPConn).CloseWrite())
+		_, err = c.Read(make([]byte, 1))
+		test.ErrorIs(t, err, io.EOF)
+	}
+	test.Eq(t, []Pair{{"127.0.2.1", target, 2, 10, 10}, {"127.0.2.2", target, 1, 5, 5}}, r.Stats())
+}
+
+func TestTargetDown(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	target := l.Addr().String()
+	must.NoError(t, l.Close())
+	r, err := Start([]Link{{Listen: "127.0.0.1:0", Target: target}})
+	must.NoError(t, err)
+	defer r.Close()
+	isReset(t, dial(t, r, "127.0.2.1"))
+}
+
+func TestControl(t *testing.T) {
+	r, _, _ := start(t)
+	server := httptest.NewServer(r.Handler())
+	defer server.Close()
+	cases := []struct {
+		name, body string
+		status     int
+		want       string
+	}{
+		{"rules", `[{"from":"127.0.2.","to":"127.0.3.1:7001","mode":"blackhole","latency_ms":1,"bytes_per_second":2}]`, 200,
+			`[{"from":"127.0.2.","to":"127.0.3.1:7001","mode":"blackhole","latency_ms":1,"bytes_per_second":2}]`},
+		{"no rules", `[]`, 200, `[]`},
+		{"unknown mode", `[{"mode":"maybe"}]`, 400, `{"error":`},
+		{"negative latency", `[{"mode":"pass","latency_ms":-1}]`, 400, `{"error":`},
+		{"unknown field", `[{"mode":"pass","delay":1}]`, 400, `{"error":`},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			request, err := http.NewRequestWithContext(t.Context(), "PUT", server.URL+"/control/links", strings.NewReader(tc.body))
+			must.NoError(t, err)
+			response, err := http.DefaultClient.Do(request)
+			must.NoError(t, err)
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			must.NoError(t, err)
+			test.Eq(t, tc.status, response.StatusCode)
+			test.StrHasPrefix(t, tc.want, string(body))
+		})
+	}
+}
+
+func TestParseLink(t *testing.T) {
+	link, err := ParseLink("127.0.0.1:1=127.0.0.1:2")
+	test.NoError(t, err)
+	test.Eq(t, Link{"127.0.0.1:1", "127.0.0.1:2"}, link)
+	for _, text := range []string{"", "a", "=b", "a="} {
+		_, err := ParseLink(text)
+		test.Error(t, err, test.Sprint(text))
+	}
+}
--- a/testbed/standin/engine/call.go
+++ b/testbed/standin/engine/call.go
@@ -225,19 +225,11 @@
 		select {
 		case <-changed:
 		case <-r.Context().Done():
-			s.abandon(c)
 			return
 		}
 	}
 }
 
-// abandon cancels a call whose client has gone, unless its id lets the client resume it.
-func (s *Server) abandon(c *call) {
-	if c.id == "" {
-		s.cancel(c)
-	}
-}
-
 // stream sends the text from a byte offset as server-sent events. A cancelled call ends the stream without [DONE].
 func (s *Server) stream(w http.ResponseWriter, r *http.Request, c *call, offset int) {
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -275,7 +267,6 @@
 		select {
 		case <-changed:
 		case <-r.Context().Done():
-			s.abandon(c)
 			return
 		}
 	}
--- a/testbed/standin/engine/handlers.go
+++ b/testbed/standin/engine/handlers.go
@@ -77,6 +77,10 @@
 		control.WriteError(w, refused.status, refused.code, refused.message)
 		return
 	}
+	if c.id == "" {
+		// A client that has gone cannot resume a request without an id, so its slot is freed.
+		defer s.cancel(c)
+	}
 	if body.Stream {
 		s.stream(w, r, c, 0)
 		return
