Hold the slots of an engine that is removed and comes back

A property run showed that an engine removed and added again under its name lost count of its grants, so its slots could be given twice. The grants now stay counted until they end.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -51,6 +51,9 @@
 // maxLanes bounds the distinct pairs of model and adapter with their own queue.
 const maxLanes = 256
 
+// maxClasses bounds the classes with their own averages; further ones count as the default class.
+const maxClasses = 256
+
 func (c Config) withDefaults() Config {
 	setInt(&c.QueueDepth, DefaultQueueDepth)
 	setInt(&c.MaxPrograms, DefaultMaxPrograms)
--- a/core/schedule/dispatcher.go
+++ b/core/schedule/dispatcher.go
@@ -14,12 +14,22 @@
 	key   laneKey
 	queue queue
 	slots int // Slots of the engines that serve the lane.
+	index int // Position in laneSet.
 }
 
+// laneSet is a set of lanes by their index.
+type laneSet [maxLanes / 64]uint64
+
+func (s *laneSet) has(l *lane) bool { return s[l.index/64]&(1<<(l.index%64)) != 0 }
+
+func (s *laneSet) add(l *lane) { s[l.index/64] |= 1 << (l.index % 64) }
+
+func (s *laneSet) remove(l *lane) { s[l.index/64] &^= 1 << (l.index % 64) }
+
 // engine is the dispatcher's view of one engine.
 type engine struct {
 	Engine
-	lanes      map[*lane]struct{}
+	lanes      laneSet
 	granted    int
 	foreign    int   // Requests on the engine that this dispatcher did not grant.
 	pinned     int64 // Context tokens of the granted calls.
@@ -48,6 +58,7 @@
 type Dispatcher struct {
 	cfg          Config
 	byName       map[string]*engine
+	removed      map[string]*engine // Engines that were removed while calls held their slots.
 	engines      []*engine
 	free         []*engine // Engines with a free slot that take new work.
 	lanes        map[laneKey]*lane
@@ -70,6 +81,7 @@
 	d := &Dispatcher{
 		cfg:     cfg.withDefaults(),
 		byName:  map[string]*engine{},
+		removed: map[string]*engine{},
 		lanes:   map[laneKey]*lane{},
 		items:   map[string]*item{},
 		classes: map[string]*classState{},
@@ -105,6 +117,10 @@
 		name = records.DefaultClass
 	}
 	c := d.classes[name]
+	if c == nil && len(d.classes) >= maxClasses {
+		name = records.DefaultClass
+		c = d.classes[name]
+	}
 	if c == nil {
 		c = &classState{limit: records.DefaultLimit(), output: defaultOutput, pause: defaultPause}
 		d.classes[name] = c
@@ -128,8 +144,7 @@
 func (d *Dispatcher) SetEngine(spec Engine) {
 	e := d.byName[spec.Name]
 	if e == nil {
-		e = &engine{lanes: map[*lane]struct{}{}, freePos: -1, service: defaultService}
-		e.prefixes.init()
+		e = d.newEngine(spec.Name)
 		d.byName[spec.Name] = e
 		d.engines = append(d.engines, e)
 	}
@@ -144,6 +159,17 @@
 	d.updateFree(e)
 }
 
+// newEngine returns an engine without slots. One that was removed and comes back keeps the grants that still count.
+func (d *Dispatcher) newEngine(name string) *engine {
+	if e := d.removed[name]; e != nil {
+		delete(d.removed, name)
+		return e
+	}
+	e := &engine{freePos: -1, service: defaultService}
+	e.prefixes.init()
+	return e
+}
+
 // RemoveEngine forgets an engine. Its grants stay until they are released or expire.
 func (d *Dispatcher) RemoveEngine(name string) {
 	e := d.byName[name]
@@ -156,11 +182,16 @@
 	for x := e.prefixes.oldest(); x != nil; x = e.prefixes.oldest() {
 		d.forget(x)
 	}
-	for l := range e.lanes {
-		l.slots -= e.Slots
+	for _, l := range d.laneList {
+		if e.lanes.has(l) {
+			l.slots -= e.Slots
+		}
 	}
-	clear(e.lanes)
+	e.lanes = laneSet{}
 	delete(d.byName, name)
+	if e.granted > 0 {
+		d.removed[name] = e
+	}
 	for i, other := range d.engines {
 		if other == e {
 			d.engines = append(d.engines[:i], d.engines[i+1:]...)
@@ -171,13 +202,13 @@
 
 // connect records whether an engine serves a lane.
 func (d *Dispatcher) connect(l *lane, e *engine) {
-	delete(e.lanes, l)
+	e.lanes.remove(l)
 	if !e.Leaving && serves(e.Engine, l.key) {
-		e.lanes[l] = struct{}{}
+		e.lanes.add(l)
 	}
 	l.slots = 0
 	for _, other := range d.engines {
-		if _, ok := other.lanes[l]; ok {
+		if other.lanes.has(l) {
 			l.slots += other.Slots
 		}
 	}
@@ -208,7 +239,7 @@
 	if len(d.laneList) >= maxLanes && !d.dropUnusedLane() {
 		return nil
 	}
-	l := &lane{key: k}
+	l := &lane{key: k, index: d.freeLaneIndex()}
 	d.lanes[k] = l
 	d.laneList = append(d.laneList, l)
 	for _, e := range d.engines {
@@ -217,6 +248,20 @@
 	return l
 }
 
+// freeLaneIndex returns the lowest index that no lane has.
+func (d *Dispatcher) freeLaneIndex() int {
+	var used laneSet
+	for _, l := range d.laneList {
+		used.add(l)
+	}
+	for i := range maxLanes {
+		if !used.has(&lane{index: i}) {
+			return i
+		}
+	}
+	return 0
+}
+
 func (d *Dispatcher) dropUnusedLane() bool {
 	used := map[*lane]bool{}
 	for _, it := range d.items {
@@ -229,7 +274,7 @@
 		d.laneList = append(d.laneList[:i], d.laneList[i+1:]...)
 		delete(d.lanes, l.key)
 		for _, e := range d.engines {
-			delete(e.lanes, l)
+			e.lanes.remove(l)
 		}
 		return true
 	}
--- a/core/schedule/enqueue.go
+++ b/core/schedule/enqueue.go
@@ -53,6 +53,7 @@
 	it := d.newItem()
 	it.Ticket = t
 	it.lane = l
+	it.class = d.class(t.Class)
 	it.program = d.lookup(t.Program, t.Parent, t.SpentTokens)
 	it.root = it.program.root
 	it.key = d.key(it)
@@ -67,7 +68,7 @@
 	l.queue.push(it)
 	d.items[t.ID] = it
 	d.waiting++
-	d.class(t.Class).waiting++
+	it.class.waiting++
 	return nil
 }
 
@@ -81,7 +82,7 @@
 	}
 	pause := now.Sub(p.pausedAt).Seconds()
 	p.pausedAt = time.Time{}
-	c := d.class(it.Class)
+	c := it.class
 	c.pause = average(c.pause, pause)
 	if p.pause == 0 {
 		p.pause = pause
@@ -156,7 +157,7 @@
 
 func (d *Dispatcher) hasFree(l *lane) bool {
 	for _, e := range d.free {
-		if _, ok := e.lanes[l]; ok {
+		if e.lanes.has(l) {
 			return true
 		}
 	}
@@ -196,7 +197,7 @@
 
 func (d *Dispatcher) leaveQueue(it *item) {
 	d.waiting--
-	d.class(it.Class).waiting--
+	it.class.waiting--
 }
 
 func (d *Dispatcher) newItem() *item {
--- a/core/schedule/next.go
+++ b/core/schedule/next.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// maxSteps bounds the tickets that one Next sets aside before it gives up; each ticket is set aside a few times only.
-	maxSteps = 32
+	// maxSetAside bounds the tickets that one Next sets aside before it takes a free engine without further conditions.
+	maxSetAside = 32
 	// loadSlope is the part by which a full batch slows a response, relative to an empty one.
 	loadSlope = 0.5
 	// maxHold bounds the wait for a busy engine.
@@ -21,7 +21,7 @@
 // Next grants the best ticket a slot of its best engine. It returns false when no ticket can start now.
 func (d *Dispatcher) Next(now time.Time) (Grant, bool) {
 	d.expire(now)
-	for range maxSteps {
+	for setAside := 0; ; setAside++ {
 		it := d.best()
 		if it == nil {
 			return Grant{}, false
@@ -29,11 +29,10 @@
 		if it.state == stateBound {
 			return d.grant(now, it, it.engine), true
 		}
-		if e := d.place(now, it); e != nil {
+		if e := d.place(now, it, setAside >= maxSetAside); e != nil {
 			return d.grant(now, it, e), true
 		}
 	}
-	return Grant{}, false
 }
 
 // best returns the first ticket in queue order that an engine with a free slot could take.
@@ -63,7 +62,7 @@
 // open reports whether an engine with a free slot may take a ticket from a lane. A ticket that waits for this engine and
 // goes first in the queue order reserves the slot, so that a large context is not passed for ever.
 func (d *Dispatcher) open(e *engine, it *item) bool {
-	if _, ok := e.lanes[it.lane]; !ok {
+	if !e.lanes.has(it.lane) {
 		return false
 	}
 	h := e.bound.head()
@@ -75,15 +74,17 @@
 	if e.CacheTokens <= 0 || e.granted == 0 || !d.cfg.on(MemoryLimit) {
 		return true
 	}
-	return e.pinned+d.context(it) <= e.CacheTokens
+	return e.pinned+it.context() <= e.CacheTokens
 }
 
-func (d *Dispatcher) context(it *item) int64 { return it.PromptTokens + int64(d.output(it)) }
-
-// place chooses the engine of a ticket. It returns nil when the ticket has been set aside.
-func (d *Dispatcher) place(now time.Time, it *item) *engine {
+// place chooses the engine of a ticket. It returns nil when the ticket has been set aside. With atOnce set it does so only
+// for a context that fits nowhere.
+func (d *Dispatcher) place(now time.Time, it *item, atOnce bool) *engine {
 	free, cost, evicts := d.bestFree(now, it)
-	if holder, hold := d.bestBusyHolder(now, it, cost); holder != nil {
+	if free != nil && atOnce {
+		return free
+	}
+	if holder, hold := d.bestBusyHolder(it, cost); holder != nil {
 		d.bind(it, holder, now.Add(hold))
 		return nil
 	}
@@ -125,7 +126,7 @@
 		finish += backlog.Seconds()
 	}
 	load := float64(e.granted+e.foreign) / float64(e.Slots)
-	finish += loadSlope * load * d.output(it) / d.cfg.DecodeTokensPerSecond
+	finish += loadSlope * load * it.output() / d.cfg.DecodeTokensPerSecond
 	if e.Remote {
 		finish += remoteSeconds
 	}
@@ -160,7 +161,7 @@
 	if e.CacheTokens <= 0 || !d.cfg.on(PausedProtect) {
 		return 0
 	}
-	added := d.context(it) - d.cachedOn(it, e)
+	added := it.context() - d.cachedOn(it, e)
 	over := min(e.heldTokens+added-e.CacheTokens, added)
 	victim := e.prefixes.oldest()
 	if over <= 0 || victim == nil || victim.program == it.program {
@@ -188,7 +189,7 @@
 
 // bestBusyHolder returns a busy engine that holds the prefix, when waiting there costs less than freeCost, and how long
 // the wait stays worth it.
-func (d *Dispatcher) bestBusyHolder(now time.Time, it *item, freeCost float64) (*engine, time.Duration) {
+func (d *Dispatcher) bestBusyHolder(it *item, freeCost float64) (*engine, time.Duration) {
 	if it.held || !d.cfg.on(PrefixHold) || !d.cfg.on(CachePlacement) {
 		return nil, 0
 	}
@@ -197,7 +198,7 @@
 	bestCost, bestHold := freeCost, 0.0
 	for _, x := range it.program.prefixes {
 		e := x.engine
-		if _, ok := e.lanes[it.lane]; !ok || e.freePos >= 0 {
+		if !e.lanes.has(it.lane) || e.freePos >= 0 {
 			continue
 		}
 		missing := d.missingSeconds(it, e)
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -36,8 +36,7 @@
 	if !d.cfg.on(ServiceOrder) {
 		return arrival * ageing
 	}
-	class := d.class(it.Class)
-	weight := class.limit.Weight
+	weight := it.class.limit.Weight
 	if weight <= 0 {
 		weight = 1
 	}
@@ -57,18 +56,21 @@
 	if len(it.program.prefixes) > 0 {
 		missing -= min(it.HistoryTokens, it.PromptTokens)
 	}
-	return float64(missing)/d.cfg.PrefillTokensPerSecond + d.output(it)/d.cfg.DecodeTokensPerSecond
+	return float64(missing)/d.cfg.PrefillTokensPerSecond + it.output()/d.cfg.DecodeTokensPerSecond
 }
 
 // output estimates the length of a response in tokens.
-func (d *Dispatcher) output(it *item) float64 {
-	expected := d.class(it.Class).output
+func (it *item) output() float64 {
+	expected := it.class.output
 	if it.MaxTokens > 0 {
 		expected = min(expected, float64(it.MaxTokens))
 	}
 	return expected
 }
 
+// context is the engine memory in tokens that a call is expected to need.
+func (it *item) context() int64 { return it.PromptTokens + int64(it.output()) }
+
 // tenantShares follows the engine work of each tenant with exponential decay.
 type tenantShares struct {
 	used    map[string]float64
--- a/core/schedule/queue.go
+++ b/core/schedule/queue.go
@@ -19,13 +19,14 @@
 	state    itemState
 	held     bool // Has waited for the holder of its prefix once.
 	lane     *lane
+	class    *classState
 	program  *program
 	root     *program
 	engine   *engine   // Set in stateBound and stateGranted.
 	when     time.Time // End of the hold, or expiry of the grant.
 	started  time.Time
 	parkedAt time.Time
-	context  int64 // Tokens of engine memory that the call is expected to need.
+	pinned   int64 // Tokens of engine memory that a granted call takes.
 	cached   int64
 	pos      int // Position in the queue that holds the item.
 	timerPos int // Position in the timers; -1 when not there.
--- a/core/schedule/release.go
+++ b/core/schedule/release.go
@@ -19,9 +19,9 @@
 	it.engine = e
 	it.started = now
 	it.cached = cached
-	it.context = d.context(it)
+	it.pinned = it.context()
 	e.granted++
-	e.pinned += it.context
+	e.pinned += it.pinned
 	e.starts.add(now)
 	e.prefillEnd = later(e.prefillEnd, now).Add(time.Duration(missing * float64(time.Second)))
 	d.hold(it.program, e, max(it.PromptTokens, 1))
@@ -67,8 +67,7 @@
 	work := float64(usage.PromptTokens-usage.CachedTokens) + decodeWeight*float64(usage.CompletionTokens)
 	it.root.service += work
 	d.tenants.add(now, it.Tenant, work)
-	c := d.class(it.Class)
-	c.output = average(c.output, float64(usage.CompletionTokens))
+	it.class.output = average(it.class.output, float64(usage.CompletionTokens))
 	seconds := now.Sub(it.started).Seconds()
 	e.service = average(e.service, seconds)
 	d.meanService = average(d.serviceSeconds(), seconds)
@@ -82,9 +81,12 @@
 func (d *Dispatcher) endGrant(now time.Time, it *item) {
 	e, p := it.engine, it.program
 	e.granted--
-	e.pinned -= it.context
+	e.pinned -= it.pinned
 	e.ends.add(now)
 	d.updateFree(e)
+	if e.granted == 0 && d.removed[e.Name] == e {
+		delete(d.removed, e.Name)
+	}
 	p.inFlight--
 	p.pausedAt = now
 	d.timers.remove(it)
