--- a/core/schedule/dispatcher_test.go
+++ b/core/schedule/dispatcher_test.go
@@ -159,3 +159,7 @@
 		})
 	}
 }
+
+func usageOf(prompt int64) caller.Usage {
+	return caller.Usage{PromptTokens: prompt, CompletionTokens: 100}
+}
--- /dev/null
+++ b/core/schedule/remote_test.go
@@ -0,0 +1,116 @@
+package schedule
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against paid traffic for a small gain, and against calls that stay at an overloaded or empty data centre.
+func TestChooseSite(t *testing.T) {
+	home := SiteLoad{DataCentre: "falls-a", Home: true, Slots: 10, Service: 10 * time.Second}
+	near := SiteLoad{DataCentre: "falls-b", Slots: 10, Service: 10 * time.Second, RoundTrip: 2 * time.Millisecond}
+	far := SiteLoad{DataCentre: "harbor-a", Slots: 10, Service: 10 * time.Second, RoundTrip: 24 * time.Millisecond, OtherRegion: true}
+	cases := []struct {
+		name     string
+		change   func(sites []SiteLoad)
+		linkRate int64
+		want     int
+	}{
+		{"home when idle", func([]SiteLoad) {}, 250_000, 0},
+		{"near when home waits", func(s []SiteLoad) { s[0].Running, s[0].Waiting = 10, 5 }, 250_000, 1},
+		{"follows a long prefix", func(s []SiteLoad) { s[1].CachedTokens = 20_000 }, 250_000, 1},
+		{"stays for a short wait", func(s []SiteLoad) { s[0].Running, s[1].Running = 10, 11 }, 250_000, 0},
+		{"far when both wait long", func(s []SiteLoad) { s[0].Waiting, s[1].Waiting = 100, 100 }, 250_000, 2},
+		{"not far without budget", func(s []SiteLoad) { s[0].Waiting, s[1].Waiting = 100, 101 }, 1, 0},
+		{"no engine anywhere", func(s []SiteLoad) { s[0].Slots, s[1].Slots, s[2].Slots = 0, 0, 0 }, 250_000, -1},
+	}
+	call := RemoteCall{PromptTokens: 21_000, HistoryTokens: 20_000, OutputTokens: 300}
+	w := SiteWeights{Latency: 1, Cache: 1, PrefillTokensPerSecond: 8000}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			sites := []SiteLoad{home, near, far}
+			tc.change(sites)
+			must.Eq(t, tc.want, ChooseSite(start, call, sites, w, NewLinkBudget(tc.linkRate)))
+		})
+	}
+}
+
+// Guards against moving KV cache that is quicker to recompute.
+func TestShouldTransfer(t *testing.T) {
+	base := Transfer{Tokens: 50_000, BytesPerToken: 64_000, LinkBytesPerSecond: 1.25e9, PrefillTokensPerSecond: 8000}
+	cases := []struct {
+		name   string
+		change func(*Transfer)
+		want   bool
+	}{
+		{"fast link in the region", func(*Transfer) {}, true},
+		{"slow link in the region", func(x *Transfer) { x.LinkBytesPerSecond = 1e7 }, false},
+		{"between regions", func(x *Transfer) { x.OtherRegion, x.LinkBytesPerSecond = true, 3.75e6 }, false},
+		{"between regions, small cache of a slow model", func(x *Transfer) {
+			x.OtherRegion, x.LinkBytesPerSecond, x.BytesPerToken, x.PrefillTokensPerSecond = true, 3.75e6, 20, 100
+		}, true},
+		{"nothing to move", func(x *Transfer) { x.Tokens = 0 }, false},
+	}
+	w := SiteWeights{Latency: 1, Cache: 1}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			x := base
+			tc.change(&x)
+			must.Eq(t, tc.want, ShouldTransfer(start, x, w, NewLinkBudget(250_000)))
+		})
+	}
+}
+
+// Guards against a hedged deposit and against retries beyond the ratio.
+func TestHedgeAndRetryBudget(t *testing.T) {
+	slow := Attempt{Idempotent: true, Running: 10 * time.Second, Expected: time.Second}
+	full := NewRetryBudget(0.1)
+	must.True(t, ShouldHedge(slow, full))
+	notIdempotent := slow
+	notIdempotent.Idempotent = false
+	must.False(t, ShouldHedge(notIdempotent, full))
+	must.False(t, ShouldHedge(slow, NewRetryBudget(0)))
+
+	b, retries := full, 0
+	for range 1000 {
+		b = b.FirstAttempt()
+		next, ok := b.Retry()
+		if ok {
+			retries++
+		}
+		b = next
+	}
+	must.Between(t, 100, retries, 103)
+}
+
+// Guards against counting calls that this dispatcher started or ended after the report as foreign.
+func TestObserveLoad(t *testing.T) {
+	d := withEngines(Config{}, engineNamed("e", 4))
+	must.NoError(t, d.Enqueue(start, ticket("1", "p")))
+	mustNext(t, d, start)
+	at := start.Add(time.Second)
+	d.Release(start.Add(2*time.Second), "1", usageOf(1000))
+	now := start.Add(3 * time.Second)
+	d.ObserveLoad(now, "e", 1, 0, at)
+	must.Eq(t, 0, d.byName["e"].foreign)
+	d.ObserveLoad(now, "e", 3, 1, now)
+	must.Eq(t, 4, d.byName["e"].foreign)
+	must.NoError(t, d.Enqueue(now, ticket("2", "p")))
+	_, ok := d.Next(now)
+	must.False(t, ok)
+	d.ObserveLoad(now, "e", 0, 0, at)
+	must.Eq(t, 4, d.byName["e"].foreign, must.Sprint("an older report is ignored"))
+}
+
+// Guards against engine memory held by programs that have ended or paused for too long.
+func TestReleases(t *testing.T) {
+	d := withEngines(Config{}, engineNamed("e", 4))
+	runCall(t, d, start, ticket("1", "p"), time.Second)
+	must.Eq(t, []Order{{OrderReleaseCache, "e", "p"}}, d.ProgramEnded("p"))
+	runCall(t, d, start, ticket("2", "q"), time.Second)
+	must.SliceEmpty(t, d.Tick(start.Add(time.Minute)))
+	must.Eq(t, []Order{{OrderReleaseCache, "e", "q"}}, d.Tick(start.Add(10*time.Minute)))
+	must.Eq(t, 0, d.byName["e"].heldTokens)
+}
