--- a/core/configstate/configstate.go
+++ b/core/configstate/configstate.go
@@ -20,8 +20,8 @@
 	Value      json.RawMessage `json:"value"`
 }
 
-// Decoder decodes the value of a stored record. Deleted is true for a tombstone.
-type Decoder func(value []byte) (record records.Record, deleted bool, err error)
+// Decoder decodes the value of a stored record.
+type Decoder func(value []byte) (records.Record, error)
 
 // State is the newest generation of every record. It is not safe for concurrent use.
 type State struct {
@@ -59,7 +59,7 @@
 }
 
 func (s *State) offer(value []byte) (string, error) {
-	r, deleted, err := s.decode(value)
+	r, err := s.decode(value)
 	if err != nil {
 		return "", err
 	}
@@ -67,8 +67,8 @@
 	if old, ok := s.stored[key]; ok && old.Generation >= r.Generation {
 		return "", nil
 	}
-	s.stored[key] = Stored{Key: key, Generation: r.Generation, Deleted: deleted, Value: append([]byte(nil), value...)}
-	if deleted {
+	s.stored[key] = Stored{Key: key, Generation: r.Generation, Deleted: r.Deleted, Value: append([]byte(nil), value...)}
+	if r.Deleted {
 		delete(s.records, key)
 	} else {
 		s.records[key] = r
--- a/daemon/cluster/join.go
+++ b/daemon/cluster/join.go
@@ -47,6 +47,9 @@
 	}
 	a.OfferRoster(r, version)
 	self := a.Self()
+	if !a.reachable(ctx) {
+		return
+	}
 	if r.Term == 0 {
 		a.found(ctx, self)
 		return
@@ -63,6 +66,16 @@
 	a.takeOver(ctx, r, version, self)
 }
 
+// reachable reports whether this daemon answers at its own advertised address. One that does not must not become
+// coordinator: no other daemon could join.
+func (a *Agent) reachable(ctx context.Context) bool {
+	result := a.probe(ctx, a.Self())
+	if result != membership.ProbeOK {
+		a.log.Error("this daemon does not answer at its own peer address; check the setting peer-address", "address", a.cfg.PeerAddress)
+	}
+	return result == membership.ProbeOK
+}
+
 // found creates the first roster of the data centre. Of several daemons that start together, one wins.
 func (a *Agent) found(ctx context.Context, self membership.Member) {
 	r := membership.New(a.cfg.DataCentre, self)
--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -36,7 +36,7 @@
 		fmt.Fprintln(os.Stderr, "jackdawbayd:", err)
 		os.Exit(exitSettings)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors}))
 	if err := run(set, log); err != nil {
 		log.Error("daemon failed", "error", err)
 		os.Exit(exitFailed)
@@ -54,3 +54,11 @@
 	fmt.Printf("ready address=%s peer=%s ops=%s\n", callers, peers, ops)
 	return n.Run(ctx)
 }
+
+// shortErrors logs the message of an error without its stack, so that an event stays on one line.
+func shortErrors(_ []string, a slog.Attr) slog.Attr {
+	if err, ok := a.Value.Any().(error); ok {
+		return slog.String(a.Key, err.Error())
+	}
+	return a
+}
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -74,6 +74,12 @@
 	log = log.With("vm", set.VM, "data_centre", set.DataCentre)
 	options := transport.Options{SourceAddress: set.SourceAddress, DialTimeout: dialTimeout}
 	n := &Node{set: set, log: log, metrics: metrics.NewSet(), slots: newHeldSlots()}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if _, port, err := net.SplitHostPort(set.PeerAddress); err == nil && port == "0" {
+		set.PeerAddress = n.listeners[1].Addr().String()
+	}
 	n.store = platform.NewClient(platform.Config{
 		BaseURL:         set.PlatformURL,
 		Key:             set.PlatformKey,
@@ -113,7 +119,7 @@
 		Log:      log,
 	})
 	n.buildServers(r)
-	return n, n.listen()
+	return n, nil
 }
 
 // newSigner derives the keys of receipts from the keys of the peer listener, which all daemons share.
--- /dev/null
+++ b/testbed/fleet/fleet.go
@@ -0,0 +1,363 @@
+// Package fleet starts a whole installation on loopback: the platform, engines, services, and daemons in several data
+// centres, each as a process of its own, and writes the records that describe them.
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/api/records"
+	"jackdawbay.dev/testbed/process"
+)
+
+// Keys of the test bed. They protect nothing outside it.
+const (
+	TenantKey   = "tenant-key-of-the-test-bed"
+	platformKey = "platform-key-of-the-test-bed"
+	peerKey     = "peer-key-of-the-test-bed"
+	upstreamKey = "upstream-key-of-the-test-bed"
+)
+
+// Names that the records of a fleet use.
+const (
+	Tenant      = "merrimack-falls"
+	Model       = "kit-model"
+	Group       = "kit-agents"
+	Printer     = "printer"      // Tool service whose orders may not be repeated.
+	StockChecks = "stock-checks" // Plain service whose calls may be repeated.
+)
+
+// DataCentre is the size of one data centre.
+type DataCentre struct {
+	Name    string
+	Region  string
+	Daemons int
+	Engines int
+}
+
+// Config describes a fleet.
+type Config struct {
+	Binaries    string
+	Folder      string // Keys and logs.
+	DataCentres []DataCentre
+	EngineArgs  []string
+	DaemonArgs  []string
+	PrinterArgs []string
+}
+
+// Daemon is one daemon process.
+type Daemon struct {
+	*process.Process
+	VM         string
+	DataCentre string
+	CallerURL  string
+	OpsURL     string
+
+	args []string
+}
+
+// Fleet is a running installation.
+type Fleet struct {
+	Group       *process.Group
+	Platform    *process.Process
+	PlatformURL string
+	Engines     map[string]*process.Process
+	Services    map[string]*process.Process
+	Daemons     []*Daemon
+	Records     []records.Record
+
+	cfg Config
+}
+
+// Start starts everything and waits until every daemon is ready. The caller ends it with Close.
+func Start(ctx context.Context, cfg Config) (*Fleet, error) {
+	f := &Fleet{
+		cfg:      cfg,
+		Group:    process.NewGroup(cfg.Binaries, cfg.Folder),
+		Engines:  map[string]*process.Process{},
+		Services: map[string]*process.Process{},
+	}
+	for _, step := range []func(context.Context) error{f.writeKeys, f.startUpstreams, f.writeRecords, f.startDaemons, f.awaitReady} {
+		if err := step(ctx); err != nil {
+			f.Close()
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// Close ends every process.
+func (f *Fleet) Close() { f.Group.StopAll() }
+
+func (f *Fleet) keyFile(name string) string { return filepath.Join(f.cfg.Folder, name+".key") }
+
+func (f *Fleet) writeKeys(context.Context) error {
+	for name, key := range map[string]string{"platform": platformKey, "peer": peerKey, "upstream": upstreamKey} {
+		if err := os.WriteFile(f.keyFile(name), []byte(key+"\n"), 0o600); err != nil {
+			return errors.Wrap(err, "write key")
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startUpstreams(context.Context) error {
+	platform, err := f.Group.Start("platform", "standin", "platform", "--listen=127.0.0.1:0", "--key-file="+f.keyFile("platform"))
+	if err != nil {
+		return err
+	}
+	f.Platform = platform
+	f.PlatformURL = "http://" + platform.Ready["address"]
+	if err := f.addRecord(records.KindTenant, Tenant, map[string]any{
+		"keyHashes": []string{records.HashKey(TenantKey)}, "weight": 1, "maxPrograms": 100_000,
+	}); err != nil {
+		return err
+	}
+	if err := f.addRecord(records.KindModel, Model, map[string]any{
+		"group": Group, "version": "1", "contextTokens": 128_000, "maxOutputTokens": 2000, "weightBytes": 1 << 30,
+	}); err != nil {
+		return err
+	}
+	for _, dc := range f.cfg.DataCentres {
+		if err := f.addRecord(records.KindDataCentre, dc.Name, map[string]any{"region": dc.Region}); err != nil {
+			return err
+		}
+		if err := f.startEngines(dc); err != nil {
+			return err
+		}
+	}
+	return f.startServices()
+}
+
+func (f *Fleet) startEngines(dc DataCentre) error {
+	for i := range dc.Engines {
+		name := fmt.Sprintf("%s-engine-%d", dc.Name, i+1)
+		args := append([]string{"engine", "--listen=127.0.0.1:0", "--model=" + Model, "--checks-fencing", "--key-file=" + f.keyFile("upstream")}, f.cfg.EngineArgs...)
+		p, err := f.Group.Start(name, "standin", args...)
+		if err != nil {
+			return err
+		}
+		f.Engines[name] = p
+		err = f.addRecord(records.KindUpstream, name, map[string]any{
+			"type": "engine", "group": Group, "dataCentre": dc.Name, "address": p.Ready["address"],
+			"slots": 16, "cacheTokens": 400_000, "checksFencing": true,
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startServices() error {
+	home := f.cfg.DataCentres[0].Name
+	for _, s := range []struct {
+		name  string
+		args  []string
+		route map[string]any
+	}{
+		{Printer, f.cfg.PrinterArgs, map[string]any{"method": "POST", "pathPrefix": "/orders", "idempotency": "unsafe", "timeout": "5s"}},
+		{StockChecks, nil, map[string]any{"method": "GET", "pathPrefix": "/stock", "idempotency": "safe", "timeout": "2s"}},
+	} {
+		args := append([]string{"service", "--listen=127.0.0.1:0", "--key-file=" + f.keyFile("upstream")}, s.args...)
+		p, err := f.Group.Start(s.name, "standin", args...)
+		if err != nil {
+			return err
+		}
+		f.Services[s.name] = p
+		err = f.addRecord(records.KindUpstream, s.name, map[string]any{
+			"type": "service", "dataCentre": home, "address": p.Ready["address"], "routes": []any{s.route},
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addRecord decodes a document as an operator would write it, so that it is checked and gets its defaults.
+func (f *Fleet) addRecord(kind records.Kind, name string, spec map[string]any) error {
+	document, err := json.Marshal(map[string]any{
+		"apiVersion": records.V2,
+		"kind":       kind,
+		"metadata":   map[string]any{"name": name, "generation": 1},
+		"spec":       spec,
+	})
+	if err != nil {
+		return err
+	}
+	list, err := records.Decode(document)
+	if err != nil {
+		return errors.Wrapf(err, "record %s %s", kind, name)
+	}
+	f.Records = append(f.Records, list...)
+	return nil
+}
+
+func (f *Fleet) writeRecords(ctx context.Context) error {
+	for _, r := range f.Records {
+		if err := f.PutRecord(ctx, r, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// PutRecord writes a record to the platform on the condition of a version.
+func (f *Fleet) PutRecord(ctx context.Context, r records.Record, ifVersion uint64) error {
+	value, err := records.ToStored(r)
+	if err != nil {
+		return errors.Wrapf(err, "encode record %s", r.Key())
+	}
+	body, err := json.Marshal(map[string]any{"if_version": ifVersion, "value": json.RawMessage(value)})
+	if err != nil {
+		return err
+	}
+	_, err = f.platformCall(ctx, http.MethodPut, "/v1/objects/config/"+r.Key(), body)
+	return errors.Wrapf(err, "write record %s", r.Key())
+}
+
+// Control calls the control interface of the platform stand-in.
+func (f *Fleet) Control(ctx context.Context, method, path string, body any) ([]byte, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return f.platformCall(ctx, method, path, raw)
+}
+
+func (f *Fleet) platformCall(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	return call(ctx, method, f.PlatformURL+path, platformKey, body)
+}
+
+// call makes one request and returns the body of its answer.
+func call(ctx context.Context, method, url, key string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, errors.Newf("%s %s: status %d: %s", method, url, resp.StatusCode, data)
+	}
+	return data, nil
+}
+
+func (f *Fleet) startDaemons(context.Context) error {
+	var group sync.WaitGroup
+	var mu sync.Mutex
+	var failed error
+	for _, dc := range f.cfg.DataCentres {
+		for i := range dc.Daemons {
+			group.Go(func() {
+				d, err := f.StartDaemon(fmt.Sprintf("%s-vm-%d", dc.Name, i+1), dc.Name)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					failed = err
+					return
+				}
+				f.Daemons = append(f.Daemons, d)
+			})
+		}
+	}
+	group.Wait()
+	return failed
+}
+
+// StartDaemon starts one daemon. It is not added to Daemons.
+func (f *Fleet) StartDaemon(vm, dataCentre string) (*Daemon, error) {
+	args := append([]string{
+		"--vm=" + vm,
+		"--data-centre=" + dataCentre,
+		"--listen=127.0.0.1:0",
+		"--peer-listen=127.0.0.1:0",
+		"--ops-listen=127.0.0.1:0",
+		"--platform-url=" + f.PlatformURL,
+		"--platform-key-file=" + f.keyFile("platform"),
+		"--peer-key-file=" + f.keyFile("peer"),
+		"--upstream-key-file=" + f.keyFile("upstream"),
+		"--drain-delay=0s",
+	}, f.cfg.DaemonArgs...)
+	p, err := f.Group.Start(vm, "jackdawbayd", args...)
+	if err != nil {
+		return nil, err
+	}
+	return &Daemon{
+		Process:    p,
+		VM:         vm,
+		DataCentre: dataCentre,
+		CallerURL:  "http://" + p.Ready["address"],
+		OpsURL:     "http://" + p.Ready["ops"],
+		args:       args,
+	}, nil
+}
+
+const readyInterval = 50 * time.Millisecond
+
+func (f *Fleet) awaitReady(ctx context.Context) error {
+	for _, d := range f.Daemons {
+		if err := d.AwaitReady(ctx); err != nil {
+			return errors.Wrapf(err, "daemon %s is not ready", d.VM)
+		}
+	}
+	return nil
+}
+
+// AwaitReady waits until the daemon serves callers.
+func (d *Daemon) AwaitReady(ctx context.Context) error {
+	for {
+		if _, err := call(ctx, http.MethodGet, d.OpsURL+"/readyz", "", nil); err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(readyInterval):
+		}
+	}
+}
+
+// Client returns a caller that uses all given daemons in turn, or all daemons of the fleet.
+func (f *Fleet) Client(daemons ...*Daemon) *client.Client {
+	if len(daemons) == 0 {
+		daemons = f.Daemons
+	}
+	c := &client.Client{Key: TenantKey}
+	for _, d := range daemons {
+		c.BaseURLs = append(c.BaseURLs, d.CallerURL)
+	}
+	return c
+}
+
+// Runs returns how often each business key ran at a service.
+func (f *Fleet) Runs(ctx context.Context, service string) (map[string]int, error) {
+	data, err := call(ctx, http.MethodGet, "http://"+f.Services[service].Ready["address"]+"/control/runs", upstreamKey, nil)
+	if err != nil {
+		return nil, err
+	}
+	var out struct {
+		Runs map[string]int `json:"runs"`
+	}
+	err = json.Unmarshal(data, &out)
+	return out.Runs, err
+}
