--- a/cli/cmd/jackdawbay/main.go
+++ b/cli/cmd/jackdawbay/main.go
@@ -1,3 +1,18 @@
+// Command jackdawbay is the command-line tool with which operators manage records.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"jackdawbay.dev/cli/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Run(ctx, os.Args[1:], os.Stdout, os.Stderr, command.Connect)
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/cli/command/get.go
@@ -0,0 +1,104 @@
+package command
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+
+	"jackdawbay.dev/api/records"
+)
+
+// Get shows records.
+type Get struct {
+	Kind string `arg:"" help:"Kind of the records."`
+	Name string `arg:"" optional:"" help:"Name of the record."`
+}
+
+type getReport struct {
+	Records    []json.RawMessage `json:"records"`
+	Unreadable []string          `json:"unreadable,omitempty"` // Records of the kind whose values cannot be read.
+	yaml       []byte
+}
+
+func (r getReport) text(w io.Writer) {
+	_, _ = w.Write(r.yaml)
+	for _, key := range r.Unreadable {
+		_, _ = fmt.Fprintf(w, "# %s: The value cannot be read.\n", key)
+	}
+}
+
+// Run implements the verb.
+func (c *Get) Run(env *environment) error {
+	if err := checkKind(c.Kind); err != nil {
+		return err
+	}
+	platform, err := env.connect(env.globals)
+	if err != nil {
+		return err
+	}
+	all, err := loadStored(env.ctx, platform)
+	if err != nil {
+		return err
+	}
+	out := getReport{Records: []json.RawMessage{}}
+	list := live(all)
+	slices.SortFunc(list, func(a, b records.Record) int { return cmp.Compare(a.Name, b.Name) })
+	for _, r := range list {
+		if string(r.Kind) != c.Kind || c.Name != "" && r.Name != c.Name {
+			continue
+		}
+		if err := out.add(r); err != nil {
+			return err
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(all)) {
+		if all[key].err != nil && strings.HasPrefix(key, c.Kind+".") {
+			out.Unreadable = append(out.Unreadable, key)
+		}
+	}
+	env.report = out
+	if c.Name != "" && len(out.Records) == 0 {
+		env.report = nil
+		return notFound(c.Kind+"."+c.Name, all)
+	}
+	return nil
+}
+
+func (r *getReport) add(rec records.Record) error {
+	text, err := records.Encode(rec, records.YAML)
+	if err != nil {
+		return err
+	}
+	raw, err := records.Encode(rec, records.JSON)
+	if err != nil {
+		return err
+	}
+	if len(r.yaml) > 0 {
+		r.yaml = append(r.yaml, "---\n"...)
+	}
+	r.yaml = append(r.yaml, text...)
+	r.Records = append(r.Records, raw)
+	return nil
+}
+
+func notFound(key string, all map[string]stored) *Error {
+	s, ok := all[key]
+	switch {
+	case ok && s.err != nil:
+		return fail(ExitFault, ReasonStoredRecordInvalid, "The platform holds a value for %s that cannot be read: %s", key, s.err)
+	case ok:
+		return fail(ExitFault, ReasonRecordNotFound, "The record %s was deleted with generation %d.", key, s.record.Generation)
+	}
+	return fail(ExitFault, ReasonRecordNotFound, "The record %s does not exist.", key)
+}
+
+func checkKind(kind string) error {
+	if !slices.Contains(records.Kinds, records.Kind(kind)) {
+		return fail(ExitUsage, ReasonBadUsage, "The kind %q does not exist. Allowed: one of %v.", kind, records.Kinds)
+	}
+	return nil
+}
--- /dev/null
+++ b/cli/command/validate.go
@@ -0,0 +1,29 @@
+package command
+
+import (
+	"fmt"
+	"io"
+)
+
+// Validate checks a directory.
+type Validate struct {
+	Dir string `arg:"" help:"Directory with records."`
+}
+
+type validateReport struct {
+	Records int `json:"records"`
+}
+
+func (r validateReport) text(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "No fault was found. Number of records: %d.\n", r.Records)
+}
+
+// Run implements the verb.
+func (c *Validate) Run(env *environment) error {
+	list, err := loadDirectory(c.Dir)
+	if err != nil {
+		return err
+	}
+	env.report = validateReport{Records: len(list)}
+	return nil
+}
