--- /dev/null
+++ b/testbed/scenario/http.go
@@ -0,0 +1,394 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"jackdawbay.dev/testbed/relay"
+	"jackdawbay.dev/testbed/standin/control"
+)
+
+// requestTimeout bounds a request of a script, unless it sets timeout=.
+const requestTimeout = 10 * time.Second
+
+// maxResponseBytes bounds what a script reads.
+const maxResponseBytes = 64 << 20
+
+// client opens a connection for each request: a reused one would fail when a process restarts.
+var client = &http.Client{
+	Transport:     &http.Transport{DisableKeepAlives: true},
+	CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+}
+
+// httpCheck is a condition on a response. Path is "status", "body", "header.NAME" or a JSON path.
+type httpCheck struct {
+	path     string
+	operator string
+	want     string
+}
+
+// httpCall is a parsed http command.
+type httpCall struct {
+	method, url, file string
+	headers           http.Header
+	timeout           time.Duration
+	checks            []httpCheck
+	variables         [][2]string // Variable and JSON path.
+	noResponse        bool
+	status            string
+}
+
+var (
+	checkPattern    = regexp.MustCompile(`^(.*?)(==|!=|=~)((?s).*)$`)
+	variablePattern = regexp.MustCompile(`^([A-Za-z_][A-Za-z0-9_]*):=(.+)$`)
+)
+
+// cmdHTTP is "http METHOD URL [FILE] [OPTION|CHECK...]": sends a request with the file as its body. The options are
+// send:NAME=VALUE (request header), timeout=DURATION, status=CODE (without it the status must be 2xx), status=none (no
+// complete response) and VAR:=PATH (sets a variable from the response). The checks are PATH==VALUE, PATH!=VALUE and
+// PATH=~REGEXP, where PATH is "body", "header.NAME" or a JSON path such as items.0.name or items.length; a backslash
+// takes the meaning of a dot in a key. The body is also available to the command stdout.
+func (h *harness) cmdHTTP(ts *testscript.TestScript, args []string) error {
+	call, err := parseHTTP(args)
+	if err != nil {
+		return err
+	}
+	var body string
+	if call.file != "" {
+		body = ts.ReadFile(call.file)
+	}
+	response, raw, err := call.send(body)
+	if call.noResponse {
+		if err == nil {
+			return errors.Newf("got the status %d instead of no response", response.StatusCode)
+		}
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	_, _ = ts.Stdout().Write(raw)
+	if err := call.check(response, raw); err != nil {
+		return errors.Wrapf(err, "%s %s: %d %.500s", call.method, call.url, response.StatusCode, raw)
+	}
+	for _, v := range call.variables {
+		value, err := responseValue(response, raw, v[1])
+		if err != nil {
+			return err
+		}
+		ts.Setenv(v[0], value)
+	}
+	return nil
+}
+
+func parseHTTP(args []string) (httpCall, error) {
+	if len(args) < 2 {
+		return httpCall{}, usage("http METHOD URL [FILE] [OPTION|CHECK...]")
+	}
+	call := httpCall{method: args[0], url: args[1], headers: http.Header{}, timeout: requestTimeout}
+	if !strings.HasPrefix(call.url, "http://127.") {
+		return httpCall{}, usage("the URL %q is not on loopback", call.url)
+	}
+	for i, arg := range args[2:] {
+		if err := call.parseArgument(i, arg); err != nil {
+			return httpCall{}, err
+		}
+	}
+	return call, nil
+}
+
+func (call *httpCall) parseArgument(i int, arg string) error {
+	if header, ok := strings.CutPrefix(arg, "send:"); ok {
+		name, value, found := strings.Cut(header, "=")
+		if !found {
+			return usage("%q is not send:NAME=VALUE", arg)
+		}
+		call.headers.Set(name, value)
+		return nil
+	}
+	if m := variablePattern.FindStringSubmatch(arg); m != nil {
+		call.variables = append(call.variables, [2]string{m[1], m[2]})
+		return nil
+	}
+	if m := checkPattern.FindStringSubmatch(arg); m != nil && m[1] != "" {
+		if _, err := regexp.Compile(m[3]); m[2] == "=~" && err != nil {
+			return usage("%v", err)
+		}
+		call.checks = append(call.checks, httpCheck{m[1], m[2], m[3]})
+		return nil
+	}
+	if text, ok := strings.CutPrefix(arg, "timeout="); ok {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return usage("%v", err)
+		}
+		call.timeout = d
+		return nil
+	}
+	if code, ok := strings.CutPrefix(arg, "status="); ok {
+		call.status, call.noResponse = code, code == "none"
+		if _, err := strconv.Atoi(code); err != nil && !call.noResponse {
+			return usage("%q is not a status", code)
+		}
+		return nil
+	}
+	if i != 0 || strings.Contains(arg, "=") {
+		return usage("%q is neither an option nor a check", arg)
+	}
+	call.file = arg
+	return nil
+}
+
+func (call *httpCall) send(body string) (*http.Response, []byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), call.timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, call.method, call.url, strings.NewReader(body))
+	if err != nil {
+		return nil, nil, usage("%v", err)
+	}
+	request.Header = call.headers.Clone()
+	if body != "" && request.Header.Get("Content-Type") == "" {
+		request.Header.Set("Content-Type", "application/json")
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "no response")
+	}
+	defer func() { _ = response.Body.Close() }()
+	raw, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "incomplete response")
+	}
+	return response, raw, nil
+}
+
+func (call *httpCall) check(response *http.Response, raw []byte) error {
+	switch {
+	case call.status == "" && response.StatusCode/100 != 2:
+		return errors.New("the status is not 2xx")
+	case call.status != "" && call.status != strconv.Itoa(response.StatusCode):
+		return errors.Newf("the status is not %s", call.status)
+	}
+	for _, c := range call.checks {
+		got, err := responseValue(response, raw, c.path)
+		if err != nil {
+			return err
+		}
+		if !c.holds(got) {
+			return errors.Newf("%s is %q: %s%s%s does not hold", c.path, got, c.path, c.operator, c.want)
+		}
+	}
+	return nil
+}
+
+func (c httpCheck) holds(got string) bool {
+	switch c.operator {
+	case "==":
+		return got == c.want
+	case "!=":
+		return got != c.want
+	default:
+		return regexp.MustCompile(c.want).MatchString(got)
+	}
+}
+
+func responseValue(response *http.Response, raw []byte, path string) (string, error) {
+	if path == "body" {
+		return string(raw), nil
+	}
+	if name, ok := strings.CutPrefix(path, "header."); ok {
+		return response.Header.Get(name), nil
+	}
+	return jsonValue(raw, path)
+}
+
+// jsonValue returns the value at a path: a string as it is, everything else as JSON.
+func jsonValue(raw []byte, path string) (string, error) {
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.UseNumber()
+	var value any
+	if err := d.Decode(&value); err != nil {
+		return "", errors.Wrap(err, "the body is not JSON")
+	}
+	for _, key := range splitPath(path) {
+		next, ok := child(value, key)
+		if !ok {
+			return "", errors.Newf("the body has no %s (at %q)", path, key)
+		}
+		value = next
+	}
+	if text, ok := value.(string); ok {
+		return text, nil
+	}
+	text, err := json.Marshal(value)
+	return string(text), errors.Wrap(err, "encode the value")
+}
+
+func child(value any, key string) (any, bool) {
+	switch v := value.(type) {
+	case map[string]any:
+		next, ok := v[key]
+		if !ok && key == "length" {
+			return len(v), true
+		}
+		return next, ok
+	case []any:
+		if key == "length" {
+			return len(v), true
+		}
+		i, err := strconv.Atoi(key)
+		if err != nil || i < 0 || i >= len(v) {
+			return nil, false
+		}
+		return v[i], true
+	}
+	return nil, false
+}
+
+// splitPath splits at dots without a backslash before them.
+func splitPath(path string) []string {
+	const mark = "\x00"
+	keys := strings.Split(strings.ReplaceAll(path, `\.`, mark), ".")
+	for i := range keys {
+		keys[i] = strings.ReplaceAll(keys[i], mark, ".")
+	}
+	return keys
+}
+
+// exchange sends a request to the control interface of a process.
+func (h *harness) exchange(name, method, path string, body, result any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode the body")
+	}
+	call := httpCall{
+		method: method, url: "http://" + h.addresses[name] + path, headers: http.Header{}, timeout: requestTimeout,
+	}
+	response, got, err := call.send(string(raw))
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return errors.Newf("%s %s: %d %.500s", method, path, response.StatusCode, got)
+	}
+	return errors.Wrapf(json.Unmarshal(got, result), "%s %s", method, path)
+}
+
+// each runs a function for every running process of a kind; there must be one.
+func (h *harness) each(kind string, do func(name string) error) error {
+	found := false
+	for name, p := range h.processes {
+		if p.kind != kind || !p.running() {
+			continue
+		}
+		found = true
+		if err := do(name); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return usage("no %s is running", kind)
+	}
+	return nil
+}
+
+// changeRules changes the rules of every relay.
+func (h *harness) changeRules(change func([]relay.Rule) []relay.Rule) error {
+	const path = "/control/links"
+	return h.each("relay", func(name string) error {
+		var rules []relay.Rule
+		if err := h.exchange(name, http.MethodGet, path, nil, &rules); err != nil {
+			return err
+		}
+		return h.exchange(name, http.MethodPut, path, change(rules), &rules)
+	})
+}
+
+// cmdCut is "cut FROM TO": puts a blackhole for an address prefix and a target prefix before the rules of every relay.
+func (h *harness) cmdCut(_ *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return usage("cut FROM TO")
+	}
+	return h.changeRules(func(rules []relay.Rule) []relay.Rule {
+		return append([]relay.Rule{{From: args[0], To: args[1], Mode: relay.Blackhole}}, rules...)
+	})
+}
+
+// cmdHeal is "heal": removes the blackholes of every relay; rules with a delay or a rate stay.
+func (h *harness) cmdHeal(_ *testscript.TestScript, args []string) error {
+	if len(args) != 0 {
+		return usage("heal")
+	}
+	return h.changeRules(func(rules []relay.Rule) []relay.Rule {
+		kept := []relay.Rule{}
+		for _, rule := range rules {
+			if rule.Mode != relay.Blackhole {
+				kept = append(kept, rule)
+			}
+		}
+		return kept
+	})
+}
+
+// cmdOutage is "outage on|off": starts or ends an outage of every platform; its other faults stay.
+func (h *harness) cmdOutage(_ *testscript.TestScript, args []string) error {
+	if len(args) != 1 || args[0] != "on" && args[0] != "off" {
+		return usage("outage on|off")
+	}
+	const path = "/control/faults"
+	return h.each("platform", func(name string) error {
+		var f control.Faults
+		if err := h.exchange(name, http.MethodGet, path, nil, &f); err != nil {
+			return err
+		}
+		f.Outage = args[0] == "on"
+		return h.exchange(name, http.MethodPut, path, f, &f)
+	})
+}
+
+// cmdFault is "fault NAME JSON": sets the fault state of a stand-in.
+func (h *harness) cmdFault(_ *testscript.TestScript, args []string) error {
+	if len(args) != 2 || !json.Valid([]byte(args[1])) {
+		return usage("fault NAME JSON")
+	}
+	if _, err := h.lookup(args, "fault NAME JSON"); err != nil {
+		return err
+	}
+	return h.exchange(args[0], http.MethodPut, "/control/faults", json.RawMessage(args[1]), &control.Faults{})
+}
+
+// cmdLedger is "ledger NAME KEY COUNT" or "ledger NAME KEY atmost COUNT": checks the runs of a business key at a service
+// stand-in.
+func (h *harness) cmdLedger(_ *testscript.TestScript, args []string) error {
+	const synopsis = "ledger NAME KEY COUNT|atmost COUNT"
+	p, err := h.lookup(args, synopsis)
+	if err != nil {
+		return err
+	}
+	atMost := len(args) == 4 && args[2] == "atmost"
+	want, err := strconv.Atoi(args[len(args)-1])
+	if err != nil || want < 0 || !atMost && len(args) != 3 || p.kind != "service" {
+		return usage("%s", synopsis)
+	}
+	var body struct {
+		Runs map[string]int `json:"runs"`
+	}
+	if err := h.exchange(args[0], http.MethodGet, "/control/runs", nil, &body); err != nil {
+		return err
+	}
+	got := body.Runs[args[1]]
+	if got > want || got < want && !atMost {
+		return errors.Newf("%s has %d runs of %s, expected %s", args[0], got, args[1], strings.Join(args[2:], " "))
+	}
+	return nil
+}
--- /dev/null
+++ b/testbed/scenario/scenario.go
@@ -0,0 +1,216 @@
+// Package scenario runs .txtar scripts against real separate processes on loopback: stand-ins, the relay and daemons.
+// It adds commands to testscript; the functions cmd... describe them.
+//
+// Scripts wait for conditions with the command wait. No command sleeps to prove an order of events.
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// Packages of the binaries that scripts can run. They are on the PATH of a script.
+var binaries = []string{
+	"jackdawbay.dev/testbed/cmd/standin",
+	"jackdawbay.dev/daemon/cmd/jackdawbayd",
+	"jackdawbay.dev/cli/cmd/jackdawbay",
+}
+
+// binDir holds the built binaries during a test run.
+var binDir string
+
+// Main builds the binaries once, runs the tests and ends the test process. Call it from TestMain.
+func Main(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "jackdawbay-scenario-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	build := exec.Command("go", append([]string{"build", "-o", dir + "/"}, binaries...)...)
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the binaries: %v\n%s", err, output)
+		return 1
+	}
+	binDir = dir
+	return m.Run()
+}
+
+// Run runs the scripts of a directory as parallel subtests of t.
+func Run(t *testing.T, dir string) {
+	p, err := params(dir, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, p)
+}
+
+// renamed maps the commands of this package that have the name of a command of testscript, which cannot be replaced.
+// Without the translation "stop NAME" would end a script as passed.
+var renamed = map[string]string{"wait": "wait_until", "kill": "kill_process", "stop": "stop_process"}
+
+// renamedPattern matches a renamed command after conditions and a negation.
+var renamedPattern = regexp.MustCompile(`(?m)^((?:[ \t]*\[[^\]\n]*\])*[ \t]*(?:![ \t]*)?)(wait|kill|stop)([ \t\r]|$)`)
+
+// filesPattern matches the start of the first file of a script.
+var filesPattern = regexp.MustCompile(`(?m)^-- .+ --[ \t]*$`)
+
+// translate returns a script with the renamed commands; its lines keep their numbers.
+func translate(script string) string {
+	end := len(script)
+	if first := filesPattern.FindStringIndex(script); first != nil {
+		end = first[0]
+	}
+	return renamedPattern.ReplaceAllStringFunc(script[:end], func(line string) string {
+		m := renamedPattern.FindStringSubmatch(line)
+		return m[1] + renamed[m[2]] + m[3]
+	}) + script[end:]
+}
+
+// params returns the parameters for testscript with the translated scripts in translatedDir.
+func params(dir, translatedDir string) (testscript.Params, error) {
+	p := testscript.Params{Dir: translatedDir, RequireUniqueNames: true, RequireExplicitExec: true, Setup: setup}
+	scripts, err := filepath.Glob(filepath.Join(dir, "*.txtar"))
+	if err != nil || len(scripts) == 0 {
+		return p, errors.Newf("no scripts in %s", dir)
+	}
+	for _, path := range scripts {
+		script, err := os.ReadFile(path)
+		if err != nil {
+			return p, errors.Wrap(err, "read the script")
+		}
+		if err := os.WriteFile(filepath.Join(translatedDir, filepath.Base(path)), []byte(translate(string(script))), 0o600); err != nil {
+			return p, errors.Wrap(err, "write the translated script")
+		}
+	}
+	p.Cmds = map[string]func(*testscript.TestScript, bool, []string){}
+	for name, c := range commands {
+		scriptName := name
+		if other, ok := renamed[name]; ok {
+			scriptName = other
+		}
+		p.Cmds[scriptName] = func(ts *testscript.TestScript, negated bool, args []string) {
+			h := ts.Value(harnessKey{}).(*harness)
+			// A command with wrong arguments fails also where the script expects a failure.
+			switch err := c(h, ts, args); {
+			case errors.Is(err, errUsage):
+				ts.Fatalf("%s: wrong arguments: %v", name, err)
+			case negated && err == nil:
+				ts.Fatalf("%s %s: unexpected success", name, strings.Join(args, " "))
+			case !negated && err != nil:
+				ts.Fatalf("%s: %v", name, err)
+			}
+		}
+	}
+	return p, nil
+}
+
+// command runs one command of a script.
+type command func(h *harness, ts *testscript.TestScript, args []string) error
+
+// errUsage marks errors in the arguments of a command.
+var errUsage = errors.New("wrong arguments")
+
+func usage(format string, args ...any) error {
+	return errors.Mark(errors.Newf(format, args...), errUsage)
+}
+
+var commands map[string]command
+
+func init() {
+	commands = map[string]command{
+		"ports":   (*harness).cmdPorts,
+		"standin": (*harness).cmdStandin,
+		"daemon":  (*harness).cmdDaemon,
+		"kill":    (*harness).cmdKill,
+		"freeze":  (*harness).cmdFreeze,
+		"thaw":    (*harness).cmdThaw,
+		"stop":    (*harness).cmdStop,
+		"cut":     (*harness).cmdCut,
+		"heal":    (*harness).cmdHeal,
+		"outage":  (*harness).cmdOutage,
+		"fault":   (*harness).cmdFault,
+		"wait":    (*harness).cmdWait,
+		"http":    (*harness).cmdHTTP,
+		"ledger":  (*harness).cmdLedger,
+		"log":     (*harness).cmdLog,
+	}
+}
+
+type harnessKey struct{}
+
+// harness is the state of one script.
+type harness struct {
+	workDir   string
+	processes map[string]*process
+	addresses map[string]string // By name, so that a restart gets the same address.
+	crashed   []string          // Names of processes that ended by themselves.
+}
+
+func setup(env *testscript.Env) error {
+	h := &harness{workDir: env.WorkDir, processes: map[string]*process{}, addresses: map[string]string{}}
+	env.Values[harnessKey{}] = h
+	env.Setenv("PATH", binDir+string(filepath.ListSeparator)+env.Getenv("PATH"))
+	env.Defer(func() {
+		if crashed := h.endAll(env.T()); len(crashed) > 0 {
+			env.T().Fatal("processes ended by themselves: " + strings.Join(crashed, ", "))
+		}
+	})
+	return nil
+}
+
+const (
+	defaultWait  = 10 * time.Second
+	waitInterval = 20 * time.Millisecond
+)
+
+// cmdWait is "wait [TIMEOUT] [!] COMMAND...": repeats a command of this package, or exec, until it succeeds, or with !
+// until it fails. The default timeout is 10 s.
+func (h *harness) cmdWait(ts *testscript.TestScript, args []string) error {
+	timeout := defaultWait
+	if len(args) > 0 {
+		if d, err := time.ParseDuration(args[0]); err == nil {
+			timeout, args = d, args[1:]
+		}
+	}
+	negated := len(args) > 0 && args[0] == "!"
+	if negated {
+		args = args[1:]
+	}
+	if len(args) == 0 {
+		return usage("wait [TIMEOUT] [!] COMMAND...")
+	}
+	c, ok := commands[args[0]]
+	if args[0] == "exec" && len(args) > 1 {
+		c, ok = func(_ *harness, ts *testscript.TestScript, args []string) error { return ts.Exec(args[0], args[1:]...) }, true
+	}
+	if !ok {
+		return usage("wait cannot repeat the command %q", args[0])
+	}
+	deadline := time.Now().Add(timeout)
+	for {
+		err := c(h, ts, args[1:])
+		switch {
+		case errors.Is(err, errUsage):
+			return err
+		case (err != nil) == negated:
+			return nil
+		case time.Now().After(deadline):
+			return errors.Newf("not reached within %s: %s: last result: %v", timeout, strings.Join(args, " "), err)
+		}
+		time.Sleep(waitInterval)
+	}
+}
