--- a/core/journal/entry.go
+++ b/core/journal/entry.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,6 +27,10 @@
 	Ended    *Ended    `json:"ended,omitempty"`
 	Handover *Handover `json:"handover,omitempty"`
 	Open     *Open     `json:"open,omitempty"`
+	State    *State    `json:"state,omitempty"`
+
+	CheckpointStart *CheckpointStart `json:"checkpoint,omitempty"`
+	CheckpointEnd   *CheckpointEnd   `json:"checkpoint_end,omitempty"`
 }
 
 // Created starts a program. Times are Unix milliseconds.
@@ -38,13 +43,23 @@
 	MaxTurns     int    `json:"max_turns"`
 	ExpiryMillis int64  `json:"expiry_ms"`
 	AtMillis     int64  `json:"at_ms"`
+	Base         uint64 `json:"base,omitempty"` // Base of a restored program; zero takes the entry's epoch.
 }
 
-// Turn appends a finished call to the history. Digest is the digest after the turn.
+// Turn appends a finished call to the history. Digest is the digest after the turn. Window is set on turns that came
+// back in a caller's window.
 type Turn struct {
 	Turn     caller.Turn `json:"turn"`
 	Digest   string      `json:"digest"`
 	AtMillis int64       `json:"at_ms"`
+	Window   *Window     `json:"window,omitempty"`
+}
+
+// Window tells what the receipt of a window showed: the epoch of the first owner whose attempts may be missing from it,
+// and the tokens spent.
+type Window struct {
+	Base uint64 `json:"base"`
+	Seen int64  `json:"seen"`
 }
 
 // Intent announces a non-idempotent call before it is sent. RequestHash identifies the body of the call.
@@ -62,9 +77,12 @@
 	Attempt string `json:"attempt"`
 }
 
-// Charge counts tokens against the budget for an attempt whose usage is unknown.
+// Charge counts tokens against the budget for attempts whose usage is unknown. Base, when set, states that the attempts
+// of all owners before this epoch are accounted for. Seen is the spending that the caller's receipt showed.
 type Charge struct {
-	Tokens int64 `json:"tokens"`
+	Tokens int64  `json:"tokens"`
+	Base   uint64 `json:"base,omitempty"`
+	Seen   int64  `json:"seen,omitempty"`
 }
 
 // Resolved closes an intent whose outcome was unknown.
@@ -79,12 +97,41 @@
 	Reason string `json:"reason"`
 }
 
-// Handover states that the owner stopped serving the shard with every attempt in flight journaled after it as Open.
+// Handover states that the owner stopped serving the shard. Every attempt in flight was journaled before it as Open, so a
+// journal that ends between the two is not taken for a complete handover.
 type Handover struct{}
 
 // Open states that an attempt of the program was in flight at a handover.
 type Open struct{}
 
+// State is the whole state of a program besides its turns, as written to a checkpoint. The program's turns follow it as
+// Turn entries, oldest first.
+type State struct {
+	Created    Created    `json:"created"`
+	Turns      uint64     `json:"turns"`       // Number of Turn entries that follow.
+	Spent      int64      `json:"spent"`       // All tokens spent, those of the turns included.
+	TurnTokens int64      `json:"turn_tokens"` // Tokens of the turns that follow.
+	Prompt     int64      `json:"prompt"`
+	Base       uint64     `json:"base"`
+	Seen       int64      `json:"seen"`
+	Intents    []Intent   `json:"intents,omitempty"`
+	Resolved   []Resolved `json:"resolved,omitempty"`
+	Ended      string     `json:"ended,omitempty"`
+	ActiveAt   int64      `json:"active_ms"`
+}
+
+// CheckpointStart marks the place in the journal where the checkpoint with the id was taken. All entries of the shard
+// before it are contained in the checkpoint.
+type CheckpointStart struct {
+	ID string `json:"id"`
+}
+
+// CheckpointEnd is the last entry of a checkpoint.
+type CheckpointEnd struct {
+	ID       string `json:"id"`
+	Programs int    `json:"programs"`
+}
+
 // Segment is the value of one journal object.
 type Segment struct {
 	Incarnation string  `json:"incarnation"`
@@ -117,6 +164,9 @@
 const (
 	MaxSegmentBytes  = 700_000
 	maxFragmentBytes = 400_000
+	// frameBytes bounds the JSON around one frame, and segmentBytes the JSON around all frames of a segment.
+	frameBytes   = 64
+	segmentBytes = 1024
 )
 
 // SegmentName returns the object name of a segment.
@@ -131,7 +181,7 @@
 		return nil, nil, errors.Wrap(err, "encode journal entry")
 	}
 	if len(body) <= maxFragmentBytes {
-		return []Frame{{Entry: body}}, []int{len(body)}, nil
+		return []Frame{{Entry: body}}, []int{len(body) + frameBytes}, nil
 	}
 	count := (len(body) + maxFragmentBytes - 1) / maxFragmentBytes
 	list := make([]Frame, 0, count)
@@ -140,9 +190,27 @@
 		end := min((i+1)*maxFragmentBytes, len(body))
 		data := body[i*maxFragmentBytes : end]
 		list = append(list, Frame{Part: &Part{Index: i, Count: count, Data: data}})
-		sizes = append(sizes, base64Size(len(data)))
+		sizes = append(sizes, base64Size(len(data))+frameBytes)
 	}
 	return list, sizes, nil
 }
 
+// Pack writes entries into segments below MaxSegmentBytes, with slots from 1. It is used for checkpoints, whose entries
+// are all known in advance.
+func Pack(id string, entries []Entry) ([]Segment, error) {
+	w := NewWriter(id, WriterConfig{MaxBacklogBytes: math.MaxInt})
+	var list []Segment
+	for _, e := range entries {
+		if _, err := w.Append(e); err != nil {
+			return nil, err
+		}
+	}
+	for len(w.pending) > 0 {
+		w.cut()
+		list = append(list, *w.inFlight)
+		w.stored()
+	}
+	return list, nil
+}
+
 func base64Size(n int) int { return (n + 2) / 3 * 4 }
--- a/core/journal/reader.go
+++ b/core/journal/reader.go
@@ -19,11 +19,12 @@
 	sealed      bool
 	partial     []byte
 	nextPart    int
+	skipParts   bool // The first segment may start with the rest of an entry that is not wanted.
 }
 
 // NewReader reads the journal of an incarnation from a slot on. Slots start at 1.
 func NewReader(incarnation string, from uint64) *Reader {
-	return &Reader{incarnation: incarnation, next: max(from, 1)}
+	return &Reader{incarnation: incarnation, next: max(from, 1), skipParts: from > 1}
 }
 
 // Next returns the slot that Add expects.
@@ -57,6 +58,10 @@
 
 func (r *Reader) frame(f Frame) (Entry, bool, error) {
 	body := []byte(f.Entry)
+	if f.Part != nil && f.Part.Index > 0 && r.skipParts {
+		return Entry{}, false, nil
+	}
+	r.skipParts = false
 	if f.Part != nil {
 		if f.Part.Index != r.nextPart {
 			return Entry{}, false, errors.Wrapf(ErrCorrupt, "part %d follows part %d", f.Part.Index, r.nextPart-1)
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -21,6 +21,10 @@
 	MaxBacklogBytes int           // Entries beyond this are refused.
 	MinInterval     time.Duration // Time between the starts of two flushes while the platform is fast.
 	MaxInterval     time.Duration // Upper bound of the interval when the platform is slow or limits writes.
+
+	WriteRate    float64       // Creates a second, repeats included; zero sets no limit. See RateFor.
+	WriteBurst   int           // Creates that may follow each other without waiting for the rate; at least 1.
+	LazyInterval time.Duration // Time from one flush to the next while no caller waits for an entry.
 }
 
 // DefaultWriterConfig returns the bounds that a daemon uses without settings.
@@ -29,6 +33,8 @@
 		MaxBacklogBytes: 64 << 20,
 		MinInterval:     2 * time.Millisecond,
 		MaxInterval:     time.Second,
+		WriteBurst:      8,
+		LazyInterval:    100 * time.Millisecond,
 	}
 }
 
@@ -50,8 +56,10 @@
 	inFlight      *Segment
 	inFlightBytes int
 	inFlightLSN   LSN
-	inFlightCount int
+	creating      bool // The create of inFlight was started and its result was not reported.
 
+	bucket    bucket
+	urgent    LSN // A caller waits for this entry and those before it.
 	lastStart time.Time
 	interval  time.Duration
 	failures  int
@@ -64,49 +72,76 @@
 
 // NewWriter starts the journal of a new incarnation.
 func NewWriter(incarnation string, cfg WriterConfig) *Writer {
-	return &Writer{incarnation: incarnation, cfg: cfg, slot: 1, interval: cfg.MinInterval}
+	return &Writer{
+		incarnation: incarnation,
+		cfg:         cfg,
+		slot:        1,
+		interval:    cfg.MinInterval,
+		bucket:      newBucket(cfg.WriteRate, cfg.WriteBurst),
+	}
+}
+
+// Append queues an entry and returns its number. An Intent and a Handover are urgent, because somebody waits for them.
+func (w *Writer) Append(e Entry) (LSN, error) { return w.AppendAll(e) }
+
+// AppendUrgent queues an entry for which a caller waits.
+func (w *Writer) AppendUrgent(e Entry) (LSN, error) {
+	lsn, err := w.AppendAll(e)
+	if err == nil {
+		w.Hurry()
+	}
+	return lsn, err
 }
 
-// Append queues an entry and returns its number.
-func (w *Writer) Append(e Entry) (LSN, error) {
+// AppendAll queues all entries or none, and returns the number of the last one.
+func (w *Writer) AppendAll(entries ...Entry) (LSN, error) {
 	if w.fenced {
 		return 0, ErrFenced
 	}
-	list, sizes, err := frames(e)
-	if err != nil {
-		return 0, err
-	}
-	total := 0
-	for _, n := range sizes {
-		total += n
+	lsn, total := w.appended, 0
+	var list []pendingFrame
+	for _, e := range entries {
+		framed, sizes, err := frames(e)
+		if err != nil {
+			return 0, err
+		}
+		lsn++
+		for i, f := range framed {
+			list = append(list, pendingFrame{frame: f, size: sizes[i]})
+			total += sizes[i]
+		}
+		list[len(list)-1].lsn = lsn
 	}
 	if w.bytes+total > w.cfg.MaxBacklogBytes {
 		return 0, ErrBacklogFull
 	}
-	w.appended++
-	for i, f := range list {
-		p := pendingFrame{frame: f, size: sizes[i]}
-		if i == len(list)-1 {
-			p.lsn = w.appended
+	w.pending = append(w.pending, list...)
+	w.bytes += total
+	w.appended = lsn
+	for _, e := range entries {
+		if e.Intent != nil || e.Handover != nil {
+			w.Hurry()
 		}
-		w.pending = append(w.pending, p)
 	}
-	w.bytes += total
-	return w.appended, nil
+	return lsn, nil
 }
 
-// Next returns the segment to create now. It returns the same segment again after Failed, so that a create whose answer
-// was lost is repeated with the same flush id.
+// Hurry states that a caller waits for all entries so far: they are flushed as soon as the write rate allows.
+func (w *Writer) Hurry() { w.urgent = w.appended }
+
+// Next returns the segment to create now. After it returned one, it returns none until Succeeded, Failed or Conflict
+// reports the result. After Failed it returns the same segment again, so that a create whose answer was lost is repeated
+// with the same flush id.
 func (w *Writer) Next(now time.Time) (Segment, bool) {
-	if w.fenced || now.Before(w.lastStart.Add(w.interval)) {
+	at, ok := w.Wake()
+	if !ok || now.Before(at) {
 		return Segment{}, false
 	}
 	if w.inFlight == nil {
-		if len(w.pending) == 0 {
-			return Segment{}, false
-		}
 		w.cut()
 	}
+	w.bucket.take(now)
+	w.creating = true
 	w.lastStart = now
 	return *w.inFlight, true
 }
@@ -117,7 +152,7 @@
 		Slot:        w.slot,
 		FlushID:     fmt.Sprintf("%s/%d", w.incarnation, w.slot),
 	}
-	size, n := 0, 0
+	size, n := segmentBytes, 0
 	for _, p := range w.pending {
 		if n > 0 && size+p.size > MaxSegmentBytes {
 			break
@@ -129,53 +164,89 @@
 			w.inFlightLSN = p.lsn
 		}
 	}
+	// The rest is copied, so that the frames of a stored segment can be freed.
 	w.pending = append([]pendingFrame(nil), w.pending[n:]...)
-	w.inFlight, w.inFlightBytes, w.inFlightCount = s, size, n
+	w.inFlight, w.inFlightBytes = s, size-segmentBytes
 }
 
-// Wake returns the time at which Next can return a segment, and false when nothing waits.
+// Wake returns the time at which Next can return a segment, and false when nothing waits or a create is under way. A
+// segment waits for the flush interval and for the write rate; one without urgent entries waits for the lazy interval
+// too, unless a whole segment is full.
 func (w *Writer) Wake() (time.Time, bool) {
-	if w.fenced || (w.inFlight == nil && len(w.pending) == 0) {
+	if w.fenced || w.creating || (w.inFlight == nil && len(w.pending) == 0) {
 		return time.Time{}, false
 	}
-	return w.lastStart.Add(w.interval), true
+	at := w.lastStart.Add(w.interval)
+	if w.inFlight == nil && w.lazy() {
+		at = later(at, w.lastStart.Add(w.cfg.LazyInterval))
+	}
+	return later(at, w.bucket.next()), true
+}
+
+func (w *Writer) lazy() bool {
+	return w.urgent <= w.durable && w.bytes < MaxSegmentBytes
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Succeeded records that the segment in flight is stored. elapsed is the time that the create took; the next flush waits
-// at least as long, so that slow writes make larger batches instead of more calls.
+// at least as long, so that slow writes make larger batches instead of more calls. A result that nothing waits for is
+// ignored: it belongs to an older create whose result was already found by reading the slot.
 func (w *Writer) Succeeded(elapsed time.Duration) {
-	if w.inFlight == nil {
+	if !w.creating {
 		return
 	}
+	w.stored()
+	w.failures = 0
+	w.interval = min(max(elapsed, w.cfg.MinInterval), w.cfg.MaxInterval)
+}
+
+func (w *Writer) stored() {
 	w.bytes -= w.inFlightBytes
 	w.durable = max(w.durable, w.inFlightLSN)
-	w.inFlight = nil
+	w.inFlight, w.creating = nil, false
 	w.slot++
-	w.failures = 0
-	w.interval = min(max(elapsed, w.cfg.MinInterval), w.cfg.MaxInterval)
 }
 
 // Failed records that the create failed or that its answer was lost. The interval doubles up to its bound.
 func (w *Writer) Failed() {
+	if !w.creating {
+		return
+	}
+	w.creating = false
 	w.failures++
 	w.interval = min(max(2*w.interval, w.cfg.MinInterval), w.cfg.MaxInterval)
 }
 
 // Conflict decides what a create that found an object in its slot means. stored is that object as read back. It reports
-// whether the object is the writer's own; otherwise the writer is fenced.
+// whether the object is the writer's own; otherwise the writer is fenced. The object of an older slot of the writer is
+// its own too: it is the late answer to a create that was repeated.
 func (w *Writer) Conflict(stored Segment, elapsed time.Duration) bool {
-	if w.inFlight != nil && stored.Seal == nil && stored.FlushID == w.inFlight.FlushID {
-		w.Succeeded(elapsed)
+	if stored.Seal != nil || stored.Incarnation != w.incarnation || stored.Slot > w.slot {
+		w.Fence()
+		return false
+	}
+	if stored.Slot < w.slot {
 		return true
 	}
-	w.Fence()
-	return false
+	if w.inFlight == nil || stored.FlushID != w.inFlight.FlushID {
+		w.Fence()
+		return false
+	}
+	w.creating = true
+	w.Succeeded(elapsed)
+	return true
 }
 
 // Fence stops the writer for good.
 func (w *Writer) Fence() {
 	w.fenced = true
-	w.pending, w.inFlight, w.bytes = nil, nil, 0
+	w.pending, w.inFlight, w.bytes, w.creating = nil, nil, 0, false
 }
 
 // Fenced reports whether the writer was stopped.
--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -26,6 +26,7 @@
 
 	Messages      []caller.Message `json:"messages,omitempty"`
 	Model         string           `json:"model,omitempty"`
+	MaxTokens     int64            `json:"max_tokens,omitempty"` // Bound of the output that the ingress must send.
 	Class         string           `json:"class,omitempty"`
 	HistoryTokens int64            `json:"history_tokens"` // Tokens of the history, as the engine counted them.
 	SpentTokens   int64            `json:"spent_tokens"`
@@ -33,13 +34,24 @@
 	Digest        string           `json:"digest"` // Digest before the call.
 	Durable       uint64           `json:"durable"`
 
-	// AwaitLSN is the journal entry that must be durable before the call is sent. Zero needs none.
+	// AwaitLSN is the journal entry that must be durable before the call is sent. Zero needs none. When it does not get
+	// durable in time, the daemon reports OutcomeNotSent for the attempt.
 	AwaitLSN journal.LSN `json:"-"`
 }
 
+// maxOpenCalls bounds the intents and resolutions of one program. A program of which so many calls have an unknown
+// outcome needs an operator, not another call.
+const maxOpenCalls = 32
+
 // Admit checks order, digest, call key, turn limit and budget, and makes the call the program's one call in flight.
-// A refusal changes no state, except that turns from a valid window are kept.
+// A refusal changes no state, except that turns from a valid window are kept and attempts past their expiry are given up.
+//
+// A "not run" in a refusal speaks of this request. It speaks of the call key as well when the key was not granted before
+// or the owner is the current one; an owner that was replaced without noticing does not know newer attempts.
 func (o *Owner) Admit(now time.Time, req AdmitRequest) (Admission, error) {
+	if err := validateCall(req.Call); err != nil {
+		return Admission{}, err
+	}
 	p, err := o.find(req.Tenant, req.Program)
 	if errkind.Is(err, errkind.ProgramNotFound) && req.Call.Receipt != "" {
 		p, err = o.restore(now, req)
@@ -51,19 +63,33 @@
 	if repeat, err := o.repeated(p, req.Call, hash); err != nil || repeat != nil {
 		return Admission{Repeat: repeat}, err
 	}
+	if in, ok := p.intents[req.Call.CallKey]; ok {
+		// Checked before everything that answers with a true "not run".
+		return Admission{}, o.openIntent(now, p, in, hash)
+	}
 	if p.ended != "" {
 		return Admission{}, errkind.New(errkind.ProgramEnded, "Reason: "+p.ended+".")
 	}
 	o.expireAttempt(now, p)
-	if err := o.checkOrder(p, req, hash); err != nil {
+	if p.granted(req, hash) {
+		return o.admission(p, req.Call, p.inFlight.worstCase, o.chargeToAwait(p)), nil
+	}
+	if err := o.checkOrder(p, req); err != nil {
 		return Admission{}, err
 	}
-	if err := o.checkLimits(p, req.Call); err != nil {
+	if err := p.checkInFlight(req, hash); err != nil {
 		return Admission{}, err
 	}
 	return o.grant(now, p, req, hash)
 }
 
+// granted reports whether the request is a duplicate of the one that is in flight. It gets the same answer, because
+// replacing an attempt by itself would charge it twice.
+func (p *state) granted(req AdmitRequest, hash string) bool {
+	a := p.inFlight
+	return a != nil && a.idempotent && a.id == req.Attempt && a.callKey == req.Call.CallKey && a.requestHash == hash
+}
+
 // repeated answers a call that has finished, or refuses a call key with another body.
 func (o *Owner) repeated(p *state, c caller.Call, hash string) (*caller.Result, error) {
 	if r, ok := p.resolved[c.CallKey]; ok && r.ran {
@@ -75,9 +101,13 @@
 	if !ok {
 		return nil, nil
 	}
-	if turnHash(t) != hash || t.Sequence != c.Sequence {
-		e := errkind.Newf(errkind.CallKeyReused, "The key was used for sequence %d.", t.Sequence)
-		return nil, e
+	if turnHash(t) != hash {
+		return nil, errkind.Newf(errkind.CallKeyReused, "The key was used for sequence %d.", t.Sequence)
+	}
+	if t.Sequence != c.Sequence {
+		// The same body ran under this key, so "not run" would be false.
+		e := errkind.Newf(errkind.CallKeyReused, "The call ran as sequence %d.", t.Sequence)
+		return nil, e.WithNotRun(errkind.NotRunFalse)
 	}
 	return o.result(p, t, true), nil
 }
@@ -87,40 +117,51 @@
 	r.Sequence, r.Digest = t.Sequence, p.digestAt(t.Sequence)
 	return &caller.Result{
 		Turn:            t,
-		Digest:          p.digestAt(t.Sequence),
+		Digest:          r.Digest,
 		DurableSequence: p.durableSequence(o.writer.Durable()),
 		Receipt:         o.cfg.Signer.Sign(r),
 		Repeated:        repeated,
 	}
 }
 
-// checkOrder makes sure that the call is the next one and that nothing else of the program is in flight.
-func (o *Owner) checkOrder(p *state, req AdmitRequest, hash string) error {
+// checkOrder makes sure that the call is the next one of the program.
+func (o *Owner) checkOrder(p *state, req AdmitRequest) error {
 	c := req.Call
-	if in, ok := p.intents[c.CallKey]; ok {
-		return intentError(in, hash)
-	}
 	if c.Sequence <= p.sequence() {
 		return errkind.Newf(errkind.WrongSequence, "The next sequence is %d.", p.sequence()+1)
 	}
+	if err := o.checkHistory(0); err != nil {
+		return err
+	}
 	if c.Sequence > p.sequence()+1 {
-		if err := o.extend(p, req); err != nil {
+		if err := o.extend(p, c); err != nil {
 			return err
 		}
 	}
 	if c.Digest != p.digest() {
 		return errkind.Newf(errkind.DigestMismatch, "The program has %d turns.", p.sequence())
 	}
-	if !req.Idempotent && p.hasUnknown(req.Upstream) {
-		return errkind.New(errkind.OutcomeUnknown, "Another call to the same upstream has an unknown outcome.").WithNotRun(errkind.NotRunTrue)
-	}
-	if p.inFlight == nil {
+	if req.Idempotent {
 		return nil
 	}
-	return o.supersede(p, c, hash)
+	return p.checkOpenCalls(req.Upstream)
+}
+
+// checkOpenCalls refuses a non-idempotent call whose effect would depend on another call with an unknown outcome.
+func (p *state) checkOpenCalls(upstream string) error {
+	if p.hasUnknown(upstream) {
+		e := errkind.New(errkind.OutcomeUnknown, "Another call to the same upstream has an unknown outcome.")
+		return e.WithNotRun(errkind.NotRunTrue)
+	}
+	if len(p.intents)+len(p.resolved) >= maxOpenCalls {
+		e := errkind.New(errkind.OutcomeUnknown, "Too many calls of the program have no recorded outcome.")
+		return e.WithNotRun(errkind.NotRunTrue)
+	}
+	return nil
 }
 
-func intentError(in *intent, hash string) error {
+func (o *Owner) openIntent(now time.Time, p *state, in *intent, hash string) error {
+	o.expireAttempt(now, p)
 	if in.RequestHash != hash {
 		return errkind.New(errkind.CallKeyReused, "")
 	}
@@ -130,70 +171,39 @@
 	return errkind.New(errkind.CallInProgress, "This call is running.").WithNotRun(errkind.NotRunUnknown)
 }
 
-func (p *state) hasUnknown(upstream string) bool {
-	for _, in := range p.intents {
-		if in.unknown && in.Upstream == upstream {
-			return true
-		}
-	}
-	return false
-}
-
-// supersede replaces an idempotent attempt by a repeat of the same call, and charges the old attempt in full because it
-// may have used engine time. Any other call has to wait.
-func (o *Owner) supersede(p *state, c caller.Call, hash string) error {
+// checkInFlight lets an idempotent attempt be replaced by a repeat of the same call. Any other call has to wait.
+func (p *state) checkInFlight(req AdmitRequest, hash string) error {
 	a := p.inFlight
-	if !a.idempotent || a.callKey != c.CallKey || a.requestHash != hash {
-		return errkind.New(errkind.CallInProgress, "").After(100 * time.Millisecond)
-	}
-	return o.charge(p, a.worstCase)
-}
-
-// charge counts tokens of an attempt whose usage is unknown.
-func (o *Owner) charge(p *state, tokens int64) error {
-	p.inFlight = nil
-	if tokens == 0 {
+	if a == nil {
 		return nil
 	}
-	if _, err := o.append(p, journal.Entry{Charge: &journal.Charge{Tokens: tokens}}); err != nil {
-		return err
+	if !a.idempotent || !req.Idempotent || a.callKey != req.Call.CallKey || a.requestHash != hash {
+		return errkind.New(errkind.CallInProgress, "").After(100 * time.Millisecond)
 	}
-	p.spent += tokens
 	return nil
 }
 
-func (o *Owner) checkLimits(p *state, c caller.Call) error {
-	if p.created.MaxTurns > 0 && p.sequence() >= uint64(p.created.MaxTurns) {
-		return errkind.Newf(errkind.TurnLimit, "The limit is %d turns.", p.created.MaxTurns)
-	}
-	need := p.worstCase(c)
-	if p.recovered {
-		need *= 2
+// grant puts the call in flight. The charges and the intent are appended together or not at all.
+func (o *Owner) grant(now time.Time, p *state, req AdmitRequest, hash string) (Admission, error) {
+	k, err := o.priceCall(p, req.Call)
+	if err != nil {
+		return Admission{}, err
 	}
-	if p.spent+need > p.created.BudgetTokens {
-		left := max(p.created.BudgetTokens-p.spent, 0)
-		return errkind.Newf(errkind.ProgramBudgetExhausted, "The call can need %d tokens, %d are left.", need, left)
+	if err := o.checkLimits(p, k); err != nil {
+		return Admission{}, err
 	}
-	return nil
-}
-
-// grant puts the call in flight. For a non-idempotent call it appends the intent that must be durable first.
-func (o *Owner) grant(now time.Time, p *state, req AdmitRequest, hash string) (Admission, error) {
-	worst := p.worstCase(req.Call)
-	if p.recovered {
-		// An attempt of the former owner may have used as much as this call can use.
-		if err := o.charge(p, worst); err != nil {
-			return Admission{}, err
-		}
-		p.recovered = false
+	in := newIntent(req, hash)
+	lsn, err := o.append(p, grantEntries(k, in)...)
+	if err != nil {
+		return Admission{}, err
 	}
+	o.settle(p, k, lsn)
 	var await journal.LSN
-	if !req.Idempotent {
-		lsn, err := o.appendIntent(p, req, hash)
-		if err != nil {
-			return Admission{}, err
-		}
+	if in != nil {
+		p.addIntent(&intent{Intent: *in})
 		await = lsn
+	} else if await = o.chargeToAwait(p); await != 0 {
+		o.writer.Hurry()
 	}
 	p.active = now
 	p.inFlight = &attempt{
@@ -203,33 +213,53 @@
 		callKey:     req.Call.CallKey,
 		requestHash: hash,
 		idempotent:  req.Idempotent,
-		worstCase:   worst,
+		worstCase:   k.worst,
 		expires:     req.Expires,
 	}
-	return o.admission(p, req.Call, worst, await), nil
+	return o.admission(p, req.Call, k.worst, await), nil
 }
 
-func (o *Owner) appendIntent(p *state, req AdmitRequest, hash string) (journal.LSN, error) {
-	in := journal.Intent{
+func newIntent(req AdmitRequest, hash string) *journal.Intent {
+	if req.Idempotent {
+		return nil
+	}
+	return &journal.Intent{
 		Sequence:    req.Call.Sequence,
 		CallKey:     req.Call.CallKey,
 		Attempt:     req.Attempt,
 		RequestHash: hash,
 		Upstream:    req.Upstream,
 	}
-	lsn, err := o.append(p, journal.Entry{Intent: &in})
-	if err != nil {
-		return 0, err
+}
+
+func grantEntries(k cost, in *journal.Intent) []journal.Entry {
+	var list []journal.Entry
+	if k.charge()+k.owed > 0 || k.base > 0 {
+		charge := &journal.Charge{Tokens: k.charge() + k.owed, Base: k.base, Seen: k.seen}
+		list = append(list, journal.Entry{Charge: charge})
 	}
-	p.addIntent(&intent{Intent: in})
-	return lsn, nil
+	if in != nil {
+		list = append(list, journal.Entry{Intent: in})
+	}
+	return list
 }
 
-func (p *state) addIntent(in *intent) {
-	if p.intents == nil {
-		p.intents = map[string]*intent{}
+// settle applies the charges of an admission, whose entries end at lsn.
+func (o *Owner) settle(p *state, k cost, lsn journal.LSN) {
+	p.spent += k.charge()
+	p.owed, p.seen = 0, k.seen
+	for i := range p.charges {
+		p.charges[i] = min(p.charges[i], lsn)
+	}
+	if k.base > 0 {
+		p.base = k.base
+	}
+	if k.supersede {
+		p.inFlight = nil
+	}
+	if k.replaced > 0 {
+		p.noteCharge(lsn)
 	}
-	p.intents[in.CallKey] = in
 }
 
 func (o *Owner) admission(p *state, c caller.Call, worst int64, await journal.LSN) Admission {
@@ -244,6 +274,7 @@
 	}
 	if c.Kind == caller.CallModel {
 		a.Messages = p.messages(c.Model.Messages)
+		a.MaxTokens = o.maxTokens(c)
 		a.Model = c.Model.Model
 		if a.Model == "" {
 			a.Model = p.created.Model
@@ -251,32 +282,3 @@
 	}
 	return a
 }
-
-// expireAttempt gives up an attempt whose ingress has not reported in time.
-func (o *Owner) expireAttempt(now time.Time, p *state) {
-	if p.inFlight != nil && now.After(p.inFlight.expires) {
-		o.loseAttempt(p)
-	}
-}
-
-// loseAttempt handles an attempt whose sender is lost: an idempotent one is charged, the outcome of another is unknown.
-func (o *Owner) loseAttempt(p *state) {
-	a := p.inFlight
-	p.inFlight = nil
-	if in, ok := p.intents[a.callKey]; ok {
-		in.unknown = true
-	}
-	// A full backlog delays the durable charge; the charge in memory holds.
-	if err := o.charge(p, a.worstCase); err != nil {
-		p.spent += a.worstCase
-	}
-}
-
-// IngressLost gives up the attempts of a daemon incarnation that has left the roster.
-func (o *Owner) IngressLost(incarnation string) {
-	for _, p := range o.programs {
-		if p.inFlight != nil && p.inFlight.ingress == incarnation {
-			o.loseAttempt(p)
-		}
-	}
-}
--- a/core/program/complete.go
+++ b/core/program/complete.go
@@ -14,7 +14,7 @@
 // Outcomes of an attempt.
 const (
 	OutcomeDone    Outcome = "done"     // The upstream answered; Turn is set.
-	OutcomeNotSent Outcome = "not_sent" // The call certainly did not leave the ingress.
+	OutcomeNotSent Outcome = "not_sent" // The call certainly did not leave the ingress, and never will.
 	OutcomeFailed  Outcome = "failed"   // The call left, and its answer was lost or was an error of the transport.
 )
 
@@ -29,10 +29,35 @@
 }
 
 // Complete records the outcome of an attempt. For OutcomeDone it returns the result for the caller. It is idempotent: a
-// completion that arrives twice returns the recorded result.
+// completion that arrives twice returns the recorded result. A refusal never says "not run" of a call that left the
+// ingress. The outcome of a call that was in flight when its program ended is still recorded.
 func (o *Owner) Complete(now time.Time, c Completion) (*caller.Result, error) {
+	result, err := o.complete(now, c)
+	if err == nil {
+		return result, nil
+	}
+	return nil, afterOutcome(c.Outcome, err)
+}
+
+// afterOutcome corrects what an error says about the call. The table of kinds describes refusals before a call is sent.
+func afterOutcome(outcome Outcome, err error) error {
+	e := errkind.From(err)
+	switch outcome {
+	case OutcomeNotSent:
+		return e.WithNotRun(errkind.NotRunTrue)
+	case OutcomeDone:
+		return e.WithNotRun(errkind.NotRunFalse)
+	default:
+		return e.WithNotRun(errkind.NotRunUnknown)
+	}
+}
+
+func (o *Owner) complete(now time.Time, c Completion) (*caller.Result, error) {
+	if err := validateCall(c.Call); err != nil {
+		return nil, err
+	}
 	p, err := o.find(c.Tenant, c.Program)
-	if errkind.Is(err, errkind.ProgramNotFound) && c.Call.Receipt != "" {
+	if c.Outcome == OutcomeDone && errkind.Is(err, errkind.ProgramNotFound) && c.Call.Receipt != "" {
 		p, err = o.restore(now, AdmitRequest{Tenant: c.Tenant, Program: c.Program, Call: c.Call})
 	}
 	if err != nil {
@@ -52,18 +77,16 @@
 }
 
 func (o *Owner) notSent(p *state, c Completion) error {
+	if in, ok := p.intents[c.Call.CallKey]; ok && in.Attempt == c.Attempt {
+		cancel := &journal.Cancel{CallKey: c.Call.CallKey, Attempt: c.Attempt}
+		if _, err := o.append(p, journal.Entry{Cancel: cancel}); err != nil {
+			return err
+		}
+		delete(p.intents, c.Call.CallKey)
+	}
 	if p.inFlight != nil && p.inFlight.id == c.Attempt {
 		p.inFlight = nil
 	}
-	in, ok := p.intents[c.Call.CallKey]
-	if !ok || in.Attempt != c.Attempt {
-		return nil
-	}
-	cancel := &journal.Cancel{CallKey: c.Call.CallKey, Attempt: c.Attempt}
-	if _, err := o.append(p, journal.Entry{Cancel: cancel}); err != nil {
-		return err
-	}
-	delete(p.intents, c.Call.CallKey)
 	return nil
 }
 
@@ -74,38 +97,59 @@
 }
 
 func (o *Owner) done(now time.Time, p *state, c Completion) (*caller.Result, error) {
+	if err := validateTurn(c.Call, c.Turn); err != nil {
+		return nil, err
+	}
 	if t, ok := p.turnWithKey(c.Call.CallKey); ok && t.Sequence == c.Call.Sequence {
 		return o.recorded(p, t, c)
 	}
 	if err := o.checkAttempt(p, c); err != nil {
 		return nil, err
 	}
-	if c.Call.Sequence != p.sequence()+1 || c.Call.Digest != p.digest() {
+	if p.inFlight == nil && c.Call.Sequence > p.sequence()+1 && len(c.Call.Window) > 0 {
+		if err := o.extend(p, c.Call); err != nil {
+			return nil, err
+		}
+	}
+	if !p.fits(c) {
 		return nil, o.outOfPlace(p, c)
 	}
 	digest, err := caller.NextDigest(p.digest(), c.Turn)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.Internal, err, "")
 	}
-	if err := o.appendTurn(p, c.Turn, digest); err != nil {
+	entry := journal.Entry{Turn: &journal.Turn{Turn: c.Turn, Digest: digest, AtMillis: now.UnixMilli()}}
+	lsn, err := o.append(p, entry)
+	if err != nil {
 		return nil, err
 	}
-	p.inFlight, p.recovered, p.active = nil, false, now
+	o.keepTurn(p, c.Turn, digest, lsn)
+	p.inFlight, p.active, p.seen = nil, now, p.spent
 	return o.result(p, c.Turn, false), nil
 }
 
+// fits reports whether the turn can be appended. While another attempt is in flight, the caller has moved on, and the
+// turn must not take the place of the newer call.
+func (p *state) fits(c Completion) bool {
+	if p.inFlight != nil && p.inFlight.id != c.Attempt {
+		return false
+	}
+	return c.Call.Sequence == p.sequence()+1 && c.Call.Digest == p.digest()
+}
+
 // recorded answers a completion for a turn that is in the history. Another attempt of the same call may have been first;
 // its answer then differs from what this ingress streamed, so the caller must read the recorded one.
 func (o *Owner) recorded(p *state, t caller.Turn, c Completion) (*caller.Result, error) {
 	digest, err := caller.NextDigest(p.digestAt(t.Sequence-1), c.Turn)
 	if err != nil || digest != p.digestAt(t.Sequence) {
-		return nil, errkind.New(errkind.CallInProgress, "Another attempt of the call finished first.").WithNotRun(errkind.NotRunFalse)
+		return nil, errkind.New(errkind.CallInProgress, "Another attempt of the call finished first.")
 	}
 	return o.result(p, t, true), nil
 }
 
 // checkAttempt accepts the attempt in flight, the attempt of a recorded intent, and, after a takeover, an idempotent
-// attempt that the former owner admitted.
+// attempt that a former owner admitted. The latter does not end the doubt about unseen attempts: it may be one that the
+// former owner had replaced.
 func (o *Owner) checkAttempt(p *state, c Completion) error {
 	if p.inFlight != nil && p.inFlight.id == c.Attempt {
 		return nil
@@ -113,13 +157,13 @@
 	if in, ok := p.intents[c.Call.CallKey]; ok && in.Attempt == c.Attempt {
 		return nil
 	}
-	if p.inFlight == nil && p.recovered {
+	if p.inFlight == nil && o.lostOwners(p, p.base) > 0 {
 		return nil
 	}
-	return errkind.New(errkind.CallInProgress, "The attempt was replaced by a newer one.").WithNotRun(errkind.NotRunUnknown)
+	return errkind.New(errkind.CallInProgress, "The attempt was replaced by a newer one.")
 }
 
-// outOfPlace handles a completion whose turn no longer fits the history. The outcome of a non-idempotent call is kept.
+// outOfPlace handles a completion whose turn does not fit the history. The outcome of a non-idempotent call is kept.
 func (o *Owner) outOfPlace(p *state, c Completion) error {
 	if in, ok := p.intents[c.Call.CallKey]; ok && in.Attempt == c.Attempt {
 		const reason = "The response arrived after the program had moved on."
@@ -135,13 +179,10 @@
 	return errkind.Newf(errkind.WrongSequence, "The next sequence is %d.", p.sequence()+1)
 }
 
-func (o *Owner) appendTurn(p *state, t caller.Turn, digest string) error {
-	entry := journal.Entry{Turn: &journal.Turn{Turn: t, Digest: digest, AtMillis: p.active.UnixMilli()}}
-	lsn, err := o.append(p, entry)
-	if err != nil {
-		return err
-	}
+// keepTurn adds a turn whose entry was appended.
+func (o *Owner) keepTurn(p *state, t caller.Turn, digest string, lsn journal.LSN) {
+	before := p.bytes
 	p.addTurn(t, digest)
+	o.historyBytes += p.bytes - before
 	p.pending = append(p.pending, pendingTurn{sequence: t.Sequence, lsn: lsn})
-	return nil
 }
--- /dev/null
+++ b/core/program/fault_test.go
@@ -0,0 +1,220 @@
+package program
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/api/errkind"
+)
+
+// TestDuplicateAdmitChargesOnce guards against charging an attempt that is replaced by a duplicate of its own message.
+func TestDuplicateAdmitChargesOnce(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	c := modelCall(o, id, "k1")
+	first := admit(t, o, id, c, "a1")
+	must.Eq(t, first, admit(t, o, id, c, "a1"))
+	must.Eq(t, 0, o.programs[id].spent)
+}
+
+// TestForgottenProgramStaysEnded guards against a second run of a non-idempotent call after its program was forgotten
+// and restored from its first receipt.
+func TestForgottenProgramStaysEnded(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	created := create(t, o, id)
+	c := serviceCall(o, id, "k1")
+	admit(t, o, id, c, "a1")
+	c.Receipt = created.Receipt
+	flush(o)
+	now := testStart.Add(time.Hour)
+	must.Len(t, 1, o.Tick(now))
+	must.Len(t, 0, o.Tick(now.Add(30*time.Minute)))
+	_, err := o.Admit(now.Add(30*time.Minute), request(id, c, "a2"))
+	mustKind(t, err, errkind.OutcomeUnknown, errkind.NotRunUnknown)
+	flush(o)
+	o.Tick(now.Add(2 * time.Hour))
+	must.Eq(t, 0, o.Programs())
+	_, err = o.Admit(now.Add(2*time.Hour), request(id, c, "a3"))
+	mustKind(t, err, errkind.ProgramNotFound, errkind.NotRunUnknown)
+}
+
+// TestLateCompletionKeepsNewerCall guards against a late non-idempotent outcome that takes the place of the call in
+// flight, whose tokens were then never counted.
+func TestLateCompletionKeepsNewerCall(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	order := serviceCall(o, id, "order")
+	admit(t, o, id, order, "a1")
+	o.IngressLost("in-1")
+	c := modelCall(o, id, "k2")
+	admit(t, o, id, c, "a2")
+	_, err := o.Complete(testStart, completion(id, order, "a1"))
+	mustKind(t, err, errkind.WrongSequence, errkind.NotRunFalse)
+	_, err = o.Admit(testStart, request(id, order, "a3"))
+	mustKind(t, err, errkind.OutcomeUnknown, errkind.NotRunFalse)
+	_, err = o.Complete(testStart, completion(id, c, "a2"))
+	must.NoError(t, err)
+}
+
+// spentAfter admits a model call at a new owner and returns the tokens counted before it.
+func spentAfter(t *testing.T, o *Owner, id string) int64 {
+	t.Helper()
+	return admit(t, o, id, modelCall(o, id, "next"), "a9").SpentTokens
+}
+
+// TestTakeoverCharges guards against attempts of former owners that no owner counts.
+func TestTakeoverCharges(t *testing.T) {
+	id := testID(0)
+	handover := func(t *testing.T, o *Owner) {
+		_, err := o.CloseShard(testShard)
+		must.NoError(t, err)
+	}
+	const worst = 30 + 4 + 16 + 50
+	t.Run("after a failure", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		must.Eq(t, 2*worst, spentAfter(t, takeOver(t, o, flush(o), "b"), id))
+	})
+	t.Run("after a handover", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		handover(t, o)
+		must.Eq(t, 0, spentAfter(t, takeOver(t, o, flush(o), "b"), id))
+	})
+	t.Run("after a handover with a call in flight", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		admit(t, o, id, modelCall(o, id, "k1"), "a1")
+		handover(t, o)
+		must.Eq(t, 2*worst, spentAfter(t, takeOver(t, o, flush(o), "b"), id))
+	})
+	t.Run("after a handover to an owner that left no trace", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		handover(t, o)
+		segments := flush(o)
+		lost := takeOver(t, o, segments, "b")
+		admit(t, lost, id, modelCall(lost, id, "k1"), "a1")
+		must.Eq(t, 2*worst, spentAfter(t, takeOver(t, lost, segments, "c"), id))
+	})
+	t.Run("a service call does not end the doubt", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		next := takeOver(t, o, flush(o), "b")
+		run(t, next, id, serviceCall(next, id, "order"))
+		must.Eq(t, 2*worst, spentAfter(t, next, id))
+	})
+	t.Run("a completion of the former owner does not end the doubt", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		c := modelCall(o, id, "k1")
+		next := takeOver(t, o, flush(o), "b")
+		_, err := next.Complete(testStart, completion(id, c, "a1"))
+		must.NoError(t, err)
+		must.Eq(t, 40+2*(worst+40), spentAfter(t, next, id))
+	})
+	t.Run("charges of the receipt", func(t *testing.T) {
+		o := openOwner(nil)
+		create(t, o, id)
+		segments := flush(o)
+		c := modelCall(o, id, "k1")
+		admit(t, o, id, c, "a0")
+		result := run(t, o, id, c)
+		next := takeOver(t, o, segments, "b")
+		_, err := next.Complete(testStart, completion(id, c, "run-k1"))
+		must.NoError(t, err)
+		c = modelCall(next, id, "k2")
+		c.Receipt = result.Receipt
+		must.Eq(t, 40+worst+2*(worst+40), admit(t, next, id, c, "a2").SpentTokens)
+	})
+}
+
+// TestThirdAttemptAwaitsCharge guards against more undurable charges than a successor accounts for.
+func TestThirdAttemptAwaitsCharge(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	c := modelCall(o, id, "k1")
+	must.Eq(t, 0, admit(t, o, id, c, "a1").AwaitLSN)
+	must.Eq(t, 0, admit(t, o, id, c, "a2").AwaitLSN)
+	await := admit(t, o, id, c, "a3").AwaitLSN
+	must.Positive(t, await)
+	flush(o)
+	must.GreaterEq(t, await, o.Journal().Durable())
+	must.Eq(t, 0, admit(t, o, id, c, "a4").AwaitLSN)
+}
+
+// TestWindowGivesUpAttempt guards against an attempt in flight that is forgotten, uncharged, when the caller returns
+// with turns of another owner.
+func TestWindowGivesUpAttempt(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	next := takeOver(t, o, flush(o), "b")
+	c := modelCall(o, id, "k1")
+	result := run(t, o, id, c)
+	admit(t, next, id, c, "a1")
+	c = modelCall(o, id, "k2")
+	c.Receipt, c.Window = result.Receipt, []caller.Turn{result.Turn}
+	// Two attempts of the first owner, the one here, the turn, and two of the first owner since.
+	must.Eq(t, 200+100+40+2*140, admit(t, next, id, c, "a2").SpentTokens)
+}
+
+// TestCompleteBringsWindow guards against losing a response because a successor lacks the turns before it.
+func TestCompleteBringsWindow(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	first := run(t, o, id, modelCall(o, id, "k1"))
+	c := modelCall(o, id, "k2")
+	c.Receipt, c.Window = first.Receipt, []caller.Turn{first.Turn}
+	next := takeOver(t, o, nil, "b")
+	r, err := next.Complete(testStart, completion(id, c, "a2"))
+	must.NoError(t, err)
+	must.Eq(t, 2, r.Turn.Sequence)
+}
+
+// TestOpenShardTwice guards against an older replay that replaces the programs of a shard that is served.
+func TestOpenShardTwice(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	o.OpenShard(testStart, testShard, 1, NewReplay(testShard))
+	must.Eq(t, 1, o.Programs())
+	_, err := o.CloseShard(testShard)
+	must.NoError(t, err)
+	o.OpenShard(testStart, testShard, 1, nil)
+	must.False(t, o.Owns(id))
+}
+
+// TestChargeWithoutRoom guards against a charge that is lost for good because the backlog was full.
+func TestChargeWithoutRoom(t *testing.T) {
+	o, id := openOwner(smallJournal), testID(0)
+	create(t, o, id)
+	c := modelCall(o, id, "k1")
+	admit(t, o, id, c, "a1")
+	fillBacklog(o)
+	before := o.writer.Appended()
+	o.IngressLost("in-1")
+	must.Eq(t, before, o.writer.Appended())
+	spent := o.programs[id].spent
+	segments := flush(o)
+	admit(t, o, id, c, "a2")
+	r := replay(t, NewReplay(testShard), append(segments, flush(o)...))
+	must.Eq(t, spent, r.programs[id].spent-int64(before-1))
+}
+
+// TestDefaults guards against calls without a bound of their output and against a turn limit that is dropped where the
+// records set none.
+func TestDefaults(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	lim := testLimits()
+	lim.MaxTurns = 0
+	created, err := o.Create(testStart, testTenant, id, caller.CreateProgram{MaxTurns: 5}, lim)
+	must.NoError(t, err)
+	must.Eq(t, 5, created.Program.MaxTurns)
+	c := modelCall(o, id, "k1")
+	c.Model.MaxTokens = 0
+	a := admit(t, o, id, c, "a1")
+	must.Eq(t, defaultMaxTokens, a.MaxTokens)
+	must.Eq(t, defaultMaxTokens+50, a.WorstCase)
+}
--- a/core/program/owner.go
+++ b/core/program/owner.go
@@ -39,6 +39,9 @@
 	Signer      *Signer
 	Journal     journal.WriterConfig
 	MaxPrograms int // Programs in memory beyond this are refused.
+
+	MaxHistoryBytes  int64 // Calls and windows are refused while more history than this is in memory; zero sets no bound.
+	DefaultMaxTokens int   // Output bound of calls without max_tokens; zero takes 4096.
 }
 
 // Owner holds the programs of the shards that one daemon incarnation owns. It is not safe for concurrent use.
@@ -46,7 +49,11 @@
 	cfg      Config
 	writer   *journal.Writer
 	shards   map[int]uint64 // Epoch of each open shard.
+	opened   map[int]uint64 // Newest epoch under which each shard was ever opened.
 	programs map[string]*state
+
+	historyBytes int64
+	checkpoints  uint64 // Checkpoints taken so far.
 }
 
 // NewOwner returns an owner without shards.
@@ -55,6 +62,7 @@
 		cfg:      cfg,
 		writer:   journal.NewWriter(cfg.Incarnation, cfg.Journal),
 		shards:   map[int]uint64{},
+		opened:   map[int]uint64{},
 		programs: map[string]*state{},
 	}
 }
@@ -62,8 +70,12 @@
 // Journal returns the writer whose segments must be stored.
 func (o *Owner) Journal() *journal.Writer { return o.writer }
 
-// Owns reports whether the shard of a program is open here.
+// Owns reports whether the shard of a program is open here. After the journal was sealed by another daemon, the owner
+// owns nothing, even before the daemon has closed its shards.
 func (o *Owner) Owns(programID string) bool {
+	if o.writer.Fenced() {
+		return false
+	}
 	dc, ok := DataCentreOf(programID)
 	if !ok || dc != o.cfg.DataCentre {
 		return false
@@ -96,9 +108,12 @@
 	return p, nil
 }
 
-func (o *Owner) append(p *state, e journal.Entry) (journal.LSN, error) {
-	e.Shard, e.Program, e.Epoch = p.shard, p.id, o.shards[p.shard]
-	lsn, err := o.writer.Append(e)
+// append journals all entries or none.
+func (o *Owner) append(p *state, entries ...journal.Entry) (journal.LSN, error) {
+	for i := range entries {
+		entries[i].Shard, entries[i].Program, entries[i].Epoch = p.shard, p.id, o.shards[p.shard]
+	}
+	lsn, err := o.writer.AppendAll(entries...)
 	if err != nil {
 		return 0, writerError(err)
 	}
@@ -147,8 +162,8 @@
 		Model:        req.Model,
 		Parent:       req.Parent,
 		BudgetTokens: boundInt64(req.BudgetTokens, lim.BudgetTokens),
-		MaxTurns:     int(boundInt64(int64(req.MaxTurns), int64(lim.MaxTurns))),
-		ExpiryMillis: boundInt64(req.ExpirySeconds*1000, lim.Expiry.Milliseconds()),
+		MaxTurns:     int(boundOptional(int64(req.MaxTurns), int64(lim.MaxTurns))),
+		ExpiryMillis: boundOptional(min(req.ExpirySeconds, maxExpirySeconds)*1000, lim.Expiry.Milliseconds()),
 		AtMillis:     now.UnixMilli(),
 	}
 	p := o.newState(id, created, now)
@@ -164,7 +179,8 @@
 }
 
 func (o *Owner) newState(id string, created journal.Created, now time.Time) *state {
-	return &state{id: id, shard: ShardOf(id), created: created, active: now}
+	shard := ShardOf(id)
+	return &state{id: id, shard: shard, created: created, active: now, base: o.shards[shard]}
 }
 
 func (o *Owner) tenantPrograms(tenant string) int {
@@ -185,6 +201,27 @@
 	return asked
 }
 
+// boundOptional is boundInt64 for a limit that is zero where there is none.
+func boundOptional(asked, limit int64) int64 {
+	if limit <= 0 {
+		return max(asked, 0)
+	}
+	return boundInt64(asked, limit)
+}
+
+// maxExpirySeconds keeps the expiry in milliseconds from overflowing. It is one year.
+const maxExpirySeconds = 365 * 24 * 3600
+
+// defaultExpiry is the expiry of a program whose record sets none.
+const defaultExpiry = 24 * time.Hour
+
+func expiry(millis int64) time.Duration {
+	if millis <= 0 {
+		return defaultExpiry
+	}
+	return time.Duration(millis) * time.Millisecond
+}
+
 // Describe returns the state of a program.
 func (o *Owner) Describe(tenant, id string) (caller.Program, error) {
 	p, err := o.find(tenant, id)
@@ -242,7 +279,7 @@
 	Reason  string
 }
 
-// End closes a program. Ending it twice changes nothing. A call in flight is not awaited; its completion is ignored.
+// End closes a program. Ending it twice changes nothing. A call in flight is not awaited; its outcome is still recorded.
 func (o *Owner) End(tenant, id, reason string) (Ended, error) {
 	p, err := o.find(tenant, id)
 	if err != nil {
@@ -257,10 +294,11 @@
 		done.Reason = p.ended
 		return done, nil
 	}
-	if _, err := o.append(p, journal.Entry{Ended: &journal.Ended{Reason: reason}}); err != nil {
+	lsn, err := o.append(p, journal.Entry{Ended: &journal.Ended{Reason: reason}})
+	if err != nil {
 		return Ended{}, err
 	}
-	p.ended = reason
+	p.ended, p.endedLSN = reason, lsn
 	return done, nil
 }
 
@@ -270,23 +308,22 @@
 	EndedIdle     = "idle for longer than its expiry"
 )
 
-// endedRetention is how long an ended program answers as ended before it is forgotten.
+// endedRetention is how much longer than its expiry an ended program is remembered. Until then it answers as ended, and
+// its call keys cannot be used again. Receipts older than the expiry restore nothing, so a forgotten program stays ended;
+// the ten minutes cover differences between the clocks of daemons.
 const endedRetention = 10 * time.Minute
 
 // Tick ends programs whose callers are gone and forgets programs that ended long ago. It returns the newly ended ones in
 // order of id.
 func (o *Owner) Tick(now time.Time) []Ended {
 	var list []Ended
-	for id, p := range o.programs {
-		idle := now.Sub(p.active)
+	for _, p := range o.programs {
+		o.expireAttempt(now, p)
 		if p.ended != "" {
-			if idle > endedRetention && p.durableSequence(o.writer.Durable()) == p.sequence() {
-				delete(o.programs, id)
-			}
+			o.forget(now, p)
 			continue
 		}
-		o.expireAttempt(now, p)
-		if p.inFlight != nil || idle < time.Duration(p.created.ExpiryMillis)*time.Millisecond {
+		if p.inFlight != nil || now.Sub(p.active) < expiry(p.created.ExpiryMillis) {
 			continue
 		}
 		if e, err := o.end(p, EndedIdle); err == nil {
@@ -297,6 +334,24 @@
 	return list
 }
 
+func (o *Owner) forget(now time.Time, p *state) {
+	if p.endedAt.IsZero() {
+		p.endedAt = now
+	}
+	retention := expiry(p.created.ExpiryMillis) + endedRetention
+	if now.Sub(p.endedAt) > retention && p.endedLSN <= o.writer.Durable() {
+		o.remove(p)
+	}
+}
+
+func (o *Owner) remove(p *state) {
+	o.historyBytes -= p.bytes
+	delete(o.programs, p.id)
+}
+
+// HistoryBytes returns the estimated memory of the turns of all programs.
+func (o *Owner) HistoryBytes() int64 { return o.historyBytes }
+
 // Resolve records what an operator found out about a call whose outcome is unknown.
 func (o *Owner) Resolve(id, callKey string, ran bool, reason string) error {
 	if !o.Owns(id) {
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -48,35 +48,59 @@
 	shard    int
 	created  journal.Created
 	turns    []caller.Turn
-	digests  []string // digests[i] is the digest after turns[i].
+	digests  []digest // digests[i] is the digest after turns[i].
+	bytes    int64    // Memory of turns and digests, estimated.
 	spent    int64
 	prompt   int64 // Tokens that the history takes in the next prompt, as the engine counted them.
 	inFlight *attempt
 	intents  map[string]*intent
 	resolved map[string]resolution
 	ended    string // Reason, empty while the program runs.
+	endedLSN journal.LSN
+	endedAt  time.Time // When Tick first saw the end.
 
-	// recovered is set when the program was replayed and an attempt may have been in flight unseen.
-	recovered bool
-	pending   []pendingTurn // Turns that are not durable yet, in order.
-	active    time.Time
+	// base is the epoch of the first owner whose attempts may be missing from spent. An owner with a higher epoch has to
+	// charge for the owners from base on.
+	base uint64
+	// seen is the part of spent that the newest receipt shows. What a receipt of another owner shows beyond it was spent
+	// there and is not known here.
+	seen int64
+	// owed is the part of spent for which the journal had no room.
+	owed int64
+	// loading is the number of turns that a checkpoint has of the program.
+	loading uint64
+	// open is set during a replay when an attempt was in flight at a handover.
+	open bool
+	// charges are the journal entries of the last two lost attempts of the current sequence, the newest last.
+	charges [2]journal.LSN
+
+	pending []pendingTurn // Turns that are not durable yet, in order.
+	active  time.Time
 }
 
-func (p *state) sequence() uint64 { return uint64(len(p.turns)) }
+// digest is a SHA-256 in binary form; the hexadecimal text takes more than twice the memory.
+type digest [sha256.Size]byte
 
-func (p *state) digest() string {
-	if len(p.digests) == 0 {
-		return caller.InitialDigest(p.id)
-	}
-	return p.digests[len(p.digests)-1]
+func (d digest) String() string { return hex.EncodeToString(d[:]) }
+
+// parseDigest decodes the text form that caller.NextDigest returns.
+func parseDigest(text string) digest {
+	var d digest
+	// The text comes from caller.NextDigest and always has the full length.
+	_, _ = hex.Decode(d[:], []byte(text))
+	return d
 }
 
+func (p *state) sequence() uint64 { return uint64(len(p.turns)) }
+
+func (p *state) digest() string { return p.digestAt(p.sequence()) }
+
 // digestAt returns the digest after the turn with the sequence.
 func (p *state) digestAt(sequence uint64) string {
 	if sequence == 0 {
 		return caller.InitialDigest(p.id)
 	}
-	return p.digests[sequence-1]
+	return p.digests[sequence-1].String()
 }
 
 func (p *state) durableSequence(durable journal.LSN) uint64 {
@@ -101,15 +125,17 @@
 }
 
 // addTurn appends a finished call and counts its usage.
-func (p *state) addTurn(t caller.Turn, digest string) {
+func (p *state) addTurn(t caller.Turn, after string) {
 	p.turns = append(p.turns, t)
-	p.digests = append(p.digests, digest)
+	p.digests = append(p.digests, parseDigest(after))
+	p.bytes += turnBytes(t)
 	p.spent += t.Usage.Total()
 	if t.Kind == caller.CallModel {
 		p.prompt = t.Usage.PromptTokens + t.Usage.CompletionTokens
 	}
 	delete(p.intents, t.CallKey)
 	delete(p.resolved, t.CallKey)
+	p.charges = [2]journal.LSN{}
 }
 
 func (p *state) receipt() Receipt {
@@ -125,6 +151,8 @@
 		Sequence:     p.sequence(),
 		Digest:       p.digest(),
 		SpentTokens:  p.spent,
+		Base:         p.base,
+		AtMillis:     p.active.UnixMilli(),
 	}
 }
 
@@ -141,28 +169,21 @@
 	return append(list, next...)
 }
 
-// messageOverheadTokens bounds the tokens that a chat template adds to one message.
-const messageOverheadTokens = 16
-
-// worstCase bounds the tokens that a call can use. A token holds at least one byte, so the bytes of new messages bound
-// their tokens; the history was counted by the engine.
-func (p *state) worstCase(c caller.Call) int64 {
-	if c.Kind != caller.CallModel {
-		return 0
-	}
-	total := p.prompt + int64(c.Model.MaxTokens)
-	for _, m := range c.Model.Messages {
-		total += messageBytes(m) + messageOverheadTokens
+// hasUnknown reports whether a call to the upstream has an unknown outcome.
+func (p *state) hasUnknown(upstream string) bool {
+	for _, in := range p.intents {
+		if in.unknown && in.Upstream == upstream {
+			return true
+		}
 	}
-	return total
+	return false
 }
 
-func messageBytes(m caller.Message) int64 {
-	n := len(m.Role) + len(m.Content) + len(m.Name) + len(m.ToolCallID)
-	for _, t := range m.ToolCalls {
-		n += len(t.ID) + len(t.Function.Name) + len(t.Function.Arguments)
+func (p *state) addIntent(in *intent) {
+	if p.intents == nil {
+		p.intents = map[string]*intent{}
 	}
-	return int64(n)
+	p.intents[in.CallKey] = in
 }
 
 // requestHash identifies what a call asks for, apart from its deadline, window and way of delivery.
@@ -177,7 +198,7 @@
 		m.Stream = false
 		body.Model = &m
 	}
-	// The types hold no channels or functions, so encoding cannot fail.
+	// Raw bodies were checked by validateCall, so encoding cannot fail.
 	raw, _ := json.Marshal(body)
 	sum := sha256.Sum256(raw)
 	return hex.EncodeToString(sum[:16])
--- a/core/program/receipt.go
+++ b/core/program/receipt.go
@@ -23,6 +23,8 @@
 	Sequence     uint64 `json:"seq"`
 	Digest       string `json:"digest"`
 	SpentTokens  int64  `json:"spent"`
+	Base         uint64 `json:"base"`  // SpentTokens covers the attempts of all owners before this epoch.
+	AtMillis     int64  `json:"at_ms"` // Time of the program's last activity, in Unix milliseconds.
 }
 
 // Signer signs and checks receipts. The first key signs; all keys are accepted, so that keys can be rotated.
--- a/core/program/replay.go
+++ b/core/program/replay.go
@@ -12,11 +12,16 @@
 // ErrBrokenHistory is returned when replayed turns do not form a hash chain.
 var ErrBrokenHistory = errors.New("replayed history is not a hash chain")
 
-// Replay rebuilds the programs of one shard from its journals.
+// ErrIncomplete is returned when a checkpoint lacks its end, or the journals after it lack the place where it was taken.
+var ErrIncomplete = errors.New("checkpoint is incomplete")
+
+// Replay rebuilds the programs of one shard from a checkpoint, if there is one, and the journals after it.
 type Replay struct {
 	shard    int
 	programs map[string]*state
-	clean    bool // The last entry was a handover, so no attempt was in flight unseen.
+
+	loading    int    // Programs of a checkpoint so far whose end was not read yet.
+	checkpoint string // Checkpoint that was read and whose place in the journals was not found yet.
 }
 
 // NewReplay starts the replay of a shard.
@@ -24,23 +29,31 @@
 	return &Replay{shard: shard, programs: map[string]*state{}}
 }
 
-// Apply adds one entry. Entries of other shards are ignored, so that one reading of a journal serves many shards.
+// Apply adds one entry. Entries of other shards are ignored, so that one reading of a journal serves many shards. After
+// a checkpoint, entries are ignored up to the place where the checkpoint was taken, because it contains them.
 func (r *Replay) Apply(e journal.Entry) error {
 	if e.Shard != r.shard {
 		return nil
 	}
-	if e.Handover != nil {
-		r.clean = true
+	if r.checkpoint != "" {
+		if e.CheckpointStart != nil && e.CheckpointStart.ID == r.checkpoint {
+			r.checkpoint = ""
+		}
 		return nil
 	}
-	if e.Open == nil {
-		r.clean = false
-	}
-	if e.Created != nil {
-		if _, ok := r.programs[e.Program]; !ok {
-			at := time.UnixMilli(e.Created.AtMillis)
-			r.programs[e.Program] = &state{id: e.Program, shard: r.shard, created: *e.Created, active: at}
-		}
+	switch {
+	case e.CheckpointStart != nil:
+		return nil
+	case e.CheckpointEnd != nil:
+		return r.endCheckpoint(*e.CheckpointEnd)
+	case e.Handover != nil:
+		r.handover(e.Epoch)
+		return nil
+	case e.Created != nil:
+		r.create(e)
+		return nil
+	case e.State != nil:
+		r.load(e.Program, *e.State)
 		return nil
 	}
 	p, ok := r.programs[e.Program]
@@ -50,6 +63,54 @@
 	return p.apply(e)
 }
 
+// Check returns ErrIncomplete when what was read so far must not be served.
+func (r *Replay) Check() error {
+	if r.loading > 0 {
+		return errors.Wrap(ErrIncomplete, "the end of the checkpoint is missing")
+	}
+	if r.checkpoint != "" {
+		return errors.Wrapf(ErrIncomplete, "no journal has the place of checkpoint %s", r.checkpoint)
+	}
+	return nil
+}
+
+func (r *Replay) endCheckpoint(end journal.CheckpointEnd) error {
+	if r.loading != end.Programs {
+		return errors.Wrapf(ErrIncomplete, "checkpoint %s has %d of %d programs", end.ID, r.loading, end.Programs)
+	}
+	for _, p := range r.programs {
+		if p.sequence() != p.loading {
+			return errors.Wrapf(ErrIncomplete, "program %s has %d of %d turns", p.id, p.sequence(), p.loading)
+		}
+	}
+	r.loading, r.checkpoint = 0, end.ID
+	return nil
+}
+
+// handover notes that all attempts of the owner with the epoch are accounted for, except those journaled as open.
+func (r *Replay) handover(epoch uint64) {
+	for _, p := range r.programs {
+		if !p.open {
+			p.base = epoch + 1
+		}
+		p.open = false
+	}
+}
+
+func (r *Replay) create(e journal.Entry) {
+	if _, ok := r.programs[e.Program]; ok {
+		return
+	}
+	p := &state{id: e.Program, shard: r.shard, created: *e.Created, active: time.UnixMilli(e.Created.AtMillis)}
+	p.base = e.Epoch
+	if e.Created.Base > 0 {
+		p.base = e.Created.Base
+	}
+	// The base of a restored program is not part of its limits.
+	p.created.Base = 0
+	r.programs[e.Program] = p
+}
+
 func (p *state) apply(e journal.Entry) error {
 	switch {
 	case e.Turn != nil:
@@ -61,80 +122,109 @@
 			delete(p.intents, e.Cancel.CallKey)
 		}
 	case e.Charge != nil:
-		p.spent += e.Charge.Tokens
+		p.applyCharge(*e.Charge)
 	case e.Resolved != nil:
 		p.resolve(e.Resolved.CallKey, e.Resolved.Ran, e.Resolved.Reason)
 	case e.Ended != nil:
 		p.ended = e.Ended.Reason
 	case e.Open != nil:
-		p.recovered = true
+		p.open = true
 	}
 	return nil
 }
 
+func (p *state) applyCharge(c journal.Charge) {
+	p.spent += c.Tokens
+	p.seen = max(p.seen, c.Seen)
+	if c.Base > 0 {
+		p.base = c.Base
+	}
+}
+
 func (p *state) applyTurn(t journal.Turn) error {
 	if t.Turn.Sequence != p.sequence()+1 {
 		return errors.Wrapf(ErrBrokenHistory, "program %s: turn %d follows turn %d", p.id, t.Turn.Sequence, p.sequence())
 	}
-	digest, err := caller.NextDigest(p.digest(), t.Turn)
+	after, err := caller.NextDigest(p.digest(), t.Turn)
 	if err != nil {
 		return err
 	}
-	if digest != t.Digest {
+	if after != t.Digest {
 		return errors.Wrapf(ErrBrokenHistory, "program %s: digest of turn %d differs", p.id, t.Turn.Sequence)
 	}
-	p.addTurn(t.Turn, digest)
-	p.recovered = false
+	p.addTurn(t.Turn, after)
 	p.active = time.UnixMilli(t.AtMillis)
+	if p.sequence() <= p.loading {
+		return nil
+	}
+	p.seen = p.spent
+	if t.Window != nil {
+		p.base, p.seen = t.Window.Base, t.Window.Seen
+	}
 	return nil
 }
 
 // OpenShard starts to serve a shard under an epoch with the replayed programs. Idle times start again, because a
-// program could not be called while its shard had no owner.
+// program could not be called while its shard had no owner. Epochs start at 1 and rise by one with each owner of the
+// shard: their difference tells how many owners may have used tokens unseen. An epoch that is not newer than one under
+// which the shard was opened here before changes nothing.
 func (o *Owner) OpenShard(now time.Time, shard int, epoch uint64, r *Replay) {
-	o.shards[shard] = epoch
+	if last, ok := o.opened[shard]; ok && epoch <= last {
+		return
+	}
+	o.closeShard(shard)
+	o.shards[shard], o.opened[shard] = epoch, epoch
 	if r == nil {
 		return
 	}
 	for id, p := range r.programs {
 		p.active = now
-		if !r.clean {
-			p.recovered = true
-		}
 		o.programs[id] = p
+		o.historyBytes += p.bytes
 	}
 }
 
 // CloseShard stops serving a shard. In a planned handover it first journals the attempts in flight, so that the next
 // owner knows which programs may have used tokens unseen. It returns the entry that must be durable before the
-// handover, zero when there is none.
+// handover, zero when there is none. After an error the shard is closed without a handover entry, and the next owner
+// takes it over as after a failure.
 func (o *Owner) CloseShard(shard int) (journal.LSN, error) {
 	if _, ok := o.shards[shard]; !ok {
 		return 0, nil
 	}
 	last, err := o.journalHandover(shard)
+	o.closeShard(shard)
+	return last, err
+}
+
+func (o *Owner) closeShard(shard int) {
 	delete(o.shards, shard)
-	for id, p := range o.programs {
+	for _, p := range o.programs {
 		if p.shard == shard {
-			delete(o.programs, id)
+			o.remove(p)
 		}
 	}
-	return last, err
 }
 
 func (o *Owner) journalHandover(shard int) (journal.LSN, error) {
 	epoch := o.shards[shard]
-	last, err := o.writer.Append(journal.Entry{Shard: shard, Epoch: epoch, Handover: &journal.Handover{}})
-	if err != nil {
-		return 0, writerError(err)
-	}
+	var entries []journal.Entry
 	for _, p := range o.programs {
-		if p.shard != shard || (p.inFlight == nil && !p.recovered) {
+		if p.shard != shard {
 			continue
 		}
-		if last, err = o.append(p, journal.Entry{Open: &journal.Open{}}); err != nil {
-			return 0, err
+		if p.owed > 0 {
+			charge := &journal.Charge{Tokens: p.owed}
+			entries = append(entries, journal.Entry{Shard: shard, Epoch: epoch, Program: p.id, Charge: charge})
+		}
+		if p.inFlight != nil || o.lostOwners(p, p.base) > 0 {
+			entries = append(entries, journal.Entry{Shard: shard, Epoch: epoch, Program: p.id, Open: &journal.Open{}})
 		}
 	}
+	entries = append(entries, journal.Entry{Shard: shard, Epoch: epoch, Handover: &journal.Handover{}})
+	last, err := o.writer.AppendAll(entries...)
+	if err != nil {
+		return 0, writerError(err)
+	}
 	return last, nil
 }
