--- a/core/membership/plan.go
+++ b/core/membership/plan.go
@@ -150,9 +150,9 @@
 }
 
 // RecordCheckpoint plans the entry of a stored checkpoint. It changes nothing when the shard has another owner by now.
-func RecordCheckpoint(r Roster, shard int, owner, checkpoint string, since uint64) Plan {
+func RecordCheckpoint(r Roster, shard int, owner, checkpoint string, epoch uint64) Plan {
 	p := newPlan(r)
-	if shard < 0 || shard >= len(r.Shards) || !p.Roster.Checkpointed(shard, owner, checkpoint, since) {
+	if shard < 0 || shard >= len(r.Shards) || !p.Roster.Checkpointed(shard, owner, checkpoint, epoch) {
 		return newPlan(r)
 	}
 	p.Roster.Term++
--- a/core/membership/roster.go
+++ b/core/membership/roster.go
@@ -12,10 +12,6 @@
 	"jackdawbay.dev/core/program"
 )
 
-// epochStep is the distance between the epochs of two owners of a shard. An owner counts its checkpoints in the numbers
-// between.
-const epochStep = 1 << 20
-
 // Member is one daemon incarnation of a data centre.
 type Member struct {
 	Incarnation string `json:"incarnation"`
@@ -24,20 +20,19 @@
 	Leaving     bool   `json:"leaving,omitempty"`
 }
 
-// JournalRef names the part of a journal that a new owner of a shard has to replay: entries of the shard with epochs
-// from FromEpoch up to, not including, ToEpoch.
+// JournalRef names the part of a journal that a new owner of a shard has to replay: the entries of the shard that were
+// written under one epoch.
 type JournalRef struct {
 	Incarnation string `json:"incarnation"`
-	FromEpoch   uint64 `json:"from"`
-	ToEpoch     uint64 `json:"to"`
+	Epoch       uint64 `json:"epoch"`
 }
 
-// Shard is the ownership of one shard. Chain lists the journals after the checkpoint in the order of their epochs.
+// Shard is the ownership of one shard. Chain lists the journals of former owners that hold the checkpoint's place or what
+// came after it, oldest first.
 type Shard struct {
 	Owner      string       `json:"owner,omitempty"`
-	Epoch      uint64       `json:"epoch"`
+	Epoch      uint64       `json:"epoch"` // Rises by one with each owner.
 	Checkpoint string       `json:"checkpoint,omitempty"`
-	Since      uint64       `json:"since,omitempty"` // First epoch of the owner's journal that the checkpoint lacks.
 	Chain      []JournalRef `json:"chain,omitempty"`
 }
 
@@ -62,7 +57,7 @@
 		Shards:      make([]Shard, program.ShardsPerDataCentre),
 	}
 	for i := range r.Shards {
-		r.Shards[i] = Shard{Owner: coordinator.Incarnation, Epoch: epochStep, Since: epochStep}
+		r.Shards[i] = Shard{Owner: coordinator.Incarnation, Epoch: 1}
 	}
 	return r
 }
@@ -191,21 +186,21 @@
 // move gives a shard to a new owner and appends the journal of the former one to its chain.
 func (r *Roster) move(shard int, owner string) {
 	s := &r.Shards[shard]
-	next := s.Epoch + epochStep
 	if s.Owner != "" {
-		s.Chain = append(s.Chain, JournalRef{Incarnation: s.Owner, FromEpoch: s.Since, ToEpoch: next})
+		s.Chain = append(s.Chain, JournalRef{Incarnation: s.Owner, Epoch: s.Epoch})
 	}
-	s.Owner, s.Epoch, s.Since = owner, next, next
+	s.Owner = owner
+	s.Epoch++
 }
 
-// Checkpointed records that a checkpoint covers a shard up to, not including, an epoch of its present owner. It reports
-// false when the shard has another owner by now.
-func (r *Roster) Checkpointed(shard int, owner, checkpoint string, since uint64) bool {
+// Checkpointed records that the owner of a shard has stored a checkpoint whose place is in its journal under an epoch.
+// Older journals are not needed any more. It reports false when the shard has another owner by now.
+func (r *Roster) Checkpointed(shard int, owner, checkpoint string, epoch uint64) bool {
 	s := &r.Shards[shard]
-	if s.Owner != owner || since < s.Epoch || since >= s.Epoch+epochStep {
+	if s.Owner != owner || s.Epoch != epoch {
 		return false
 	}
-	s.Checkpoint, s.Since, s.Chain = checkpoint, since, nil
+	s.Checkpoint, s.Chain = checkpoint, nil
 	return true
 }
 
--- a/daemon/cluster/coordinator.go
+++ b/daemon/cluster/coordinator.go
@@ -277,7 +277,7 @@
 // AcceptCheckpoint records a stored checkpoint in the roster.
 func (a *Agent) AcceptCheckpoint(ctx context.Context, c peer.Checkpointed) error {
 	return a.change(ctx, func(r membership.Roster) membership.Plan {
-		return membership.RecordCheckpoint(r, c.Shard, c.Owner, c.Checkpoint, c.Since)
+		return membership.RecordCheckpoint(r, c.Shard, c.Owner, c.Checkpoint, c.Epoch)
 	}, nil)
 }
 
--- a/daemon/cluster/shards.go
+++ b/daemon/cluster/shards.go
@@ -144,7 +144,7 @@
 	for _, ref := range s.Chain {
 		var list []journal.Entry
 		for _, e := range journals[ref.Incarnation] {
-			if e.Shard == shard && e.Epoch >= ref.FromEpoch && e.Epoch < ref.ToEpoch {
+			if e.Shard == shard && e.Epoch == ref.Epoch {
 				list = append(list, e)
 			}
 		}
@@ -152,6 +152,9 @@
 			return nil, errors.Wrapf(err, "journal of %s", ref.Incarnation)
 		}
 	}
+	if err := replay.Check(); err != nil {
+		return nil, err
+	}
 	return replay, nil
 }
 
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -77,7 +77,7 @@
 	Shard      int    `json:"shard"`
 	Owner      string `json:"owner"`
 	Checkpoint string `json:"checkpoint"`
-	Since      uint64 `json:"since"`
+	Epoch      uint64 `json:"epoch"`
 }
 
 // MemberState is what a member reports to its coordinator for the status.
