Divide tenant budgets into grants for data centres and daemons

An owner takes part of its data centre's share by conditional update before a call is sent, and returns the rest at a planned stop.

--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -18,6 +18,7 @@
 	"jackdawbay.dev/daemon/cluster"
 	"jackdawbay.dev/daemon/config"
 	"jackdawbay.dev/daemon/dispatch"
+	"jackdawbay.dev/daemon/grants"
 	"jackdawbay.dev/daemon/ingress"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
@@ -62,6 +63,7 @@
 	ingress *ingress.Server
 	metrics *metrics.Set
 	slots   *heldSlots
+	grants  *grants.Keeper
 
 	caller, peer, ops *http.Server
 	listeners         [3]net.Listener
@@ -106,6 +108,8 @@
 	n.agent.OnMembersGone(n.membersGone)
 	n.pool = dispatch.NewPool(dispatch.Config{DataCentre: set.DataCentre, PollInterval: set.PollInterval},
 		n.config.Set, n.term, engines, log)
+	members := func() int { return len(n.agent.Roster().Members) }
+	n.grants = grants.NewKeeper(set.DataCentre, n.store, n.config.Set, members, log)
 	r := &router{node: n}
 	n.ingress = ingress.New(set.Ingress, ingress.Dependencies{
 		Records:  n.config.Set,
@@ -235,6 +239,7 @@
 	if err := n.ingress.Wait(ctx); err != nil {
 		n.log.Warn("calls were still under way at the stop timeout")
 	}
+	n.grants.ReturnAll(ctx)
 	for _, s := range []*http.Server{n.caller, n.peer, n.ops} {
 		if err := s.Shutdown(ctx); err != nil {
 			n.log.Warn("listener was closed with requests under way", "error", err)
--- a/daemon/node/router.go
+++ b/daemon/node/router.go
@@ -248,9 +248,16 @@
 	if doErr != nil {
 		return a, doErr
 	}
-	if err != nil || a.AwaitLSN == 0 {
+	if err != nil || a.Repeat != nil {
 		return a, err
 	}
+	if err := r.node.grants.Reserve(ctx, req.Tenant, req.Attempt, a.WorstCase); err != nil {
+		r.cancelAttempt(l, req)
+		return program.Admission{}, err
+	}
+	if a.AwaitLSN == 0 {
+		return a, nil
+	}
 	waitCtx, cancel := context.WithTimeout(ctx, intentTimeout)
 	defer cancel()
 	waitErr := l.AwaitDurable(waitCtx, a.AwaitLSN)
@@ -260,11 +267,12 @@
 	if errkind.Is(waitErr, errkind.NotOwner) {
 		return program.Admission{}, waitErr
 	}
-	r.cancelIntent(l, req)
+	r.cancelAttempt(l, req)
 	return program.Admission{}, errkind.Wrap(errkind.StoreUnavailable, waitErr, "").After(time.Second)
 }
 
-func (r *router) cancelIntent(l *owner.Loop, req program.AdmitRequest) {
+// cancelAttempt takes back an admission that is not answered. Its call was not sent and never will be.
+func (r *router) cancelAttempt(l *owner.Loop, req program.AdmitRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	_, err := r.completeLocal(ctx, l, program.Completion{
@@ -275,7 +283,7 @@
 		Outcome: program.OutcomeNotSent,
 	})
 	if err != nil {
-		r.node.log.Warn("intent was not cancelled", "program", req.Program, "error", err)
+		r.node.log.Warn("attempt was not cancelled", "program", req.Program, "error", err)
 	}
 }
 
@@ -297,9 +305,22 @@
 	if doErr != nil {
 		return nil, doErr
 	}
+	r.settle(c)
 	return result, err
 }
 
+// settle counts the tokens of an attempt against its tenant's budget.
+func (r *router) settle(c program.Completion) {
+	switch c.Outcome {
+	case program.OutcomeDone:
+		r.node.grants.Settle(c.Tenant, c.Attempt, c.Turn.Usage.Total())
+	case program.OutcomeNotSent:
+		r.node.grants.Settle(c.Tenant, c.Attempt, 0)
+	case program.OutcomeFailed:
+		r.node.grants.Forfeit(c.Tenant, c.Attempt)
+	}
+}
+
 // Incarnation returns the id of this daemon's incarnation.
 func (r *router) Incarnation() string { return r.node.agent.Incarnation() }
 
