--- a/testbed/relay/relay.go
+++ b/testbed/relay/relay.go
@@ -14,7 +14,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/gorilla/mux"
 	"golang.org/x/time/rate"
 
 	"jackdawbay.dev/testbed/standin/control"
@@ -103,7 +102,7 @@
 		r.listeners = append(r.listeners, l)
 		r.work.Go(func() { r.accept(l, link.Target) })
 	}
-	m := mux.NewRouter()
+	m := control.NewRouter()
 	m.HandleFunc("/control/links", r.controlRules).Methods(http.MethodGet, http.MethodPut)
 	m.HandleFunc("/control/stats", func(w http.ResponseWriter, _ *http.Request) {
 		control.WriteJSON(w, http.StatusOK, map[string]any{"pairs": r.Stats()})
--- a/testbed/relay/relay_test.go
+++ b/testbed/relay/relay_test.go
@@ -66,6 +66,20 @@
 	return got[:n], err
 }
 
+// readFresh reads from a new connection and returns the error of the dial or the read.
+func readFresh(r *Relay, from string) (int, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(from)}, Deadline: time.Now().Add(10 * time.Second)}
+	c, err := d.Dial("tcp", r.Addresses()[0])
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = c.Close() }()
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		return 0, err
+	}
+	return c.Read(make([]byte, 1))
+}
+
 // blocked tells whether nothing arrives and nothing closes for a while.
 func blocked(t *testing.T, c net.Conn) bool {
 	t.Helper()
@@ -103,12 +117,16 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			must.NoError(t, r.SetRules(tc.rules))
+			if tc.want == Refuse {
+				// The reset may arrive before the dial has returned or after it.
+				_, err := readFresh(r, "127.0.2.1")
+				test.ErrorIs(t, err, syscall.ECONNRESET)
+				return
+			}
 			c := dial(t, r, "127.0.2.1")
 			switch tc.want {
 			case Blackhole:
 				test.True(t, blocked(t, c))
-			case Refuse:
-				isReset(t, c)
 			case Pass:
 				got, err := exchange(c, []byte("hello"))
 				test.NoError(t, err)
@@ -209,7 +227,8 @@
 	r, err := Start([]Link{{Listen: "127.0.0.1:0", Target: target}})
 	must.NoError(t, err)
 	defer r.Close()
-	isReset(t, dial(t, r, "127.0.2.1"))
+	_, err = readFresh(r, "127.0.2.1")
+	test.ErrorIs(t, err, syscall.ECONNRESET)
 }
 
 func TestControl(t *testing.T) {
--- a/testbed/scenario/process.go
+++ b/testbed/scenario/process.go
@@ -149,7 +149,7 @@
 func (h *harness) start(ts *testscript.TestScript, name, kind, binary string, args []string) (*process, error) {
 	if old := h.processes[name]; old != nil {
 		if old.running() {
-			return nil, usage("the process %s is running", name)
+			return nil, errors.Newf("the process %s is running", name)
 		}
 		h.noteCrash(old)
 	}
@@ -308,7 +308,9 @@
 		if !p.running() {
 			h.noteCrash(p)
 		} else {
-			_ = p.cmd.Process.Kill()
+			if errors.Is(p.cmd.Process.Kill(), os.ErrProcessDone) {
+				h.noteCrash(p)
+			}
 			<-p.exited
 		}
 		if output, err := os.ReadFile(p.log); err == nil {
--- a/testbed/standin/control/response.go
+++ b/testbed/standin/control/response.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 )
 
 // ErrorBody is the body of every error response.
@@ -79,3 +80,15 @@
 	}
 	return keys, nil
 }
+
+// NewRouter returns a router that keeps encoded slashes in names and sends its own errors as error bodies.
+func NewRouter() *mux.Router {
+	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		WriteError(w, http.StatusNotFound, "not_found", "There is no such path.")
+	})
+	r.MethodNotAllowedHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		WriteError(w, http.StatusMethodNotAllowed, "method_not_allowed", "The path does not have this method.")
+	})
+	return r
+}
--- a/testbed/standin/engine/cache.go
+++ b/testbed/standin/engine/cache.go
@@ -70,15 +70,15 @@
 
 // lookup returns how many prompt tokens of a program are cached and marks them as used. At least the last message is
 // always computed, since an engine needs its output.
-func (c *cache) lookup(program string, messages []json.RawMessage) int {
+func (c *cache) lookup(program string, chain []cachedMessage) int {
 	e := c.entry(program)
 	if e == nil {
 		return 0
 	}
 	c.order.MoveToFront(c.entries[program])
 	tokens := 0
-	for i, m := range messages[:max(0, len(messages)-1)] {
-		if i >= len(e.messages) || e.messages[i].Key != matchKey(m) {
+	for i, m := range chain[:max(0, len(chain)-1)] {
+		if i >= len(e.messages) || e.messages[i].Key != m.Key {
 			break
 		}
 		tokens += e.messages[i].Tokens
@@ -102,15 +102,11 @@
 	}
 }
 
-// store makes messages the prefix of a program. What does not fit beside pinned programs is left out from the end.
-func (c *cache) store(program string, messages []json.RawMessage) {
-	chain := make([]cachedMessage, len(messages))
-	for i, m := range messages {
-		chain[i] = cachedMessage{Key: matchKey(m), Tokens: MessageTokens(m)}
-	}
-	n := c.storeChain(program, chain)
+// store makes a prefix the cache of a program. What does not fit beside pinned programs is left out from the end.
+func (c *cache) store(program string, p *prefix) {
+	n := c.storeChain(program, p.chain)
 	if n > 0 {
-		c.entry(program).hash = PrefixHash(messages[:n])
+		c.entry(program).hash = p.hashOf(n)
 		c.emitEntry(EventStored, c.entry(program))
 	}
 }
--- a/testbed/standin/engine/call.go
+++ b/testbed/standin/engine/call.go
@@ -23,7 +23,7 @@
 	program      string
 	model        string // As named by the request, for the response.
 	base         string // Loaded model that serves it.
-	messages     []json.RawMessage
+	prompt       *prefix
 	tokens       []string
 	text         []byte // Emitted so far.
 	ends         []int  // Byte offset after each emitted token.
@@ -90,12 +90,12 @@
 
 // submit queues a call.
 func (s *Server) submit(id, program string, r completionRequest) (*call, *callError) {
-	promptTokens := PromptTokens(r.Messages)
+	prompt := newPrefix(r.Messages)
+	promptTokens := prompt.tokens()
 	if s.cfg.MaxRequestTokens > 0 && promptTokens > s.cfg.MaxRequestTokens {
 		return nil, &callError{http.StatusBadRequest, "context_too_long", "The prompt is longer than the model allows."}
 	}
-	unlimited := Reply(s.cfg.Reply, r.Model, r.Messages, 0)
-	tokens := Reply(s.cfg.Reply, r.Model, r.Messages, r.MaxTokens)
+	tokens, limited := reply(s.cfg.Reply, r.Model, prompt, r.MaxTokens)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expire()
@@ -109,8 +109,8 @@
 		return nil, &callError{http.StatusTooManyRequests, "queue_full", "The queue of the engine is full."}
 	}
 	c := &call{
-		id: id, program: program, model: r.Model, base: base, messages: r.Messages, tokens: tokens,
-		promptTokens: promptTokens, limited: len(tokens) < len(unlimited), includeUsage: r.StreamOptions.IncludeUsage,
+		id: id, program: program, model: r.Model, base: base, prompt: prompt, tokens: tokens,
+		promptTokens: promptTokens, limited: limited, includeUsage: r.StreamOptions.IncludeUsage,
 		changed: make(chan struct{}),
 	}
 	c.request = &request{
@@ -135,7 +135,7 @@
 
 // started looks up the cache when the request gets its slot. The caller holds the lock.
 func (s *Server) started(c *call, q *request) {
-	c.cachedTokens = s.cache.lookup(c.program, c.messages)
+	c.cachedTokens = s.cache.lookup(c.program, c.prompt.chain)
 	q.uncached = c.promptTokens - c.cachedTokens
 	c.pinned = s.cache.pin(c.program)
 	s.sample()
@@ -148,9 +148,10 @@
 	}
 	// A cancelled request leaves its prompt in the cache once that was computed.
 	if state == stateFinished {
-		s.cache.store(c.program, append(c.messages[:len(c.messages):len(c.messages)], assistantMessage(string(c.text))))
+		c.prompt.append(assistantMessage(string(c.text)))
+		s.cache.store(c.program, c.prompt)
 	} else if c.request.emitted > 0 {
-		s.cache.store(c.program, c.messages)
+		s.cache.store(c.program, c.prompt)
 	}
 	c.end(state)
 	s.ended = append(s.ended, c)
--- a/testbed/standin/engine/engine_test.go
+++ b/testbed/standin/engine/engine_test.go
@@ -377,7 +377,7 @@
 
 	slow, _ := start(t, func(c *Config) { c.EventLag = time.Hour })
 	slow.mu.Lock()
-	slow.cache.store("p", prompt("a"))
+	slow.cache.store("p", newPrefix(prompt("a")))
 	slow.mu.Unlock()
 	events, next := slow.Events(0)
 	test.Eq(t, EventPage{0, false, []CacheEvent{}}, events)
@@ -461,6 +461,7 @@
 		{"negative max_tokens", "POST", "/v1/chat/completions", `{"model":"model-a","messages":[{}],"max_tokens":-1}`, "Bearer k", 400},
 		{"malformed body", "POST", "/v1/chat/completions", `{`, "Bearer k", 400},
 		{"unknown path", "GET", "/v2", ``, "Bearer k", 404},
+		{"wrong method", "PUT", "/v1/load", ``, "Bearer k", 405},
 		{"cancel of an unknown request", "DELETE", "/v1/requests/x", ``, "Bearer k", 200},
 	}
 	for _, tc := range cases {
--- a/testbed/standin/engine/handlers.go
+++ b/testbed/standin/engine/handlers.go
@@ -27,7 +27,7 @@
 const maxEventWait = 60 * time.Second
 
 func (s *Server) routes() http.Handler {
-	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r := control.NewRouter()
 	r.HandleFunc("/v1/chat/completions", s.complete).Methods(http.MethodPost)
 	r.HandleFunc("/v1/requests/{id}/stream", s.resume).Methods(http.MethodGet)
 	r.HandleFunc("/v1/requests/{id}", s.cancelRequest).Methods(http.MethodDelete)
@@ -43,9 +43,6 @@
 		control.WriteJSON(w, http.StatusOK, map[string]any{"orders": s.Orders()})
 	}).Methods(http.MethodGet)
 	r.Handle("/control/faults", s.faults).Methods(http.MethodGet, http.MethodPut)
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		control.WriteError(w, http.StatusNotFound, "not_found", "There is no such path.")
-	})
 	return s.faults.Wrap(control.RequireKey(s.cfg.Keys, r), func(r *http.Request) bool {
 		return r.Method == http.MethodPost && r.URL.Path != "/v1/cache/export" || r.Method == http.MethodDelete
 	})
--- a/testbed/standin/engine/text.go
+++ b/testbed/standin/engine/text.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
+	"hash"
 	"math/rand/v2"
 	"strconv"
 	"strings"
@@ -29,31 +30,68 @@
 
 // MessageTokens returns the prompt tokens of one message in JSON.
 func MessageTokens(message json.RawMessage) int {
-	return (len(compact(message)) + tokenBytes - 1) / tokenBytes
+	return messageTokens(compact(message))
 }
 
-// PromptTokens returns the prompt tokens of a list of messages.
-func PromptTokens(messages []json.RawMessage) int {
-	total := 0
-	for _, m := range messages {
-		total += MessageTokens(m)
-	}
-	return total
+func messageTokens(compacted json.RawMessage) int {
+	return (len(compacted) + tokenBytes - 1) / tokenBytes
 }
 
+// PromptTokens returns the prompt tokens of a list of messages.
+func PromptTokens(messages []json.RawMessage) int { return newPrefix(messages).tokens() }
+
 // PrefixHash returns the prefix_hash of cache events: the first 16 bytes of the SHA-256 of the JSON array of the
 // messages without white space, in hexadecimal.
 func PrefixHash(messages []json.RawMessage) string {
-	h := sha256.New()
-	h.Write([]byte("["))
-	for i, m := range messages {
-		if i > 0 {
-			h.Write([]byte(","))
-		}
-		h.Write(compact(m))
+	return newPrefix(messages).hashOf(len(messages))
+}
+
+// prefix is a list of messages with what the cache needs of them. It is computed before the engine's lock is taken,
+// since a long history takes milliseconds.
+type prefix struct {
+	messages []json.RawMessage // Without white space.
+	chain    []cachedMessage
+	state    hash.Hash // SHA-256 of the array of messages up to its closing bracket.
+}
+
+func newPrefix(messages []json.RawMessage) *prefix {
+	p := &prefix{state: sha256.New()}
+	p.state.Write([]byte("["))
+	for _, m := range messages {
+		p.append(compact(m))
 	}
-	h.Write([]byte("]"))
-	return hex.EncodeToString(h.Sum(nil)[:16])
+	return p
+}
+
+// append adds a message without white space.
+func (p *prefix) append(m json.RawMessage) {
+	if len(p.messages) > 0 {
+		p.state.Write([]byte(","))
+	}
+	p.state.Write(m)
+	p.messages = append(p.messages, m)
+	p.chain = append(p.chain, cachedMessage{Key: matchKey(m), Tokens: messageTokens(m)})
+}
+
+// hashOf returns the PrefixHash of the first n messages.
+func (p *prefix) hashOf(n int) string {
+	if n < len(p.messages) {
+		return PrefixHash(p.messages[:n])
+	}
+	sum := sha256.New()
+	if c, err := p.state.(hash.Cloner).Clone(); err == nil {
+		sum = c
+	}
+	sum.Write([]byte("]"))
+	return hex.EncodeToString(sum.Sum(nil)[:16])
+}
+
+func (p *prefix) tokens() int {
+	total := 0
+	for _, m := range p.chain {
+		total += m.Tokens
+	}
+	return total
 }
 
 // ReplyConfig fixes what a reply depends on besides the call.
@@ -66,26 +104,31 @@
 // so a test can predict the text of a call. The first token holds the number of messages of the prompt. maxTokens zero
 // is no limit.
 func Reply(cfg ReplyConfig, model string, messages []json.RawMessage, maxTokens int) []string {
+	tokens, _ := reply(cfg, model, newPrefix(messages), maxTokens)
+	return tokens
+}
+
+// reply also reports whether maxTokens has cut the reply.
+func reply(cfg ReplyConfig, model string, p *prefix, maxTokens int) ([]string, bool) {
 	h := sha256.New()
 	_ = binary.Write(h, binary.LittleEndian, cfg.Seed)
 	h.Write([]byte(model))
-	h.Write([]byte(PrefixHash(messages)))
-	var seed [32]byte
-	copy(seed[:], h.Sum(nil))
-	rng := rand.New(rand.NewChaCha8(seed))
-	length := MinReplyTokens + rng.IntN(MaxReplyTokens-MinReplyTokens+1)
+	h.Write([]byte(p.hashOf(len(p.messages))))
+	rng := rand.New(rand.NewChaCha8([32]byte(h.Sum(nil))))
+	natural := MinReplyTokens + rng.IntN(MaxReplyTokens-MinReplyTokens+1)
 	if cfg.Tokens > 0 {
-		length = cfg.Tokens
+		natural = cfg.Tokens
 	}
+	length := natural
 	if maxTokens > 0 {
 		length = min(length, maxTokens)
 	}
 	tokens := make([]string, 0, length)
-	tokens = append(tokens, "messages="+strconv.Itoa(len(messages)))
+	tokens = append(tokens, "messages="+strconv.Itoa(len(p.messages)))
 	for len(tokens) < length {
 		tokens = append(tokens, " "+words[rng.IntN(len(words))])
 	}
-	return tokens
+	return tokens, length < natural
 }
 
 // ReplyText returns the text of a reply.
--- a/testbed/standin/platform/server.go
+++ b/testbed/standin/platform/server.go
@@ -94,7 +94,7 @@
 		changed: make(chan struct{}),
 		vms:     []VM{},
 	}
-	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r := control.NewRouter()
 	r.HandleFunc("/v1/objects/{kind}/{name}", s.limited(s.reads, s.get)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/objects/{kind}/{name}", s.limited(s.writes, s.put)).Methods(http.MethodPut)
 	r.HandleFunc("/v1/objects/{kind}/{name}", s.limited(s.writes, s.delete)).Methods(http.MethodDelete)
@@ -106,9 +106,6 @@
 	r.HandleFunc("/control/restore", s.controlRestore).Methods(http.MethodPost)
 	r.HandleFunc("/control/vms", s.controlVMs).Methods(http.MethodPut)
 	r.HandleFunc("/control/stats", s.controlStats).Methods(http.MethodGet)
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		control.WriteError(w, http.StatusNotFound, "not_found", "There is no such path.")
-	})
 	faulty := s.faults.Wrap(control.RequireKey(cfg.Keys, r), func(r *http.Request) bool {
 		return r.Method == http.MethodPut || r.Method == http.MethodDelete
 	})
--- a/testbed/standin/service/service.go
+++ b/testbed/standin/service/service.go
@@ -59,7 +59,7 @@
 // New returns a service that has run nothing.
 func New(cfg Config) *Server {
 	s := &Server{cfg: cfg, faults: control.NewInjector(), runs: map[string]int{}, outcomes: map[string]*outcome{}}
-	r := mux.NewRouter().UseEncodedPath().SkipClean(true)
+	r := control.NewRouter()
 	r.Handle("/control/faults", s.faults).Methods(http.MethodGet, http.MethodPut)
 	r.HandleFunc("/control/runs", s.controlRuns).Methods(http.MethodGet)
 	r.HandleFunc(idempotencyPath+"{key}", s.lookup).Methods(http.MethodGet)
