Cancel the engine requests of a lost ingress

An engine goes on with a request that has an id after its client is gone. The dispatcher knows the requests of the lost daemon by their tickets and cancels them, so that their slots and memory come free.

--- a/daemon/dispatch/group.go
+++ b/daemon/dispatch/group.go
@@ -250,15 +250,28 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for ticket := range g.granted {
-		if ingressOf(ticket) == incarnation {
-			delete(g.granted, ticket)
-			g.d.Release(now, ticket, caller.Usage{})
+	for ticket, engine := range g.granted {
+		if ingressOf(ticket) != incarnation {
+			continue
+		}
+		delete(g.granted, ticket)
+		g.d.Release(now, ticket, caller.Usage{})
+		if e, ok := g.engines[engine]; ok {
+			go g.cancel(e.address, attemptOf(ticket))
 		}
 	}
 	g.pump(now)
 }
 
+// cancel stops the request of a lost ingress, which would go on in the engine for no reader.
+func (g *group) cancel(address, attempt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
+	defer cancel()
+	if err := g.pool.engines.Cancel(ctx, address, attempt); err != nil {
+		g.pool.log.Debug("request of a lost daemon was not cancelled", "request", attempt, "error", err)
+	}
+}
+
 func (g *group) send(orders []schedule.Order) {
 	for _, o := range orders {
 		select {
--- a/daemon/dispatch/pool.go
+++ b/daemon/dispatch/pool.go
@@ -131,6 +131,11 @@
 	return incarnation
 }
 
+func attemptOf(ticket string) string {
+	_, attempt, _ := strings.Cut(ticket, "/")
+	return attempt
+}
+
 // Stats describes a group for the metrics.
 type Stats struct {
 	Group   string
