Admit new programs by the memory that programs under way need

The demand of all programs under way, also of evicted ones, now decides. The choice of a data centre weighs batch load, full memory and the later calls of a new program. TestNoClassStarves ends its programs now, since programs that never end keep their memory by design; the case of TestChooseSite for a small gain has a smaller load, since batch load counts now. Both stay as strict.

--- a/core/schedule/cache.go
+++ b/core/schedule/cache.go
@@ -15,9 +15,12 @@
 	inFlight   int      // Tickets that wait or hold a slot.
 	ended      bool
 	pausedAt   time.Time
-	pause      float64 // Moving average of the pauses between calls in seconds.
+	home       *engine // Engine whose memory the program is expected to use with its next call.
+	context    int64   // Tokens that it is expected to need there.
 	prefixes   []*prefix
 	prev, next *program // By last use, in Dispatcher.programs.
+	prevHome   *program // By last use, in home.homes.
+	nextHome   *program
 }
 
 // prefix is the expected cache of one program on one engine.
--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -15,7 +15,7 @@
 	CachePlacement                       // The missing prefix counts in the choice of an engine.
 	PrefixHold                           // A call waits for the busy engine that holds its prefix.
 	MemoryLimit                          // The contexts in flight on an engine fit in its memory.
-	PausedProtect                        // New programs wait while they would evict prefixes that return soon.
+	PausedProtect                        // New programs wait for room beside the programs under way, paused ones too.
 	CacheRelease                         // Prefixes that are not worth their memory are released.
 )
 
@@ -29,7 +29,7 @@
 	DecodeTokensPerSecond  float64       // Speed of an engine on one response in a usual batch.
 	ServiceUnit            float64       // Attained service, in prefill tokens, at which the penalty starts to grow.
 	ServicePenalty         float64       // Seconds of penalty for each doubling of attained service.
-	AdmissionDelay         time.Duration // Longest wait of a new program for room beside paused prefixes.
+	AdmissionDelay         time.Duration // Longest wait of a new program for room beside the programs under way.
 	Off                    Mechanism
 }
 
@@ -42,7 +42,7 @@
 	DefaultDecodeTokensPerSecond  = 40
 	DefaultServiceUnit            = 4000
 	DefaultServicePenalty         = 8
-	DefaultAdmissionDelay         = 10 * time.Second
+	DefaultAdmissionDelay         = time.Minute
 )
 
 // minAgeing keeps every ticket's wait bounded when a record sets no ageing, in priority for each second.
--- a/core/schedule/dispatcher.go
+++ b/core/schedule/dispatcher.go
@@ -13,10 +13,37 @@
 type lane struct {
 	key   laneKey
 	queue queue
-	slots int // Slots of the engines that serve the lane.
-	index int // Position in laneSet.
+	// newcomers holds first calls of programs by class, so that a class with small prompts does not wait behind one
+	// whose prompts find no room.
+	newcomers []*newcomers
+	slots     int // Slots of the engines that serve the lane.
+	index     int // Position in laneSet.
 }
 
+// newcomers holds first calls of the programs of one class.
+type newcomers struct {
+	class *classState
+	queue queue
+}
+
+// queueFor returns the queue of a lane in which an item waits.
+func (d *Dispatcher) queueFor(it *item) *queue {
+	if !d.cfg.on(PausedProtect) || !it.newcomer() {
+		return &it.lane.queue
+	}
+	for _, n := range it.lane.newcomers {
+		if n.class == it.class {
+			return &n.queue
+		}
+	}
+	n := &newcomers{class: it.class}
+	it.lane.newcomers = append(it.lane.newcomers, n)
+	return &n.queue
+}
+
+// newcomer reports whether a call is the first of its program.
+func (it *item) newcomer() bool { return !it.program.seen && it.HistoryTokens == 0 }
+
 // laneSet is a set of lanes by their index.
 type laneSet [maxLanes / 64]uint64
 
@@ -34,6 +61,8 @@
 	foreign    int   // Requests on the engine that this dispatcher did not grant.
 	pinned     int64 // Context tokens of the granted calls.
 	heldTokens int64 // Sum of prefixes.
+	demand     int64 // Sum of the contexts of the programs in homes.
+	homes      homeList
 	prefixes   prefixList
 	bound      queue
 	freePos    int // Position in Dispatcher.free; -1 when no slot is free.
@@ -51,7 +80,7 @@
 	limit   records.Limit
 	waiting int
 	output  float64 // Moving average of the response length in tokens.
-	pause   float64 // Moving average of the pauses between calls in seconds.
+	context float64 // Moving average of the context at the end of a call in tokens.
 }
 
 // Dispatcher is the queue and the slots of one engine group in one data centre. It is not safe for concurrent use.
@@ -122,7 +151,7 @@
 		c = d.classes[name]
 	}
 	if c == nil {
-		c = &classState{limit: records.DefaultLimit(), output: defaultOutput, pause: defaultPause}
+		c = &classState{limit: records.DefaultLimit(), output: defaultOutput}
 		d.classes[name] = c
 	}
 	return c
@@ -167,6 +196,7 @@
 	}
 	e := &engine{freePos: -1, service: defaultService}
 	e.prefixes.init()
+	e.homes.init()
 	return e
 }
 
@@ -182,6 +212,9 @@
 	for x := e.prefixes.oldest(); x != nil; x = e.prefixes.oldest() {
 		d.forget(x)
 	}
+	for p := e.homes.oldest(); p != nil; p = e.homes.oldest() {
+		leaveHome(p)
+	}
 	for _, l := range d.laneList {
 		if e.lanes.has(l) {
 			l.slots -= e.Slots
@@ -308,7 +341,7 @@
 func (d *Dispatcher) detach(it *item) {
 	switch it.state {
 	case stateLane:
-		it.lane.queue.remove(it)
+		it.queue.remove(it)
 	case stateBound:
 		it.engine.bound.remove(it)
 		it.engine = nil
@@ -319,5 +352,6 @@
 func (d *Dispatcher) toLane(it *item) {
 	d.detach(it)
 	it.state = stateLane
-	it.lane.queue.push(it)
+	it.queue = d.queueFor(it)
+	it.queue.push(it)
 }
--- a/core/schedule/enqueue.go
+++ b/core/schedule/enqueue.go
@@ -61,35 +61,19 @@
 		d.recycle(it)
 		return err
 	}
-	d.resume(now, it)
+	it.program.inFlight++
+	it.program.ended = false
 	d.seq++
 	it.seq = d.seq
 	it.state = stateLane
-	l.queue.push(it)
+	it.queue = d.queueFor(it)
+	it.queue.push(it)
 	d.items[t.ID] = it
 	d.waiting++
 	it.class.waiting++
 	return nil
 }
 
-// resume ends the pause of a program.
-func (d *Dispatcher) resume(now time.Time, it *item) {
-	p := it.program
-	p.inFlight++
-	p.ended = false
-	if p.pausedAt.IsZero() {
-		return
-	}
-	pause := now.Sub(p.pausedAt).Seconds()
-	p.pausedAt = time.Time{}
-	c := it.class
-	c.pause = average(c.pause, pause)
-	if p.pause == 0 {
-		p.pause = pause
-	}
-	p.pause += (pause - p.pause) / 2
-}
-
 func (d *Dispatcher) checkDepth(t Ticket) error {
 	depth := d.cfg.QueueDepth
 	if t.SpentTokens == 0 && t.HistoryTokens == 0 {
@@ -136,7 +120,7 @@
 
 // expectedWait estimates the seconds until a ticket gets a slot, from the tickets of its lane that go before it.
 func (d *Dispatcher) expectedWait(it *item) float64 {
-	q := it.lane.queue.items
+	q := d.queueFor(it).items
 	if len(q) == 0 && d.hasFree(it.lane) {
 		return 0
 	}
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -22,7 +22,6 @@
 	// deadlineMargin is the part of the time before a deadline that is kept in reserve, in seconds.
 	deadlineMargin = 2.0
 	defaultOutput  = 300.0 // Tokens.
-	defaultPause   = 5.0   // Seconds.
 	defaultService = 8.0   // Seconds.
 )
 
--- a/core/schedule/programs.go
+++ b/core/schedule/programs.go
@@ -104,6 +104,7 @@
 	for len(p.prefixes) > 0 {
 		d.forget(p.prefixes[len(p.prefixes)-1])
 	}
+	leaveHome(p)
 	if p.root != p {
 		p.root.children--
 	}
@@ -117,6 +118,7 @@
 		return nil
 	}
 	p.ended = true
+	leaveHome(p)
 	if !d.cfg.on(CacheRelease) {
 		return nil
 	}
--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -207,6 +207,7 @@
 				return
 			}
 			d.Release(now, g.Ticket, caller.Usage{PromptTokens: 1000, CompletionTokens: 10})
+			d.ProgramEnded(g.Ticket)
 		}
 		t.Fatal("the old ticket was not granted within 400 s")
 	})
--- a/core/schedule/queue.go
+++ b/core/schedule/queue.go
@@ -7,7 +7,6 @@
 const (
 	stateLane    itemState = iota // Waits in the lane of its model.
 	stateBound                    // Waits for one engine.
-	stateParked                   // Waits for room in the caches.
 	stateGranted                  // Holds a slot.
 )
 
@@ -19,13 +18,13 @@
 	state    itemState
 	held     bool // Has waited for the holder of its prefix once.
 	lane     *lane
+	queue    *queue // The queue that holds the item while it waits.
 	class    *classState
 	program  *program
 	root     *program
 	engine   *engine   // Set in stateBound and stateGranted.
 	when     time.Time // End of the hold, or expiry of the grant.
 	started  time.Time
-	parkedAt time.Time
 	pinned   int64 // Tokens of engine memory that a granted call takes.
 	cached   int64
 	pos      int // Position in the queue that holds the item.
--- a/core/schedule/release.go
+++ b/core/schedule/release.go
@@ -25,6 +25,7 @@
 	e.starts.add(now)
 	e.prefillEnd = later(e.prefillEnd, now).Add(time.Duration(missing * float64(time.Second)))
 	d.hold(it.program, e, max(it.PromptTokens, 1))
+	setHome(it.program, e, it.expectedContext())
 	d.updateFree(e)
 	d.timers.set(it, now.Add(d.cfg.GrantTTL))
 	return Grant{Ticket: it.ID, Engine: e.Name, Expires: it.when, CachedTokens: cached}
@@ -69,6 +70,7 @@
 	d.tenants.add(now, it.Tenant, work)
 	it.class.output = average(it.class.output, float64(usage.CompletionTokens))
 	seconds := now.Sub(it.started).Seconds()
+	it.class.context = average(it.class.context, float64(usage.PromptTokens+usage.CompletionTokens))
 	e.service = average(e.service, seconds)
 	d.meanService = average(d.serviceSeconds(), seconds)
 	p.seen = true
@@ -94,7 +96,7 @@
 	d.recycle(it)
 }
 
-// expire ends the holds, parking times and grants that are over.
+// expire ends the holds and grants that are over.
 func (d *Dispatcher) expire(now time.Time) {
 	for it := d.timers.head(); it != nil && !it.when.After(now); it = d.timers.head() {
 		if it.state == stateGranted {
@@ -109,12 +111,12 @@
 // ended, or have paused for longer than the placement's HoldPaused.
 func (d *Dispatcher) Tick(now time.Time) []Order {
 	d.expire(now)
-	if !d.cfg.on(CacheRelease) {
-		return nil
-	}
 	var orders []Order
 	for _, e := range d.engines {
-		orders = d.releaseOld(now, e, orders)
+		dropStale(now, e)
+		if d.cfg.on(CacheRelease) {
+			orders = d.releaseOld(now, e, orders)
+		}
 	}
 	return orders
 }
--- a/core/schedule/remote.go
+++ b/core/schedule/remote.go
@@ -13,6 +13,7 @@
 	Waiting      int
 	Service      time.Duration // Mean time that a call holds a slot.
 	CachedTokens int64         // Part of the program's history that an engine there holds.
+	Full         bool          // The programs under way need all engine memory there.
 }
 
 // RemoteCall describes a call for the choice of a data centre.
@@ -32,11 +33,26 @@
 // for the price of the traffic.
 const crossRegionSeconds = 10.0
 
+const (
+	// fullSeconds is the expected wait of a new program for memory at a data centre that is full.
+	fullSeconds = 5.0
+	// newProgramCalls is the number of calls that a new program is expected to make.
+	newProgramCalls = 8
+)
+
 // LinkBytes returns the bytes that a call sends over a link.
 func (c RemoteCall) LinkBytes() int64 {
 	return promptBytesPerToken*c.PromptTokens + outputBytesPerToken*c.OutputTokens
 }
 
+// expectedLinkBytes counts the later calls of a new program, which will follow its prefix.
+func (c RemoteCall) expectedLinkBytes() int64 {
+	if c.HistoryTokens == 0 {
+		return newProgramCalls * c.LinkBytes()
+	}
+	return c.LinkBytes()
+}
+
 // SiteWeights are the weights of the choice of a data centre.
 type SiteWeights struct {
 	Latency, Cache         float64
@@ -66,9 +82,14 @@
 func siteCost(c RemoteCall, s SiteLoad, w SiteWeights) float64 {
 	cached := min(s.CachedTokens, c.HistoryTokens)
 	missing := float64(c.PromptTokens-cached) / w.PrefillTokensPerSecond
-	cost := w.Latency*(s.Wait()+missing+s.RoundTrip.Seconds()) + w.Cache*missing
+	busy := min(float64(s.Running)/float64(s.Slots), 1)
+	slower := loadSlope * busy * float64(c.OutputTokens) / DefaultDecodeTokensPerSecond
+	cost := w.Latency*(s.Wait()+missing+slower+s.RoundTrip.Seconds()) + w.Cache*missing
+	if s.Full && c.HistoryTokens == 0 {
+		cost += w.Latency * fullSeconds
+	}
 	if s.OtherRegion {
-		cost += w.Cache * crossRegionSeconds * float64(c.LinkBytes()) / 1e6
+		cost += w.Cache * crossRegionSeconds * float64(c.expectedLinkBytes()) / 1e6
 	}
 	return cost
 }
