--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -67,6 +67,7 @@
 	slot     uint64 // Slot of the next new segment.
 	appended LSN
 	durable  LSN
+	total    int64 // Bytes of all entries ever appended.
 	fenced   bool
 }
 
@@ -117,6 +118,7 @@
 	}
 	w.pending = append(w.pending, list...)
 	w.bytes += total
+	w.total += int64(total)
 	w.appended = lsn
 	for _, e := range entries {
 		if e.Intent != nil || e.Handover != nil {
--- a/core/membership/plan.go
+++ b/core/membership/plan.go
@@ -149,13 +149,25 @@
 	return p
 }
 
-// RecordCheckpoint plans the entry of a stored checkpoint. It changes nothing when the shard has another owner by now.
-func RecordCheckpoint(r Roster, shard int, owner, checkpoint string, epoch uint64) Plan {
+// Checkpoint is a stored checkpoint of a shard, whose place is in its owner's journal under an epoch.
+type Checkpoint struct {
+	Shard int    `json:"shard"`
+	Epoch uint64 `json:"epoch"`
+	ID    string `json:"id"`
+}
+
+// RecordCheckpoints plans the entry of stored checkpoints. Those of shards that have another owner by now are left out.
+func RecordCheckpoints(r Roster, owner string, list []Checkpoint) Plan {
 	p := newPlan(r)
-	if shard < 0 || shard >= len(r.Shards) || !p.Roster.Checkpointed(shard, owner, checkpoint, epoch) {
-		return newPlan(r)
+	recorded := false
+	for _, c := range list {
+		if c.Shard >= 0 && c.Shard < len(r.Shards) && p.Roster.Checkpointed(c.Shard, owner, c.ID, c.Epoch) {
+			recorded = true
+		}
+	}
+	if recorded {
+		p.Roster.Term++
 	}
-	p.Roster.Term++
 	return p
 }
 
@@ -167,3 +179,27 @@
 	p.Roster.Term++
 	return p
 }
+
+// Unreferenced returns the incarnations whose journals the roster before needed and the roster after does not: they are
+// in no chain and no member, so that their objects can be deleted.
+func Unreferenced(before, after Roster) []string {
+	needed := map[string]bool{}
+	for _, m := range after.Members {
+		needed[m.Incarnation] = true
+	}
+	for _, s := range after.Shards {
+		for _, ref := range s.Chain {
+			needed[ref.Incarnation] = true
+		}
+	}
+	var list []string
+	for _, s := range before.Shards {
+		for _, ref := range s.Chain {
+			if !needed[ref.Incarnation] {
+				needed[ref.Incarnation] = true
+				list = append(list, ref.Incarnation)
+			}
+		}
+	}
+	return list
+}
--- a/daemon/cluster/coordinator.go
+++ b/daemon/cluster/coordinator.go
@@ -22,6 +22,7 @@
 	replacing  sync.Mutex // Held while a dead coordinator is replaced.
 	joinedTerm uint64     // Term of the newest roster that listed this incarnation; guarded by Agent.mu.
 	evicting   sync.Map   // Incarnations whose eviction is under way.
+	lease      commandLease
 }
 
 // basis is the roster that a change starts from.
@@ -274,11 +275,41 @@
 	return membership.CanEvict(int(reachable.Load()), len(r.Members))
 }
 
-// AcceptCheckpoint records a stored checkpoint in the roster.
-func (a *Agent) AcceptCheckpoint(ctx context.Context, c peer.Checkpointed) error {
-	return a.change(ctx, func(r membership.Roster) membership.Plan {
-		return membership.RecordCheckpoint(r, c.Shard, c.Owner, c.Checkpoint, c.Epoch)
+// AcceptCheckpoint records stored checkpoints in the roster and deletes what is not needed any more.
+func (a *Agent) AcceptCheckpoint(ctx context.Context, list peer.Checkpoints) error {
+	var before, after membership.Roster
+	err := a.change(ctx, func(r membership.Roster) membership.Plan {
+		p := membership.RecordCheckpoints(r, list.Owner, list.Shards)
+		before, after = r, p.Roster
+		return p
 	}, nil)
+	if err != nil {
+		return err
+	}
+	go a.collectGarbage(context.WithoutCancel(ctx), before, after)
+	return nil
+}
+
+// garbageTimeout bounds one round of deletions.
+const garbageTimeout = 30 * time.Second
+
+func (a *Agent) collectGarbage(ctx context.Context, before, after membership.Roster) {
+	ctx, cancel := context.WithTimeout(ctx, garbageTimeout)
+	defer cancel()
+	for _, incarnation := range membership.Unreferenced(before, after) {
+		if err := owner.DeleteSegments(ctx, a.store, platform.KindJournal, incarnation, 0); err != nil {
+			a.log.Warn("journal was not deleted", "journal", incarnation, "error", err)
+		}
+	}
+	for i, s := range before.Shards {
+		old := s.Checkpoint
+		if old == "" || old == after.Shards[i].Checkpoint {
+			continue
+		}
+		if err := owner.DeleteSegments(ctx, a.store, platform.KindCheckpoint, old, 0); err != nil {
+			a.log.Warn("checkpoint was not deleted", "checkpoint", old, "error", err)
+		}
+	}
 }
 
 const leadInterval = time.Second
@@ -304,16 +335,22 @@
 		}
 		if !a.IsCoordinator() {
 			version = 0
+			a.coordinator.lease.end()
 			continue
 		}
 		beat++
-		version = a.beat(ctx, version, beat)
+		sent := time.Now()
+		next, ok := a.beat(ctx, version, beat)
+		version = next
+		if ok {
+			a.coordinator.lease.renew(sent)
+		}
 	}
 }
 
-// beat writes the sign of life and returns its version. A version that falls shows that the platform was restored from an
-// old backup.
-func (a *Agent) beat(ctx context.Context, version, beat uint64) uint64 {
+// beat writes the sign of life. It returns its version and whether the write succeeded. A version that falls shows that
+// the platform was restored from an old backup.
+func (a *Agent) beat(ctx context.Context, version, beat uint64) (uint64, bool) {
 	r := a.Roster()
 	lead := Lead{Coordinator: r.Coordinator, Term: r.Term, Beat: beat}
 	next, err := a.store.Put(ctx, platform.KindLead, a.cfg.DataCentre, version, lead)
@@ -321,23 +358,23 @@
 		if version != 0 && next < version {
 			a.restored(ctx)
 		}
-		return next
+		return next, true
 	}
 	conflict, ok := platform.AsConflict(err)
 	if !ok {
-		return version
+		return version, false
 	}
 	if conflict.Current == nil {
 		if version != 0 {
 			a.restored(ctx)
 		}
-		return 0
+		return 0, false
 	}
 	if version != 0 && conflict.Current.Version < version {
 		a.restored(ctx)
 	}
 	a.refreshFromPlatform(ctx)
-	return conflict.Current.Version
+	return conflict.Current.Version, false
 }
 
 // restored handles a platform that lost its newest writes: the roster in memory is written again, and each member then
--- a/daemon/dispatch/group.go
+++ b/daemon/dispatch/group.go
@@ -40,6 +40,7 @@
 	since    uint64 // Position in the cache events.
 	reported []upstream.ModelState
 	answered bool
+	drains   map[string]time.Time // End of the drain by model.
 }
 
 func newGroup(p *Pool, name string) *group {
@@ -112,8 +113,9 @@
 func (g *group) models(set *records.Set, e *engineState) []schedule.ReadyModel {
 	var list []schedule.ReadyModel
 	if e.answered {
+		now := time.Now()
 		for _, m := range e.reported {
-			if m.State == "ready" {
+			if m.State == "ready" && now.After(e.drains[m.Name]) {
 				list = append(list, schedule.ReadyModel{Name: m.Name, Adapters: m.Adapters})
 			}
 		}
@@ -127,6 +129,22 @@
 	return list
 }
 
+// drain takes a model of an engine out of use until a time.
+func (g *group) drain(engine, model string, until time.Time) {
+	g.refresh()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	e, ok := g.engines[engine]
+	if !ok {
+		return
+	}
+	if e.drains == nil {
+		e.drains = map[string]time.Time{}
+	}
+	e.drains[model] = until
+	g.updateEngine(engine, e)
+}
+
 func (g *group) acquire(ctx context.Context, a peer.Acquire) (schedule.Grant, error) {
 	ready := make(chan schedule.Grant, 1)
 	if err := g.enqueue(a, ready); err != nil {
--- a/daemon/dispatch/poll.go
+++ b/daemon/dispatch/poll.go
@@ -19,8 +19,11 @@
 	go g.sendOrders(ctx)
 	tick := time.NewTicker(g.pool.cfg.PollInterval)
 	defer tick.Stop()
-	for {
+	for round := 1; ; round++ {
 		g.pollEngines(ctx)
+		if round%reconcileEvery == 0 {
+			g.reconcile(ctx)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -29,6 +32,50 @@
 	}
 }
 
+// reconcileEvery is how many polls pass between two comparisons of the engines' caches with the programs that run. The
+// comparison repairs lost events and finds what a dead daemon left behind.
+const reconcileEvery = 10
+
+// reconcile reads what the engines hold and releases what belongs to programs that are gone.
+func (g *group) reconcile(ctx context.Context) {
+	names, address := g.addresses()
+	for _, name := range names {
+		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
+		held, err := g.pool.engines.Cache(callCtx, address[name])
+		cancel()
+		if err != nil {
+			continue
+		}
+		g.send(g.observeHeld(name, held))
+		g.send(g.releaseGone(ctx, name, held))
+	}
+}
+
+func (g *group) observeHeld(name string, held []upstream.CachedProgram) []schedule.Order {
+	list := make([]schedule.HeldPrefix, 0, len(held))
+	for _, h := range held {
+		list = append(list, schedule.HeldPrefix{Program: h.Program, Tokens: h.Tokens})
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.d.ObserveHeld(name, list)
+}
+
+// releaseGone orders the release of prefixes whose programs do not run any more.
+func (g *group) releaseGone(ctx context.Context, name string, held []upstream.CachedProgram) []schedule.Order {
+	ids := make([]string, 0, len(held))
+	for _, h := range held {
+		if h.Program != "" {
+			ids = append(ids, h.Program)
+		}
+	}
+	var orders []schedule.Order
+	for _, id := range g.pool.cfg.Gone(ctx, ids) {
+		orders = append(orders, schedule.Order{Type: schedule.OrderReleaseCache, Engine: name, Program: id})
+	}
+	return orders
+}
+
 func (g *group) pollEngines(ctx context.Context) {
 	names, address := g.addresses()
 	var polls sync.WaitGroup
--- a/daemon/dispatch/pool.go
+++ b/daemon/dispatch/pool.go
@@ -19,6 +19,9 @@
 type Config struct {
 	DataCentre   string
 	PollInterval time.Duration // Time between two reads of an engine's load and cache events.
+
+	// Gone returns those programs that certainly do not run any more.
+	Gone func(ctx context.Context, programs []string) []string
 }
 
 // Records returns the records in force.
@@ -109,6 +112,11 @@
 // Release gives a slot back.
 func (p *Pool) Release(r peer.Release) { p.group(r.Group).release(r) }
 
+// Drain stops new calls of a model to an engine for a while. It is repeated while the drain lasts.
+func (p *Pool) Drain(group, engine, model string, until time.Time) {
+	p.group(group).drain(engine, model, until)
+}
+
 // ProgramEnded releases the cache of a program in every group of this daemon.
 func (p *Pool) ProgramEnded(program string) {
 	for _, g := range p.all() {
--- a/daemon/node/maintain.go
+++ b/daemon/node/maintain.go
@@ -6,14 +6,16 @@
 	"time"
 
 	"jackdawbay.dev/api/records"
+	"jackdawbay.dev/core/journal"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/owner"
 	"jackdawbay.dev/daemon/peer"
 )
 
 const maintainInterval = time.Second
 
-// runCheckpoints applies resolutions of operators to the programs that are owned here.
-func (n *Node) runCheckpoints(ctx context.Context) error {
+// runMaintenance applies resolutions of operators and keeps the journal's pace in step with the number of daemons.
+func (n *Node) runMaintenance(ctx context.Context) error {
 	tick := time.NewTicker(maintainInterval)
 	defer tick.Stop()
 	for {
@@ -22,6 +24,7 @@
 			return ctx.Err()
 		case <-tick.C:
 			n.applyResolutions(ctx)
+			n.paceJournal(ctx)
 		}
 	}
 }
@@ -40,6 +43,66 @@
 	}
 }
 
+// paceJournal shares the platform's writes among all daemons. The daemons of other data centres are estimated from the
+// own one.
+func (n *Node) paceJournal(ctx context.Context) {
+	centres := 0
+	for _, r := range n.config.Set().All() {
+		if r.DataCentre != nil {
+			centres++
+		}
+	}
+	daemons := max(centres, 1) * max(len(n.agent.Roster().Members), 1)
+	rate := journal.RateFor(daemons, n.set.FleetWrites)
+	// The next round repeats what is refused here.
+	_ = n.agent.Loop().Do(ctx, func(_ time.Time, o *program.Owner) { o.Journal().SetRate(rate) })
+}
+
+// gone returns those programs that certainly do not run any more, by asking the owners of this data centre. Programs of
+// other data centres are left to the expiry of their prefixes.
+func (n *Node) gone(ctx context.Context, ids []string) []string {
+	byOwner := map[string][]string{}
+	roster := n.agent.Roster()
+	for _, id := range ids {
+		dataCentre, ok := program.DataCentreOf(id)
+		if !ok || dataCentre != n.set.DataCentre {
+			continue
+		}
+		if m, ok := roster.OwnerOf(id); ok {
+			byOwner[m.Incarnation] = append(byOwner[m.Incarnation], id)
+		}
+	}
+	var gone []string
+	for incarnation, list := range byOwner {
+		gone = append(gone, n.askGone(ctx, incarnation, list)...)
+	}
+	return gone
+}
+
+func (n *Node) askGone(ctx context.Context, incarnation string, ids []string) []string {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	if incarnation == n.agent.Incarnation() {
+		// A busy loop is asked again by the next reconciliation.
+		gone, _ := goneLocal(ctx, n.agent.Loop(), ids)
+		return gone
+	}
+	m, ok := n.agent.Roster().Member(incarnation)
+	if !ok {
+		return nil
+	}
+	var answer peer.Gone
+	if err := n.peers.Post(ctx, m.PeerAddress, peer.PathGone, peer.Gone{Programs: ids}, &answer); err != nil {
+		return nil
+	}
+	return answer.Programs
+}
+
+func goneLocal(ctx context.Context, l *owner.Loop, ids []string) (gone []string, err error) {
+	err = l.Do(ctx, func(_ time.Time, o *program.Owner) { gone = o.Gone(ids) })
+	return gone, err
+}
+
 // releaseCaches tells every daemon of the data centre that programs ended, since any of them may be a dispatcher.
 func (n *Node) releaseCaches(list []program.Ended) {
 	ids := make([]string, 0, len(list))
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -46,6 +46,7 @@
 	PlatformTimeout time.Duration
 	PlatformWrites  float64 // Writes a second that this daemon may make.
 	PlatformReads   float64
+	FleetWrites     float64 // Writes a second that the platform takes from all daemons together.
 	MaxPrograms     int
 	Journal         journal.WriterConfig
 	Ingress         ingress.Config
@@ -57,6 +58,7 @@
 	log     *slog.Logger
 	store   *platform.Client
 	peers   *peer.Client
+	engines *upstream.Engines
 	agent   *cluster.Agent
 	config  *config.Agent
 	pool    *dispatch.Pool
@@ -93,7 +95,7 @@
 	})
 	n.peers = peer.NewClient(set.PeerKeys, options)
 	signer := newSigner(set.PeerKeys)
-	engines := upstream.NewEngines(set.UpstreamKey, options)
+	n.engines = upstream.NewEngines(set.UpstreamKey, options)
 	n.config = config.NewAgent(n.store, n.peers, log)
 	n.agent = cluster.New(cluster.Config{
 		VM:          set.VM,
@@ -106,8 +108,8 @@
 	n.config.SetCluster(n.agent)
 	n.agent.OnConfigDiffers(n.config.Sync)
 	n.agent.OnMembersGone(n.membersGone)
-	n.pool = dispatch.NewPool(dispatch.Config{DataCentre: set.DataCentre, PollInterval: set.PollInterval},
-		n.config.Set, n.term, engines, log)
+	n.pool = dispatch.NewPool(dispatch.Config{DataCentre: set.DataCentre, PollInterval: set.PollInterval, Gone: n.gone},
+		n.config.Set, n.term, n.engines, log)
 	members := func() int { return len(n.agent.Roster().Members) }
 	n.grants = grants.NewKeeper(set.DataCentre, n.store, n.config.Set, members, log)
 	r := &router{node: n}
@@ -116,7 +118,7 @@
 		Owners:   r,
 		Slots:    r,
 		Streams:  r,
-		Engines:  engines,
+		Engines:  n.engines,
 		Services: upstream.NewServices(set.UpstreamKey, options),
 		Signer:   signer,
 		Metrics:  ingress.NewMetrics(n.metrics),
@@ -194,7 +196,9 @@
 		{"config", n.config.Run},
 		{"dispatch", n.pool.Run},
 		{"status", n.runStatus},
-		{"checkpoints", n.runCheckpoints},
+		{"maintenance", n.runMaintenance},
+		{"models", n.runModels},
+		{"checkpoints", n.agent.RunCheckpoints},
 	} {
 		workers.Add(s)
 	}
--- a/daemon/node/peerhttp.go
+++ b/daemon/node/peerhttp.go
@@ -64,6 +64,8 @@
 	post(peer.PathCheckpoint, handle(n.acceptCheckpoint))
 	post(peer.PathRecords, handle(n.acceptRecords))
 	post(peer.PathGenerations, handle(n.answerGenerations))
+	post(peer.PathGone, handle(n.answerGone))
+	post(peer.PathDrain, handle(n.acceptDrain))
 	post(peer.PathReleaseCaches, handle(n.acceptReleaseCaches))
 	post(peer.PathCreate, handle(func(ctx context.Context, c peer.Create) (any, error) {
 		return r.createLocal(ctx, n.agent.Loop(), c)
@@ -145,7 +147,7 @@
 	return none{}, n.agent.AcceptReclaim(ctx, h)
 }
 
-func (n *Node) acceptCheckpoint(ctx context.Context, c peer.Checkpointed) (none, error) {
+func (n *Node) acceptCheckpoint(ctx context.Context, c peer.Checkpoints) (none, error) {
 	return none{}, n.agent.AcceptCheckpoint(ctx, c)
 }
 
@@ -165,6 +167,16 @@
 	return none{}, nil
 }
 
+func (n *Node) answerGone(ctx context.Context, g peer.Gone) (peer.Gone, error) {
+	gone, err := goneLocal(ctx, n.agent.Loop(), g.Programs)
+	return peer.Gone{Programs: gone}, err
+}
+
+func (n *Node) acceptDrain(_ context.Context, d peer.Drain) (none, error) {
+	n.pool.Drain(d.Group, d.Engine, d.Model, d.Until)
+	return none{}, nil
+}
+
 func streamPath(tenant, programID string, sequence uint64, offset int) string {
 	q := url.Values{}
 	q.Set("tenant", tenant)
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -109,7 +109,7 @@
 	if err != nil {
 		return membership.Member{}, errkind.Wrap(errkind.OwnerUnavailable, err, "")
 	}
-	m, ok := roster.HashOwner("dispatcher/" + group)
+	m, ok := roster.HashOwner(dispatcherKey(group))
 	if !ok {
 		return m, errkind.New(errkind.OwnerUnavailable, "The data centre "+dataCentre+" has no daemon.")
 	}
--- a/daemon/owner/journal.go
+++ b/daemon/owner/journal.go
@@ -87,9 +87,10 @@
 	}
 }
 
-// ReadJournal reads the entries of an incarnation's journal for which keep returns true.
+// ReadJournal reads the entries of an incarnation's journal, or of a checkpoint, for which keep returns true. A journal
+// begins at its first object, because its owner deletes what a checkpoint covers.
 func ReadJournal(ctx context.Context, store platform.Store, kind, incarnation string, keep func(journal.Entry) bool) ([]journal.Entry, error) {
-	reader := journal.NewReader(incarnation, 1)
+	var reader *journal.Reader
 	var entries []journal.Entry
 	after := ""
 	for {
@@ -98,15 +99,18 @@
 			return nil, err
 		}
 		for _, item := range page.Items {
-			list, err := readSegment(reader, item)
+			s, err := DecodeSegment(item.Value)
 			if err != nil {
-				return nil, err
+				return nil, errors.Wrapf(err, "object %s", item.Name)
 			}
-			for _, e := range list {
-				if keep(e) {
-					entries = append(entries, e)
-				}
+			if reader == nil {
+				reader = journal.NewReader(incarnation, s.Slot)
 			}
+			list, err := reader.Add(s)
+			if err != nil {
+				return nil, errors.Wrapf(err, "object %s", item.Name)
+			}
+			entries = appendKept(entries, list, keep)
 			after = item.Name
 		}
 		if !page.More || len(page.Items) == 0 {
@@ -115,11 +119,38 @@
 	}
 }
 
-func readSegment(reader *journal.Reader, item platform.Object) ([]journal.Entry, error) {
-	s, err := DecodeSegment(item.Value)
-	if err != nil {
-		return nil, errors.Wrapf(err, "object %s", item.Name)
+func appendKept(entries, list []journal.Entry, keep func(journal.Entry) bool) []journal.Entry {
+	for _, e := range list {
+		if keep(e) {
+			entries = append(entries, e)
+		}
+	}
+	return entries
+}
+
+// DeleteSegments deletes the objects of a journal or a checkpoint whose slot is below a bound; zero deletes all. What is
+// left behind by a failure costs space and nothing else.
+func DeleteSegments(ctx context.Context, store platform.Store, kind, incarnation string, below uint64) error {
+	after := ""
+	for {
+		page, err := store.List(ctx, kind, incarnation+".", after, deletePage)
+		if err != nil {
+			return err
+		}
+		for _, item := range page.Items {
+			after = item.Name
+			if below > 0 && item.Name >= journal.SegmentName(incarnation, below) {
+				return nil
+			}
+			if err := store.Delete(ctx, kind, item.Name, 0); err != nil && !errors.Is(err, platform.ErrNotFound) {
+				return err
+			}
+		}
+		if !page.More || len(page.Items) == 0 {
+			return nil
+		}
 	}
-	list, err := reader.Add(s)
-	return list, errors.Wrapf(err, "object %s", item.Name)
 }
+
+// deletePage bounds the objects that one list for deletion reads.
+const deletePage = 50
--- a/daemon/owner/loop.go
+++ b/daemon/owner/loop.go
@@ -217,8 +217,7 @@
 		return
 	}
 	err = errors.Wrap(err, "store journal segment")
-	doErr := l.Do(ctx, func(_ time.Time, o *program.Owner) {
-		w := o.Journal()
+	l.report(ctx, func(w *journal.Writer) {
 		if err != nil {
 			l.noteFailure(err)
 			w.Failed()
@@ -228,23 +227,35 @@
 		w.Succeeded(elapsed)
 		l.notifyWaiters(w.Durable())
 	})
-	if doErr != nil {
-		l.log.Warn("journal result not recorded", "error", doErr)
+}
+
+// reportRetryInterval is the pause before a result is reported again to a loop whose queue is full.
+const reportRetryInterval = 5 * time.Millisecond
+
+// report tells the writer the result of a create. The writer cuts no further segment before it has the result.
+func (l *Loop) report(ctx context.Context, f func(*journal.Writer)) {
+	for ctx.Err() == nil {
+		err := l.Do(ctx, func(_ time.Time, o *program.Owner) { f(o.Journal()) })
+		if err == nil || errkind.Is(err, errkind.NotOwner) {
+			return
+		}
+		l.sleep(ctx, time.Now().Add(reportRetryInterval))
 	}
 }
 
 // resolveConflict decides whether the object in the slot is the writer's own, stored by a create whose answer was lost.
 func (l *Loop) resolveConflict(ctx context.Context, c *platform.ConflictError, elapsed time.Duration) {
 	if c.Current == nil {
+		l.report(ctx, func(w *journal.Writer) { w.Failed() })
 		return
 	}
 	stored, err := DecodeSegment(c.Current.Value)
 	if err != nil {
 		l.log.Error("object in the journal slot cannot be read", "error", err)
 	}
-	doErr := l.Do(ctx, func(_ time.Time, o *program.Owner) {
-		w := o.Journal()
+	l.report(ctx, func(w *journal.Writer) {
 		if w.Conflict(stored, elapsed) {
+			l.noteSuccess()
 			l.notifyWaiters(w.Durable())
 			return
 		}
@@ -252,9 +263,6 @@
 		l.failWaiters(errkind.New(errkind.NotOwner, ""))
 		l.closeFenced()
 	})
-	if doErr != nil {
-		l.log.Warn("journal result not recorded", "error", doErr)
-	}
 }
 
 func (l *Loop) closeFenced() {
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -31,6 +31,8 @@
 	PathSuspect       = "/peer/v1/suspect"
 	PathHandover      = "/peer/v1/handover"
 	PathReclaim       = "/peer/v1/reclaim"
+	PathGone          = "/peer/v1/programs/gone"
+	PathDrain         = "/peer/v1/engines/drain"
 	PathReleaseCaches = "/peer/v1/caches/release"
 	PathCheckpoint    = "/peer/v1/checkpoint"
 	PathRecords       = "/peer/v1/records"
@@ -72,12 +74,10 @@
 	Released []int `json:"released"`
 }
 
-// Checkpointed tells the coordinator that a checkpoint of a shard is stored.
-type Checkpointed struct {
-	Shard      int    `json:"shard"`
-	Owner      string `json:"owner"`
-	Checkpoint string `json:"checkpoint"`
-	Epoch      uint64 `json:"epoch"`
+// Checkpoints tells the coordinator which checkpoints an owner has stored.
+type Checkpoints struct {
+	Owner  string                  `json:"owner"`
+	Shards []membership.Checkpoint `json:"shards"`
 }
 
 // MemberState is what a member reports to its coordinator for the status.
@@ -92,6 +92,19 @@
 	JournalFailing bool `json:"journal_failing,omitempty"`
 }
 
+// Gone lists program ids: in a request those to look up, in an answer those that do not run any more.
+type Gone struct {
+	Programs []string `json:"programs"`
+}
+
+// Drain stops new calls of a model to an engine for a while.
+type Drain struct {
+	Group  string    `json:"group"`
+	Engine string    `json:"engine"`
+	Model  string    `json:"model"`
+	Until  time.Time `json:"until"`
+}
+
 // ReleaseCaches names programs that ended.
 type ReleaseCaches struct {
 	Programs []string `json:"programs"`
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -37,6 +37,7 @@
 	PlatformTimeout time.Duration `help:"Time limit of one platform call." default:"2s" env:"JACKDAWBAY_PLATFORM_TIMEOUT"`
 	PlatformWrites  float64       `help:"Platform writes a second that this daemon may make." default:"50" env:"JACKDAWBAY_PLATFORM_WRITES"`
 	PlatformReads   float64       `help:"Platform reads a second that this daemon may make." default:"200" env:"JACKDAWBAY_PLATFORM_READS"`
+	FleetWrites     float64       `help:"Writes a second that the platform takes from all daemons together." default:"300" env:"JACKDAWBAY_FLEET_WRITES"`
 	MaxPrograms     int           `help:"Programs that this daemon holds at most." default:"20000" env:"JACKDAWBAY_MAX_PROGRAMS"`
 	MaxCalls        int           `help:"Calls under way at most." default:"2000" env:"JACKDAWBAY_MAX_CALLS"`
 	MaxBodyBytes    int64         `help:"Largest request body in bytes." default:"16777216" env:"JACKDAWBAY_MAX_BODY_BYTES"`
@@ -74,6 +75,7 @@
 		PlatformTimeout: c.duration("platform-timeout", f.PlatformTimeout, 10*time.Millisecond, time.Minute),
 		PlatformWrites:  c.rate("platform-writes", f.PlatformWrites),
 		PlatformReads:   c.rate("platform-reads", f.PlatformReads),
+		FleetWrites:     c.rate("fleet-writes", f.FleetWrites),
 		MaxPrograms:     c.number("max-programs", f.MaxPrograms, 1, 10_000_000),
 		Ingress:         ingress.DefaultConfig(),
 		Journal:         journal.DefaultWriterConfig(),
