Refuse numbers that YAML 1.1 reads as octal, and bound line faults

The YAML library reads 010 as 8. The decoder now refuses whole numbers that are not in decimal digits, with path and line. Validation of a directory leaves out contradictions about absent records when a file cannot be read, because they blame correct records.

--- a/api/records/decode_test.go
+++ b/api/records/decode_test.go
@@ -80,6 +80,9 @@
 		{"wrong type", limit("v2", "  maxTurns: many\n"), records.ReasonWrongType, "spec.maxTurns", `"many"`, "whole number"},
 		{"null", limit("v2", "  maxTurns:\n"), records.ReasonWrongType, "spec.maxTurns", "null", "whole number"},
 		{"fraction", limit("v2", "  maxTurns: 1.5\n"), records.ReasonWrongType, "spec.maxTurns", "1.5", "whole number"},
+		{"octal number", limit("v2", "  maxTurns: 010 # ten\n"), records.ReasonWrongFormat, "spec.maxTurns", "010", "decimal digits"},
+		{"number with an underscore", limit("v2", "  maxTurns: 1_0\n"), records.ReasonWrongFormat, "spec.maxTurns", "1_0", "decimal digits"},
+		{"octal number in braces", limit("v2", "  retry: {maxAttempts: 010}\n"), records.ReasonWrongFormat, "spec.retry", "010", "decimal digits"},
 		{"below the bound", limit("v2", "  maxTurns: 0\n"), records.ReasonOutOfBounds, "spec.maxTurns", "0", "from 1"},
 		{"above the bound", limit("v2", "  retry: {ratio: 11}\n"), records.ReasonOutOfBounds, "spec.retry.ratio", "11", "to 10"},
 		{"repeated YAML key", limit("v2", "  retry:\n    ratio: 1\n    ratio: 2\n"), records.ReasonDuplicateKey, "spec.retry.ratio", "", "once"},
@@ -112,6 +115,25 @@
 	}
 }
 
+// Guards against text that looks like an octal number being refused.
+func TestDecodeAcceptsQuotedDigits(t *testing.T) {
+	doc := "apiVersion: jackdawbay/v1\nkind: Resolution\nmetadata: {name: 0b2}\nspec:\n" +
+		"  program: a.01ARZ3NDEKTSV4RRFFQ69G5FAV\n  callKey: \"010\"\n  outcome: ran # see: 010\n  reason: order, no-01, 010\n"
+	list, err := records.Decode([]byte(doc))
+	must.NoError(t, err)
+	must.Eq(t, "010", list[0].Resolution.CallKey)
+}
+
+// Guards against a large file with a fault in each line that keeps the decoder busy for minutes.
+func TestDecodeBoundsFaultsOfLines(t *testing.T) {
+	for _, line := range []string{"a: 1\n", "- 010\n", "- {a: 010, b: 010}\n"} {
+		_, err := records.Decode([]byte(strings.Repeat(line, 100_000/len(line))))
+		var faults records.Faults
+		must.True(t, errors.As(err, &faults))
+		must.Between(t, 100, len(faults), 110)
+	}
+}
+
 // Guards against a decoder that stops at the first fault and makes an operator correct a file in many rounds.
 func TestDecodeReportsAllFaults(t *testing.T) {
 	doc := limit("v2", "  maxTurns: 0\n  maxTurns: 0\n  colour: red\n  callTimeout: 3\n") + "---\n" + routeV1 + "---\nkind: Car\n"
--- a/api/records/page.go
+++ b/api/records/page.go
@@ -78,7 +78,8 @@
 ` + "```" + `
 
 The decoder refuses unknown fields, repeated fields, wrong types, wrong units and values that are not allowed. It reports
-all faults at once. In the paths, ` + "`[]`" + ` is an item of a list and ` + "`{}`" + ` is an entry of a map.
+all faults at once; of repeated fields and of numbers that are not in decimal digits (such as 010), it reports the first
+100 of each document. In the paths, ` + "`[]`" + ` is an item of a list and ` + "`{}`" + ` is an entry of a map.
 
 In version jackdawbay/v1, durations are numbers of seconds. In version jackdawbay/v2, they are text with a unit. Both have
 a resolution of 1 ms.
--- a/api/records/tree.go
+++ b/api/records/tree.go
@@ -15,6 +15,10 @@
 // MaxDocumentBytes bounds one document. It is the largest value that the platform stores.
 const MaxDocumentBytes = 1_000_000
 
+// maxLineFaults bounds the faults of one document whose paths are found from its lines, because each takes time in
+// proportion to the document.
+const maxLineFaults = 100
+
 // maxDepth bounds the nesting of a document. The deepest field of the schema has depth 5.
 const maxDepth = 32
 
@@ -176,13 +180,14 @@
 	if json.Valid(data) {
 		return parseJSON(data)
 	}
-	var faults Faults
+	lines := strings.Split(string(data), "\n")
+	faults := numberFaults(lines, firstLine)
 	converted, err := yaml.YAMLToJSONStrict(data)
 	if err != nil {
-		faults = yamlFaults(err, data, firstLine)
+		faults = append(faults, yamlFaults(err, lines, firstLine)...)
 		// A repeated key is one fault; the lenient parser lets the other faults be found as well.
 		if converted, err = yaml.YAMLToJSON(data); err != nil {
-			return nil, yamlFaults(err, data, firstLine)
+			return nil, yamlFaults(err, lines, firstLine)
 		}
 	}
 	n, more := parseJSON(converted)
@@ -196,15 +201,15 @@
 
 // yamlFaults turns an error of the YAML library into faults. Text of the document is not repeated, because it can hold
 // a key that an operator wrote in the wrong place.
-func yamlFaults(err error, data []byte, firstLine int) Faults {
+func yamlFaults(err error, lines []string, firstLine int) Faults {
 	var faults Faults
-	for _, m := range duplicateLine.FindAllStringSubmatch(err.Error(), -1) {
+	for _, m := range duplicateLine.FindAllStringSubmatch(err.Error(), maxLineFaults) {
 		line, _ := strconv.Atoi(m[1])
 		key, e := strconv.Unquote(m[2])
 		if e != nil {
 			key = m[2]
 		}
-		faults = append(faults, duplicateKey(pathAtLine(data, line, key), fmt.Sprintf(" (line %d)", firstLine+line)))
+		faults = append(faults, duplicateKey(pathAtLine(lines, line, key), fmt.Sprintf(" (line %d)", firstLine+line)))
 	}
 	if len(faults) > 0 {
 		return faults
@@ -217,9 +222,39 @@
 	return Faults{{Reason: ReasonSyntaxError, Message: message}}
 }
 
+// YAML 1.1 reads 010 as 8, 0x10 as 16 and 1_0 as 10.
+var (
+	quotedOrComment = regexp.MustCompile(`"[^"]*"|'[^']*'|(^|\s)#.*`)
+	flowStart       = regexp.MustCompile(`(?:^|: +|- +)[\[{]`)
+	oddNumber       = regexp.MustCompile(`(?:^ *- +|: +)([-+]?(?:0[0-9_]+|0[xX][0-9a-fA-F_]+|0[oO][0-7_]+|0[bB][01_]+|[0-9]+_[0-9_.]*)) *$`)
+	oddFlowNumber   = regexp.MustCompile(`(?:: +|[,\[{] *)([-+]?(?:0[0-9_]+|0[xX][0-9a-fA-F_]+|0[oO][0-7_]+|0[bB][01_]+|[0-9]+_[0-9_.]*)) *(?:[,\]}]|$)`)
+)
+
+// numberFaults reports whole numbers that are not written in decimal digits. The YAML library converts them, so the value
+// would differ from what the file shows to a reader.
+func numberFaults(lines []string, firstLine int) Faults {
+	var faults Faults
+	for i, line := range lines {
+		if len(faults) == maxLineFaults {
+			break
+		}
+		line = strings.TrimRight(quotedOrComment.ReplaceAllString(line, ""), " \r")
+		odd := oddNumber
+		if flowStart.MatchString(line) {
+			odd = oddFlowNumber
+		}
+		for _, m := range odd.FindAllStringSubmatch(line, maxLineFaults-len(faults)) {
+			key, _, _ := strings.Cut(strings.TrimLeft(line, " -"), ":")
+			faults = append(faults, Fault{Reason: ReasonWrongFormat, Path: pathAtLine(lines, i+1, key), Value: m[1],
+				Message: fmt.Sprintf("The number is not written in decimal digits (line %d).", firstLine+i+1),
+				Allowed: "decimal digits without a leading zero, a prefix and an underscore; or text in quotes"})
+		}
+	}
+	return faults
+}
+
 // pathAtLine returns the path of a key in block style YAML from the indentation of the lines above it.
-func pathAtLine(data []byte, line int, key string) string {
-	lines := strings.Split(string(data), "\n")
+func pathAtLine(lines []string, line int, key string) string {
 	if line < 1 || line > len(lines) {
 		return key
 	}
--- a/cli/command/apply_test.go
+++ b/cli/command/apply_test.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// Guards against a list of faults that blames correct records because another file cannot be read.
+func TestFaultsOfOtherFilesAreLeftOut(t *testing.T) {
+	service := "apiVersion: jackdawbay/v2\nkind: Upstream\nmetadata: {name: s}\nspec: {type: service, dataCentre: a, address: \"10.0.0.1:1\", group: g}\n"
+	code, _, errs := run(t, "validate", directory(t, map[string]string{"a.yaml": dataCentre("a", "Falls"), "b.yaml": service}))
+	must.Eq(t, command.ExitFault, code)
+	must.StrContains(t, errs, "WrongFormat")
+	must.StrContains(t, errs, "EngineFieldOnService")
+	must.StrNotContains(t, errs, "UnknownDataCentre")
+}
+
 // Guards against deletions without the flag, and against a deleted record that reverts because its generation falls.
 func TestPruneKeepsTombstone(t *testing.T) {
 	f := newFake(t)
--- a/cli/command/directory.go
+++ b/cli/command/directory.go
@@ -5,11 +5,19 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"jackdawbay.dev/api/records"
 )
 
+// absenceReasons are contradictions because another record is absent. They are left out when a file has a fault, because
+// the record can be one that could not be read.
+var absenceReasons = []records.Reason{
+	records.ReasonUnknownDataCentre, records.ReasonUnknownGroup, records.ReasonUnknownTenant, records.ReasonUnknownProgram,
+	records.ReasonGroupWithoutEngine, records.ReasonTooManyReplicas,
+}
+
 // loadDirectory reads all records in a directory and below it, and returns all faults of the files and all
 // contradictions between the records.
 func loadDirectory(dir string) ([]records.Record, error) {
@@ -24,8 +32,11 @@
 	if len(l.faults) == 0 && len(l.list) == 0 {
 		return nil, fail(ExitFault, ReasonEmptyDirectory, "The directory %s has no records.", dir)
 	}
-	contradictions := records.Validate(records.NewSet(l.list))
-	for _, f := range contradictions {
+	damaged := len(l.faults) > 0
+	for _, f := range records.Validate(records.NewSet(l.list)) {
+		if damaged && slices.Contains(absenceReasons, f.Reason) {
+			continue
+		}
 		f.File = l.files[f.Record]
 		l.faults = append(l.faults, f)
 	}
