--- a/core/membership/plan.go
+++ b/core/membership/plan.go
@@ -1,5 +1,7 @@
 package membership
 
+import "slices"
+
 // Plan is a change of a roster that a coordinator carries out: first seal the journals in Seals, then ask the owners in
 // Releases to stop serving their shards, then write Roster conditionally. A shard whose owner does not release it is
 // given back with Keep.
@@ -203,3 +205,33 @@
 	}
 	return list
 }
+
+// Repair plans what former changes left behind: shards whose owner is no member are sealed and moved, and shards that
+// their owner did not release in time are moved to the owner that hashing gives them.
+func Repair(r Roster) Plan {
+	p := newPlan(r)
+	sealed := map[string]bool{}
+	for _, s := range r.Shards {
+		if _, ok := r.Member(s.Owner); !ok && s.Owner != "" && !sealed[s.Owner] {
+			sealed[s.Owner] = true
+			p.Seals = append(p.Seals, s.Owner)
+		}
+	}
+	p.rebalance()
+	if p.Unchanged() {
+		return newPlan(r)
+	}
+	return p
+}
+
+// Unchanged reports whether the plan, after its Keeps, changes nothing but the term.
+func (p Plan) Unchanged() bool {
+	return slices.Equal(p.Roster.Members, p.before.Members) &&
+		p.Roster.Coordinator == p.before.Coordinator &&
+		p.Roster.Restores == p.before.Restores &&
+		slices.EqualFunc(p.Roster.Shards, p.before.Shards, sameShard)
+}
+
+func sameShard(a, b Shard) bool {
+	return a.Owner == b.Owner && a.Epoch == b.Epoch && a.Checkpoint == b.Checkpoint && len(a.Chain) == len(b.Chain)
+}
--- a/daemon/cluster/coordinator.go
+++ b/daemon/cluster/coordinator.go
@@ -60,6 +60,9 @@
 		}
 	}
 	a.release(ctx, from.roster, &p)
+	if p.Unchanged() {
+		return nil
+	}
 	p.Roster.WriteID = ulid.Make().String()
 	version, err := a.writeRoster(ctx, p.Roster, from.version)
 	if err != nil {
@@ -345,6 +348,21 @@
 		if ok {
 			a.coordinator.lease.renew(sent)
 		}
+		if ok && beat%repairEvery == 0 {
+			a.repair(ctx)
+		}
+	}
+}
+
+// repairEvery is how many signs of life pass between two looks for shards that are not where they belong.
+const repairEvery = 5
+
+func (a *Agent) repair(ctx context.Context) {
+	if membership.Repair(a.Roster()).Empty() {
+		return
+	}
+	if err := a.change(ctx, membership.Repair, nil); err != nil {
+		a.log.Warn("roster was not repaired", "error", err)
 	}
 }
 
