Choose the data centre of a model call by load, cache and link budget

The ingress knows the load of the home data centre from each grant and asks the others only while the home has a queue. The owner remembers the engine of a program's newest call, so that a new dispatcher finds the cache.

--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -38,7 +38,8 @@
 	Digest        string           `json:"digest"` // Digest before the call.
 	Durable       uint64           `json:"durable"`
 	Parent        string           `json:"parent,omitempty"`
-	Before        Receipt          `json:"before"` // State before the call.
+	Engine        string           `json:"engine,omitempty"` // Engine of the program's newest model call.
+	Before        Receipt          `json:"before"`           // State before the call.
 
 	// AwaitLSN is the journal entry that must be durable before the call is sent. Zero needs none. When it does not get
 	// durable in time, the daemon reports OutcomeNotSent for the attempt.
@@ -292,6 +293,7 @@
 		Digest:        p.digest(),
 		Durable:       p.durableSequence(o.writer.Durable()),
 		Parent:        p.created.Parent,
+		Engine:        p.engine,
 		Before:        p.receipt(),
 		AwaitLSN:      await,
 	}
--- a/core/program/complete.go
+++ b/core/program/complete.go
@@ -26,6 +26,7 @@
 	Call    caller.Call `json:"call"`
 	Outcome Outcome     `json:"outcome"`
 	Turn    caller.Turn `json:"turn"`
+	Engine  string      `json:"engine,omitempty"` // Engine that answered, whose cache holds the program now.
 }
 
 // Complete records the outcome of an attempt. For OutcomeDone it returns the result for the caller. It is idempotent: a
@@ -125,6 +126,9 @@
 	}
 	o.keepTurn(p, c.Turn, digest, lsn)
 	p.inFlight, p.active, p.seen = nil, now, p.spent
+	if c.Engine != "" {
+		p.engine = c.Engine
+	}
 	return o.result(p, c.Turn, false), nil
 }
 
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -54,6 +54,7 @@
 	spent    int64
 	prompt   int64 // Tokens that the history takes in the next prompt, as the engine counted them.
 	inFlight *attempt
+	engine   string // Engine of the newest model call, for placement; not journaled.
 	intents  map[string]*intent
 	resolved map[string]resolution
 	ended    string // Reason, empty while the program runs.
--- a/daemon/dispatch/group.go
+++ b/daemon/dispatch/group.go
@@ -29,7 +29,14 @@
 	set     *records.Set // Records that the dispatcher was last set up with.
 	engines map[string]*engineState
 	waiters map[string]chan schedule.Grant
-	granted map[string]string // Engine by ticket.
+	granted map[string]held // Slots in use by ticket.
+	service time.Duration   // Moving mean of the time that a call holds a slot.
+}
+
+// held is a slot in use.
+type held struct {
+	engine string
+	since  time.Time
 }
 
 // engineState is what is known of one engine.
@@ -51,7 +58,7 @@
 		d:       schedule.NewDispatcher(schedule.Config{Placement: p.records().Placement(name)}),
 		engines: map[string]*engineState{},
 		waiters: map[string]chan schedule.Grant{},
-		granted: map[string]string{},
+		granted: map[string]held{},
 	}
 }
 
@@ -181,6 +188,8 @@
 		SpentTokens:   a.SpentTokens,
 		Deadline:      a.Deadline,
 		Enqueued:      now,
+
+		PreferredEngine: a.Preferred,
 	})
 	if err != nil {
 		return err
@@ -229,7 +238,7 @@
 			continue
 		}
 		delete(g.waiters, grant.Ticket)
-		g.granted[grant.Ticket] = grant.Engine
+		g.granted[grant.Ticket] = held{engine: grant.Engine, since: now}
 		ready <- grant
 	}
 }
@@ -243,11 +252,45 @@
 			e.failures++
 		}
 	}
+	g.observeService(now, r)
 	delete(g.granted, r.Ticket)
 	g.d.Release(now, r.Ticket, r.Usage)
 	g.pump(now)
 }
 
+// serviceWeight is the weight of a new value in the moving mean of service times.
+const serviceWeight = 0.05
+
+func (g *group) observeService(now time.Time, r peer.Release) {
+	slot, ok := g.granted[r.Ticket]
+	if !ok || r.Failed {
+		return
+	}
+	took := now.Sub(slot.since)
+	if g.service == 0 {
+		g.service = took
+	}
+	g.service += time.Duration(serviceWeight * float64(took-g.service))
+}
+
+// load returns the load of the group for the choice of a data centre.
+func (g *group) load() peer.GroupLoad {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := peer.GroupLoad{
+		DataCentre:    g.pool.cfg.DataCentre,
+		Running:       len(g.granted),
+		Waiting:       g.d.Waiting(),
+		ServiceMillis: g.service.Milliseconds(),
+	}
+	for _, e := range g.engines {
+		if !e.spec.Leaving {
+			l.Slots += e.spec.Slots
+		}
+	}
+	return l
+}
+
 func (g *group) tick(now time.Time) {
 	g.refresh()
 	g.mu.Lock()
@@ -268,13 +311,13 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for ticket, engine := range g.granted {
+	for ticket, slot := range g.granted {
 		if ingressOf(ticket) != incarnation {
 			continue
 		}
 		delete(g.granted, ticket)
 		g.d.Release(now, ticket, caller.Usage{})
-		if e, ok := g.engines[engine]; ok {
+		if e, ok := g.engines[slot.engine]; ok {
 			go g.cancel(e.address, attemptOf(ticket))
 		}
 	}
--- a/daemon/dispatch/pool.go
+++ b/daemon/dispatch/pool.go
@@ -106,7 +106,14 @@
 		g.release(peer.Release{Ticket: a.Ticket})
 		return peer.Slot{}, errkind.New(errkind.UpstreamUnavailable, "The engine's record was deleted.")
 	}
-	return peer.Slot{Engine: grant.Engine, Address: u.Address, Expires: grant.Expires}, nil
+	return peer.Slot{Engine: grant.Engine, Address: u.Address, Expires: grant.Expires, Load: g.load()}, nil
+}
+
+// Load returns the load of an engine group in this data centre.
+func (p *Pool) Load(group string) peer.GroupLoad {
+	g := p.group(group)
+	g.refresh()
+	return g.load()
 }
 
 // Release gives a slot back.
--- a/daemon/ingress/calls.go
+++ b/daemon/ingress/calls.go
@@ -84,6 +84,14 @@
 	return c, nil
 }
 
+// attempts returns how often the call may be tried: as its class says, within the bound of the daemon.
+func (c *call) attempts(bound int) int {
+	if c.limit.MaxAttempts > 0 {
+		return min(c.limit.MaxAttempts, bound)
+	}
+	return bound
+}
+
 // findService finds the record of the service. What no route names is not repeatable.
 func (c *call) findService(set *records.Set) error {
 	u, ok := set.Upstream(c.body.Service.Upstream)
@@ -120,11 +128,19 @@
 	a, err := s.owners.Admit(ctx, req)
 	if err == nil {
 		c.class = a.Class
+		c.limit = s.records().Limit(classOf(a.Class))
 		s.metrics.admitted(c.tenant, c.class, time.Since(c.started))
 	}
 	return a, err
 }
 
+func classOf(class string) string {
+	if class == "" {
+		return records.DefaultClass
+	}
+	return class
+}
+
 func (c *call) completion(attempt string, outcome program.Outcome) program.Completion {
 	return program.Completion{
 		Tenant:  c.tenant,
@@ -172,18 +188,18 @@
 // runService makes a service call. An idempotent one is tried again within the retry budget; each try is an attempt of
 // its own.
 func (s *Server) runService(ctx context.Context, c *call) (*caller.Result, error) {
-	budget := s.retries.of("service/"+c.body.Service.Upstream, c.limit.RetryRatio)
-	budget.First(time.Now())
+	budget := "service/" + c.body.Service.Upstream
+	s.retries.first(budget, c.limit.RetryRatio)
 	for try := 1; ; try++ {
 		result, err := s.tryService(ctx, c)
 		if err == nil {
 			return result, nil
 		}
 		retryable := c.idempotent || c.service.HonoursIdempotencyKeys
-		if !retryable || !transient(err) || try >= s.cfg.RetryAttempts || ctx.Err() != nil {
+		if !retryable || !transient(err) || try >= c.attempts(s.cfg.RetryAttempts) || ctx.Err() != nil {
 			return nil, err
 		}
-		if !budget.Retry(time.Now()) {
+		if !s.retries.retry(budget) {
 			return nil, errkind.Wrap(errkind.RetryBudgetExhausted, err, "")
 		}
 	}
--- a/daemon/ingress/model.go
+++ b/daemon/ingress/model.go
@@ -48,8 +48,8 @@
 // runModel makes a model call. After a failure before any text it tries another engine within the retry budget. Each try
 // is an attempt of its own, so that its worst case is charged.
 func (s *Server) runModel(ctx context.Context, c *call, st *liveStream) (*caller.Result, error) {
-	budget := s.retries.of("engines", c.limit.RetryRatio)
-	budget.First(time.Now())
+	const budget = "engines"
+	s.retries.first(budget, c.limit.RetryRatio)
 	var failed []string
 	for try := 1; ; try++ {
 		result, engine, err := s.tryModel(ctx, c, st, failed)
@@ -57,11 +57,11 @@
 			return result, nil
 		}
 		failed = append(failed, engine)
-		again := engine != "" && transient(err) && st.length() == 0 && try < s.cfg.RetryAttempts && ctx.Err() == nil
+		again := engine != "" && transient(err) && st.length() == 0 && try < c.attempts(s.cfg.RetryAttempts) && ctx.Err() == nil
 		if !again {
 			return nil, err
 		}
-		if !budget.Retry(time.Now()) {
+		if !s.retries.retry(budget) {
 			return nil, errkind.Wrap(errkind.RetryBudgetExhausted, err, "")
 		}
 	}
@@ -143,6 +143,7 @@
 		SpentTokens:   a.SpentTokens,
 		Deadline:      c.deadline,
 		Exclude:       failed,
+		Preferred:     a.Engine,
 	}
 }
 
@@ -232,6 +233,7 @@
 		Message:  &answer.Message,
 		Usage:    answer.Usage,
 	}
+	done.Engine = engine
 	result, err := s.finish(c, done, a)
 	if err != nil {
 		return nil, err
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -65,6 +65,7 @@
 	ingress *ingress.Server
 	metrics *metrics.Set
 	slots   *heldSlots
+	sites   *siteTable
 	grants  *grants.Keeper
 
 	caller, peer, ops *http.Server
@@ -77,7 +78,7 @@
 func New(set Settings, log *slog.Logger) (*Node, error) {
 	log = log.With("vm", set.VM, "data_centre", set.DataCentre)
 	options := transport.Options{SourceAddress: set.SourceAddress, DialTimeout: dialTimeout}
-	n := &Node{set: set, log: log, metrics: metrics.NewSet(), slots: newHeldSlots()}
+	n := &Node{set: set, log: log, metrics: metrics.NewSet(), slots: newHeldSlots(), sites: newSiteTable()}
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
--- a/daemon/node/peerhttp.go
+++ b/daemon/node/peerhttp.go
@@ -86,6 +86,9 @@
 		return r.completeLocal(ctx, n.agent.Loop(), c)
 	}))
 	post(peer.PathAcquire, handle(n.pool.Acquire))
+	post(peer.PathLoad, handle(func(_ context.Context, g peer.GroupRef) (any, error) {
+		return n.pool.Load(g.Group), nil
+	}))
 	post(peer.PathRelease, handle(func(_ context.Context, rel peer.Release) (any, error) {
 		n.pool.Release(rel)
 		return none{}, nil
--- /dev/null
+++ b/daemon/node/sites.go
@@ -0,0 +1,158 @@
+package node
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"jackdawbay.dev/api/records"
+	"jackdawbay.dev/core/schedule"
+	"jackdawbay.dev/daemon/peer"
+)
+
+const (
+	// loadMaxAge is the age from which the load of another data centre is read again while the home data centre has a
+	// queue. Without a queue the choice does not depend on it, so that no message is sent.
+	loadMaxAge = time.Second
+
+	// sameRegionRoundTrip and otherRegionRoundTrip are network times between data centres, twice the one-way times on the
+	// design page.
+	sameRegionRoundTrip  = 3 * time.Millisecond
+	otherRegionRoundTrip = 24 * time.Millisecond
+)
+
+type siteKey struct{ group, dataCentre string }
+
+type observedLoad struct {
+	load  peer.GroupLoad
+	at    time.Time
+	asked time.Time
+}
+
+// siteTable holds the lagging load of engine groups in all data centres, and the byte budgets of the link between regions.
+// Its size is bounded by the groups and data centres of the records.
+type siteTable struct {
+	mu    sync.Mutex
+	loads map[siteKey]observedLoad
+	links map[string]*schedule.LinkBudget // By engine group.
+}
+
+func newSiteTable() *siteTable {
+	return &siteTable{loads: map[siteKey]observedLoad{}, links: map[string]*schedule.LinkBudget{}}
+}
+
+func (t *siteTable) observe(group string, l peer.GroupLoad) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := siteKey{group, l.DataCentre}
+	known := t.loads[key]
+	known.load, known.at = l, time.Now()
+	t.loads[key] = known
+}
+
+// stale reports whether a load should be read again, and notes that it is.
+func (t *siteTable) stale(group, dataCentre string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	key := siteKey{group, dataCentre}
+	known := t.loads[key]
+	now := time.Now()
+	if now.Sub(known.at) < loadMaxAge || now.Sub(known.asked) < loadMaxAge {
+		return false
+	}
+	known.asked = now
+	t.loads[key] = known
+	return true
+}
+
+// list returns the data centres with engines of a group by distance from the home data centre. holder is the data centre
+// whose engine holds the program's history.
+func (t *siteTable) list(set *records.Set, a peer.Acquire, home, holder string) []schedule.SiteLoad {
+	slots := map[string]int{}
+	for _, name := range set.Engines(a.Group) {
+		if u, ok := set.Upstream(name); ok && !u.Leaving {
+			slots[u.DataCentre] += max(u.Slots, 1)
+		}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	list := make([]schedule.SiteLoad, 0, len(slots))
+	for dc, n := range slots {
+		s := schedule.SiteLoad{DataCentre: dc, Slots: n, Home: dc == home, OtherRegion: set.Region(dc) != set.Region(home)}
+		if dc == holder {
+			s.CachedTokens = a.HistoryTokens
+		}
+		s.RoundTrip = roundTrip(s)
+		if known, ok := t.loads[siteKey{a.Group, dc}]; ok {
+			s.Running, s.Waiting = known.load.Running, known.load.Waiting
+			s.Service = time.Duration(known.load.ServiceMillis) * time.Millisecond
+		}
+		list = append(list, s)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].RoundTrip != list[j].RoundTrip {
+			return list[i].RoundTrip < list[j].RoundTrip
+		}
+		return list[i].DataCentre < list[j].DataCentre
+	})
+	return list
+}
+
+func roundTrip(s schedule.SiteLoad) time.Duration {
+	switch {
+	case s.Home:
+		return 0
+	case s.OtherRegion:
+		return otherRegionRoundTrip
+	default:
+		return sameRegionRoundTrip
+	}
+}
+
+// bestFirst moves the best data centre to the front.
+func (t *siteTable) bestFirst(set *records.Set, a peer.Acquire, list []schedule.SiteLoad) []schedule.SiteLoad {
+	p := set.Placement(a.Group)
+	weights := schedule.SiteWeights{
+		Latency:                p.LatencyWeight,
+		Cache:                  p.CacheWeight,
+		PrefillTokensPerSecond: schedule.DefaultPrefillTokensPerSecond,
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	best := schedule.ChooseSite(time.Now(), remoteCall(a), list, weights, t.link(p))
+	if best <= 0 {
+		return list
+	}
+	ordered := []schedule.SiteLoad{list[best]}
+	ordered = append(ordered, list[:best]...)
+	return append(ordered, list[best+1:]...)
+}
+
+func remoteCall(a peer.Acquire) schedule.RemoteCall {
+	return schedule.RemoteCall{PromptTokens: a.PromptTokens, HistoryTokens: a.HistoryTokens, OutputTokens: a.MaxTokens}
+}
+
+// link returns the byte budget of an engine group; t.mu is held.
+func (t *siteTable) link(p records.Placement) *schedule.LinkBudget {
+	b, ok := t.links[p.Group]
+	if !ok || int64(b.BytesPerSecond) != p.LinkBytesPerSecond {
+		b = schedule.NewLinkBudget(p.LinkBytesPerSecond)
+		t.links[p.Group] = b
+	}
+	return b
+}
+
+func (t *siteTable) covers(a peer.Acquire) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.links[a.Group]
+	return ok && b.Covers(time.Now(), remoteCall(a).LinkBytes())
+}
+
+func (t *siteTable) spend(a peer.Acquire) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if b, ok := t.links[a.Group]; ok {
+		b.Spend(time.Now(), remoteCall(a).LinkBytes())
+	}
+}
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sort"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,6 +9,7 @@
 	"jackdawbay.dev/api/errkind"
 	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/core/schedule"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/transport"
 )
@@ -17,61 +17,74 @@
 // slotTries bounds how often a slot is asked for again when the dispatcher cannot be reached.
 const slotTries = 3
 
-// Acquire gets an engine slot. The data centre of the program comes first, since the program's cache is there; the others
-// follow by distance when the first has no engine.
+// Acquire gets an engine slot in the best data centre. The others follow by distance when it has no usable engine. A data
+// centre of another region is used only while the byte budget of the link covers the call.
 func (r *router) Acquire(ctx context.Context, a peer.Acquire) (peer.Slot, error) {
-	var err error
-	for _, dataCentre := range r.dataCentres(a) {
+	err := error(errkind.New(errkind.UpstreamUnavailable, "No engine serves the group "+a.Group+"."))
+	for _, s := range r.sites(a) {
+		if s.OtherRegion && !r.node.sites.covers(a) {
+			err = errkind.New(errkind.QueueFull, "The byte budget of the link between regions is used up.").After(time.Second)
+			continue
+		}
 		var slot peer.Slot
-		slot, err = r.acquireIn(ctx, dataCentre, a)
+		slot, err = r.acquireIn(ctx, s.DataCentre, a)
 		if err == nil {
-			r.node.slots.put(a.Ticket, dataCentre)
+			r.granted(a, s, slot)
 			return slot, nil
 		}
 		if !errkind.Is(err, errkind.UpstreamUnavailable) && !errkind.Is(err, errkind.OwnerUnavailable) {
 			return peer.Slot{}, err
 		}
 	}
-	if err == nil {
-		err = errkind.New(errkind.UpstreamUnavailable, "No engine serves the group "+a.Group+".")
-	}
 	return peer.Slot{}, err
 }
 
-// dataCentres lists the data centres with engines of a group: that of the program, then those of its region, then others.
-func (r *router) dataCentres(a peer.Acquire) []string {
+// granted notes a slot for its release and the load that came with it.
+func (r *router) granted(a peer.Acquire, s schedule.SiteLoad, slot peer.Slot) {
+	r.node.slots.put(a.Ticket, s.DataCentre)
+	r.node.sites.observe(a.Group, slot.Load)
+	if s.OtherRegion {
+		r.node.sites.spend(a)
+	}
+}
+
+// sites lists the data centres with engines of a group, the best one first.
+func (r *router) sites(a peer.Acquire) []schedule.SiteLoad {
 	set := r.node.config.Set()
 	home, ok := program.DataCentreOf(a.Program)
 	if !ok {
 		home = r.node.set.DataCentre
 	}
-	found := map[string]bool{}
-	for _, name := range set.Engines(a.Group) {
-		if u, ok := set.Upstream(name); ok && !u.Leaving {
-			found[u.DataCentre] = true
+	holder := home
+	if u, ok := set.Upstream(a.Preferred); ok {
+		holder = u.DataCentre
+	}
+	list := r.node.sites.list(set, a, home, holder)
+	for _, s := range list {
+		if !s.Home && list[0].Waiting > 0 {
+			r.refreshLoad(a.Group, s.DataCentre)
 		}
 	}
-	list := make([]string, 0, len(found))
-	for dc := range found {
-		list = append(list, dc)
+	return r.node.sites.bestFirst(set, a, list)
+}
+
+// refreshLoad reads the load of a group in another data centre, within a bound on the rate.
+func (r *router) refreshLoad(group, dataCentre string) {
+	if !r.node.sites.stale(group, dataCentre) {
+		return
 	}
-	distance := func(dc string) int {
-		switch {
-		case dc == home:
-			return 0
-		case set.Region(dc) == set.Region(home):
-			return 1
-		default:
-			return 2
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+		defer cancel()
+		m, err := r.dispatcher(ctx, dataCentre, group, false)
+		if err != nil {
+			return
 		}
-	}
-	sort.Slice(list, func(i, j int) bool {
-		if distance(list[i]) != distance(list[j]) {
-			return distance(list[i]) < distance(list[j])
+		var load peer.GroupLoad
+		if err := r.node.peers.Post(ctx, m.PeerAddress, peer.PathLoad, peer.GroupRef{Group: group}, &load); err == nil {
+			r.node.sites.observe(group, load)
 		}
-		return list[i] < list[j]
-	})
-	return list
+	}()
 }
 
 func (r *router) acquireIn(ctx context.Context, dataCentre string, a peer.Acquire) (peer.Slot, error) {
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -45,6 +45,7 @@
 	PathAdmit         = "/peer/v1/calls/admit"
 	PathComplete      = "/peer/v1/calls/complete"
 	PathAcquire       = "/peer/v1/slots/acquire"
+	PathLoad          = "/peer/v1/slots/load"
 	PathRelease       = "/peer/v1/slots/release"
 	PathStream        = "/peer/v1/streams"
 )
@@ -167,7 +168,8 @@
 	MaxTokens     int64     `json:"max_tokens"`
 	SpentTokens   int64     `json:"spent_tokens"`
 	Deadline      time.Time `json:"deadline"`
-	Exclude       []string  `json:"exclude,omitempty"` // Engines that failed for this call.
+	Exclude       []string  `json:"exclude,omitempty"`   // Engines that failed for this call.
+	Preferred     string    `json:"preferred,omitempty"` // Engine of the program's newest call.
 }
 
 // Slot is a granted engine slot.
@@ -175,6 +177,21 @@
 	Engine  string    `json:"engine"`
 	Address string    `json:"address"`
 	Expires time.Time `json:"expires"`
+	Load    GroupLoad `json:"load"` // Load of the engine group when the slot was granted.
+}
+
+// GroupLoad is the load of an engine group in one data centre.
+type GroupLoad struct {
+	DataCentre    string `json:"data_centre"`
+	Slots         int    `json:"slots"`
+	Running       int    `json:"running"`
+	Waiting       int    `json:"waiting"`
+	ServiceMillis int64  `json:"service_ms"` // Mean time that a call holds a slot.
+}
+
+// GroupRef names an engine group.
+type GroupRef struct {
+	Group string `json:"group"`
 }
 
 // Release gives a slot back.
