Replace a coordinator also after a restore, and admit an unanswered attempt again

After a restore of the platform with a dead coordinator, the deputy read an older roster with another coordinator and gave up. It now writes the newer roster in memory over it. An attempt that asks a successor again has not been sent, so its recorded intent no longer turns into an unknown outcome.

--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -105,10 +105,11 @@
 	return o.chargeToAwait(p)
 }
 
-// resendable reports whether a call with an unknown outcome can be sent again, because its upstream runs a repeated
-// idempotency key once.
+// resendable reports whether a call with an unknown outcome can be sent: because its upstream runs a repeated idempotency
+// key once, or because the same attempt asks again. An ingress asks again only while it has no answer, and it does not
+// send before it has one, so that attempt has not been sent.
 func (in *intent) resendable(req AdmitRequest, hash string) bool {
-	return req.KeyHonoured && in.unknown && in.RequestHash == hash
+	return in.unknown && in.RequestHash == hash && (req.KeyHonoured || in.Attempt == req.Attempt)
 }
 
 // repeated answers a call that has finished, or refuses a call key with another body.
--- a/daemon/cluster/coordinator.go
+++ b/daemon/cluster/coordinator.go
@@ -86,18 +86,13 @@
 	if b.version != 0 {
 		return b, nil
 	}
-	r, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
+	r, version, err := a.newestRoster(ctx)
 	if err != nil {
 		return nil, err
 	}
-	a.OfferRoster(r, version)
 	if !a.IsCoordinator() {
 		return nil, errkind.New(errkind.NotOwner, "This daemon is not the coordinator.")
 	}
-	if r.Term < b.roster.Term {
-		// The platform was restored from an old backup; the newer roster in memory replaces it.
-		return &basis{roster: b.roster, version: version}, nil
-	}
 	return &basis{roster: r, version: version}, nil
 }
 
--- a/daemon/cluster/join.go
+++ b/daemon/cluster/join.go
@@ -29,6 +29,20 @@
 	return r, obj.Version, nil
 }
 
+// newestRoster reads the roster of the own data centre with its platform version. When the platform was restored from an
+// old backup, the newer roster in memory is returned, to be written over the old one.
+func (a *Agent) newestRoster(ctx context.Context) (membership.Roster, uint64, error) {
+	r, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
+	if err != nil {
+		return r, 0, err
+	}
+	a.OfferRoster(r, version)
+	if known := a.Roster(); known.Term > r.Term {
+		return known, version, nil
+	}
+	return r, version, nil
+}
+
 func (a *Agent) refreshFromPlatform(ctx context.Context) {
 	r, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
 	if err != nil {
@@ -40,12 +54,11 @@
 
 // join asks the coordinator to enter this daemon into the roster. When there is no coordinator, it becomes one.
 func (a *Agent) join(ctx context.Context) {
-	r, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
+	r, version, err := a.newestRoster(ctx)
 	if err != nil {
 		a.log.Warn("cannot join: roster cannot be read", "error", err)
 		return
 	}
-	a.OfferRoster(r, version)
 	self := a.Self()
 	if !a.reachable(ctx) {
 		return
--- a/daemon/cluster/probes.go
+++ b/daemon/cluster/probes.go
@@ -108,9 +108,8 @@
 	if !a.coordinatorDead(ctx, coordinator) {
 		return
 	}
-	fresh, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
+	fresh, version, err := a.newestRoster(ctx)
 	if err != nil || fresh.Coordinator != coordinator.Incarnation {
-		a.OfferRoster(fresh, version)
 		return
 	}
 	a.takeOver(ctx, fresh, version, a.Self())
