--- a/core/journal/entry.go
+++ b/core/journal/entry.go
@@ -56,10 +56,11 @@
 }
 
 // Window tells what the receipt of a window showed: the epoch of the first owner whose attempts may be missing from it,
-// and the tokens spent.
+// and the tokens spent. Replace states that the turn takes the place of the last one.
 type Window struct {
-	Base uint64 `json:"base"`
-	Seen int64  `json:"seen"`
+	Base    uint64 `json:"base"`
+	Seen    int64  `json:"seen"`
+	Replace bool   `json:"replace,omitempty"`
 }
 
 // Intent announces a non-idempotent call before it is sent. RequestHash identifies the body of the call.
@@ -114,6 +115,7 @@
 	Prompt     int64      `json:"prompt"`
 	Base       uint64     `json:"base"`
 	Seen       int64      `json:"seen"`
+	SeenBefore int64      `json:"seen_before"`
 	Intents    []Intent   `json:"intents,omitempty"`
 	Resolved   []Resolved `json:"resolved,omitempty"`
 	Ended      string     `json:"ended,omitempty"`
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -266,3 +266,9 @@
 
 // Backlog returns the bytes that are not stored yet.
 func (w *Writer) Backlog() int { return w.bytes }
+
+// State describes what the writer holds, for logs and tests.
+func (w *Writer) State() string {
+	return fmt.Sprintf("slot=%d appended=%d durable=%d urgent=%d backlog=%d creating=%t in_flight=%t fenced=%t",
+		w.slot, w.appended, w.durable, w.urgent, w.bytes, w.creating, w.inFlight != nil, w.fenced)
+}
--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -133,7 +133,7 @@
 	if err := o.checkHistory(0); err != nil {
 		return err
 	}
-	if c.Sequence > p.sequence()+1 {
+	if c.Sequence > p.sequence()+1 || o.replacesLast(p, c) {
 		if err := o.extend(p, c); err != nil {
 			return err
 		}
--- a/core/program/checkpoint.go
+++ b/core/program/checkpoint.go
@@ -84,14 +84,15 @@
 
 func (p *state) checkpoint() []journal.Entry {
 	s := &journal.State{
-		Created:  p.created,
-		Turns:    p.sequence(),
-		Spent:    p.spent - p.owed, // The rest is journaled later.
-		Prompt:   p.prompt,
-		Base:     p.base,
-		Seen:     p.seen,
-		Ended:    p.ended,
-		ActiveAt: p.active.UnixMilli(),
+		Created:    p.created,
+		Turns:      p.sequence(),
+		Spent:      p.spent - p.owed, // The rest is journaled later.
+		Prompt:     p.prompt,
+		Base:       p.base,
+		Seen:       p.seen,
+		SeenBefore: p.seenBefore,
+		Ended:      p.ended,
+		ActiveAt:   p.active.UnixMilli(),
 	}
 	for _, t := range p.turns {
 		s.TurnTokens += t.Usage.Total()
@@ -115,16 +116,17 @@
 // load starts a program from a checkpoint; its turns follow.
 func (r *Replay) load(id string, s journal.State) {
 	p := &state{
-		id:      id,
-		shard:   r.shard,
-		created: s.Created,
-		loading: s.Turns,
-		spent:   s.Spent - s.TurnTokens,
-		prompt:  s.Prompt,
-		base:    s.Base,
-		seen:    s.Seen,
-		ended:   s.Ended,
-		active:  time.UnixMilli(s.ActiveAt),
+		id:         id,
+		shard:      r.shard,
+		created:    s.Created,
+		loading:    s.Turns,
+		spent:      s.Spent - s.TurnTokens,
+		prompt:     s.Prompt,
+		base:       s.Base,
+		seen:       s.Seen,
+		seenBefore: s.SeenBefore,
+		ended:      s.Ended,
+		active:     time.UnixMilli(s.ActiveAt),
 	}
 	for _, in := range s.Intents {
 		p.addIntent(&intent{Intent: in, unknown: true})
--- a/core/program/fault_test.go
+++ b/core/program/fault_test.go
@@ -132,6 +132,19 @@
 	})
 }
 
+// TestReplayedIntentIsUnknown guards against an order of a former owner that an operator cannot resolve.
+func TestReplayedIntentIsUnknown(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	c := serviceCall(o, id, "order")
+	admit(t, o, id, c, "a1")
+	next := takeOver(t, o, flush(o), "b")
+	_, err := next.Admit(testStart, request(id, c, "a2"))
+	mustKind(t, err, errkind.OutcomeUnknown, errkind.NotRunUnknown)
+	must.NoError(t, next.Resolve(id, "order", false, "not at the printer"))
+	admit(t, next, id, c, "a3")
+}
+
 // TestThirdAttemptAwaitsCharge guards against more undurable charges than a successor accounts for.
 func TestThirdAttemptAwaitsCharge(t *testing.T) {
 	o, id := openOwner(nil), testID(0)
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -65,9 +65,11 @@
 	// seen is the part of spent that the newest receipt shows. What a receipt of another owner shows beyond it was spent
 	// there and is not known here.
 	seen int64
+	// seenBefore is seen before the last turn.
+	seenBefore int64
 	// owed is the part of spent for which the journal had no room.
 	owed int64
-	// loading is the number of turns that a checkpoint has of the program.
+	// loading is the number of turns of the program in the checkpoint that a replay reads, zero after its end.
 	loading uint64
 	// open is set during a replay when an attempt was in flight at a handover.
 	open bool
@@ -126,6 +128,7 @@
 
 // addTurn appends a finished call and counts its usage.
 func (p *state) addTurn(t caller.Turn, after string) {
+	p.seenBefore = p.seen
 	p.turns = append(p.turns, t)
 	p.digests = append(p.digests, parseDigest(after))
 	p.bytes += turnBytes(t)
@@ -138,6 +141,28 @@
 	p.charges = [2]journal.LSN{}
 }
 
+// replacedReason is the reason of a call whose turn gave way to the turn that the caller got.
+const replacedReason = "The caller continued from the answer of another attempt."
+
+// dropLast makes room for the turn that the caller got instead of the last one. What the dropped turn used stays spent.
+func (p *state) dropLast(nextKey string) {
+	n := len(p.turns) - 1
+	last := p.turns[n]
+	p.turns, p.digests = p.turns[:n:n], p.digests[:n:n]
+	p.bytes -= turnBytes(last)
+	if k := len(p.pending); k > 0 && p.pending[k-1].sequence == last.Sequence {
+		p.pending = p.pending[:k-1]
+	}
+	p.prompt = 0
+	for i := n - 1; i >= 0 && p.prompt == 0; i-- {
+		p.prompt = p.turns[i].Usage.Total()
+	}
+	p.seen = p.seenBefore
+	if last.CallKey != nextKey {
+		p.resolve(last.CallKey, true, replacedReason)
+	}
+}
+
 func (p *state) receipt() Receipt {
 	return Receipt{
 		Program:      p.id,
--- a/core/program/replay.go
+++ b/core/program/replay.go
@@ -82,6 +82,7 @@
 		if p.sequence() != p.loading {
 			return errors.Wrapf(ErrIncomplete, "program %s has %d of %d turns", p.id, p.sequence(), p.loading)
 		}
+		p.loading = 0
 	}
 	r.loading, r.checkpoint = 0, end.ID
 	return nil
@@ -142,6 +143,9 @@
 }
 
 func (p *state) applyTurn(t journal.Turn) error {
+	if t.Window != nil && t.Window.Replace && p.sequence() > 0 {
+		p.dropLast(t.Turn.CallKey)
+	}
 	if t.Turn.Sequence != p.sequence()+1 {
 		return errors.Wrapf(ErrBrokenHistory, "program %s: turn %d follows turn %d", p.id, t.Turn.Sequence, p.sequence())
 	}
@@ -152,11 +156,15 @@
 	if after != t.Digest {
 		return errors.Wrapf(ErrBrokenHistory, "program %s: digest of turn %d differs", p.id, t.Turn.Sequence)
 	}
-	p.addTurn(t.Turn, after)
 	p.active = time.UnixMilli(t.AtMillis)
-	if p.sequence() <= p.loading {
+	if p.sequence() < p.loading {
+		// The checkpoint has the spending after all its turns.
+		seen, before := p.seen, p.seenBefore
+		p.addTurn(t.Turn, after)
+		p.seen, p.seenBefore = seen, before
 		return nil
 	}
+	p.addTurn(t.Turn, after)
 	p.seen = p.spent
 	if t.Window != nil {
 		p.base, p.seen = t.Window.Base, t.Window.Seen
--- a/core/program/window.go
+++ b/core/program/window.go
@@ -63,14 +63,32 @@
 	if err := checkWindow(p.id, c, r, p.sequence()); err != nil {
 		return err
 	}
-	turns, digests, err := chain(p, c)
+	w, err := p.chain(c)
 	if err != nil {
 		return err
 	}
-	if err := o.checkHistory(windowBytes(turns)); err != nil {
+	if err := o.checkHistory(windowBytes(w.turns)); err != nil {
 		return err
 	}
-	return o.keepWindow(p, r, turns, digests)
+	return o.keepWindow(p, r, w)
+}
+
+// replacesLast reports whether the caller got another turn in the place of the last one. It happens when a former owner
+// that does not know that it was replaced runs a repeat of the call. The caller never got the turn that is here, so no
+// call can follow it, and the receipt shows that the caller's turn is genuine.
+func (o *Owner) replacesLast(p *state, c caller.Call) bool {
+	if c.Sequence != p.sequence()+1 || p.sequence() == 0 || c.Digest == p.digest() || c.Receipt == "" {
+		return false
+	}
+	r, err := o.cfg.Signer.Verify(c.Receipt)
+	return err == nil && r.Program == p.id && r.Sequence == p.sequence() && r.Digest == c.Digest
+}
+
+// suffix is the part of a window that a program lacks.
+type suffix struct {
+	turns   []caller.Turn
+	digests []string
+	replace bool // The first turn takes the place of the program's last one.
 }
 
 func windowBytes(turns []caller.Turn) int64 {
@@ -81,18 +99,22 @@
 	return n
 }
 
-func (o *Owner) keepWindow(p *state, r Receipt, turns []caller.Turn, digests []string) error {
-	seen := max(r.SpentTokens, p.seen)
-	window := &journal.Window{Base: r.Base, Seen: seen}
-	entries := make([]journal.Entry, 0, len(turns)+1)
+func (o *Owner) keepWindow(p *state, r Receipt, w suffix) error {
+	known := p.seen
+	if w.replace {
+		known = p.seenBefore
+	}
+	seen := max(r.SpentTokens, known)
+	entries := make([]journal.Entry, 0, len(w.turns)+1)
 	usage := int64(0)
-	for i, t := range turns {
-		entry := &journal.Turn{Turn: t, Digest: digests[i], AtMillis: p.active.UnixMilli(), Window: window}
+	for i, t := range w.turns {
+		window := &journal.Window{Base: r.Base, Seen: seen, Replace: w.replace && i == 0}
+		entry := &journal.Turn{Turn: t, Digest: w.digests[i], AtMillis: p.active.UnixMilli(), Window: window}
 		entries = append(entries, journal.Entry{Turn: entry})
 		usage += t.Usage.Total()
 	}
 	// Attempts that were charged here are not part of the receipt, and the other owner's charges are not known here.
-	charge := max(seen-p.seen-usage, 0)
+	charge := max(seen-known-usage, 0)
 	if p.inFlight != nil {
 		charge += p.inFlight.worstCase
 	}
@@ -106,8 +128,14 @@
 	first := last - journal.LSN(len(entries)) + 1
 	// The receipt of another owner does not cover the lost attempts here, so their charges are kept.
 	charges := p.charges
-	for i, t := range turns {
-		o.keepTurn(p, t, digests[i], first+journal.LSN(i))
+	if w.replace {
+		before := p.bytes
+		p.dropLast(w.turns[0].CallKey)
+		o.historyBytes += p.bytes - before
+	}
+	for i, t := range w.turns {
+		o.keepTurn(p, t, w.digests[i], first+journal.LSN(i))
+		p.seen = seen
 	}
 	p.charges = charges
 	if p.inFlight != nil {
@@ -133,7 +161,7 @@
 	if r.Program != program || r.Sequence+1 != c.Sequence || r.Digest != c.Digest {
 		return errkind.New(errkind.DigestMismatch, "The receipt is not that of the turn before the call.")
 	}
-	if c.Sequence == have+1 {
+	if have == 0 && c.Sequence == 1 {
 		return nil
 	}
 	if len(c.Window) == 0 || c.Window[0].Sequence > have+1 {
@@ -145,28 +173,41 @@
 	return nil
 }
 
-// chain verifies the turns that the owner lacks against the digest of the call.
-func chain(p *state, c caller.Call) ([]caller.Turn, []string, error) {
-	skip := p.sequence() + 1 - c.Window[0].Sequence
+// chain verifies the turns that the owner lacks against the digest of the call. They follow the owner's last turn, or
+// the turn before it.
+func (p *state) chain(c caller.Call) (suffix, error) {
+	w, err := p.chainAfter(p.sequence(), c)
+	if !errkind.Is(err, errkind.DigestMismatch) || p.sequence() == 0 {
+		return w, err
+	}
+	if c.Window[0].Sequence > p.sequence() {
+		return suffix{}, errkind.Newf(errkind.HistoryGap, "The owner has another turn %d.", p.sequence())
+	}
+	w, err = p.chainAfter(p.sequence()-1, c)
+	w.replace = true
+	return w, err
+}
+
+func (p *state) chainAfter(have uint64, c caller.Call) (suffix, error) {
+	skip := have + 1 - c.Window[0].Sequence
 	if skip > uint64(len(c.Window)) {
-		return nil, nil, errkind.New(errkind.InvalidValue, "Field window has turns that do not follow each other.")
-	}
-	turns := c.Window[skip:]
-	digest := p.digest()
-	digests := make([]string, 0, len(turns))
-	for i, t := range turns {
-		if t.Sequence != p.sequence()+1+uint64(i) {
-			return nil, nil, errkind.New(errkind.InvalidValue, "Field window has turns that do not follow each other.")
+		return suffix{}, errkind.New(errkind.InvalidValue, "Field window has turns that do not follow each other.")
+	}
+	w := suffix{turns: c.Window[skip:]}
+	digest := p.digestAt(have)
+	for i, t := range w.turns {
+		if t.Sequence != have+1+uint64(i) {
+			return suffix{}, errkind.New(errkind.InvalidValue, "Field window has turns that do not follow each other.")
 		}
 		next, err := caller.NextDigest(digest, t)
 		if err != nil {
-			return nil, nil, errkind.Wrap(errkind.InvalidValue, err, "Field window has a turn that cannot be encoded.")
+			return suffix{}, errkind.Wrap(errkind.InvalidValue, err, "Field window has a turn that cannot be encoded.")
 		}
 		digest = next
-		digests = append(digests, digest)
+		w.digests = append(w.digests, digest)
 	}
 	if digest != c.Digest {
-		return nil, nil, errkind.New(errkind.DigestMismatch, "The window does not lead to the digest of the call.")
+		return suffix{}, errkind.New(errkind.DigestMismatch, "The window does not lead to the digest of the call.")
 	}
-	return turns, digests, nil
+	return w, nil
 }
