Guard the ratio of a retry budget by its own lock

Cause: retryBudgets.of wrote the ratio under the lock of the map, while First read it under the lock of the budget. Change: of takes the lock of the budget for the write.

--- a/daemon/ingress/retries.go
+++ b/daemon/ingress/retries.go
@@ -66,6 +66,8 @@
 		b = &retryBudget{}
 		r.byName[name] = b
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.ratio = ratio
 	return b
 }
