Let an owner operation that is given up never run

Cause: Loop.Do returned when its context ended while the operation was still queued. The operation ran later and wrote to variables of a caller that was reading them, and could admit a call for which nobody waited. Change: the loop and the caller claim the operation; the one that comes second leaves it alone.

--- a/daemon/owner/loop.go
+++ b/daemon/owner/loop.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -62,10 +63,15 @@
 // Fenced is closed when another daemon has sealed the journal.
 func (l *Loop) Fenced() <-chan struct{} { return l.fenced }
 
-// Do runs f on the loop and waits for it. It refuses with BacklogFull when too many operations wait.
+// Do runs f on the loop and waits for it. It refuses with BacklogFull when too many operations wait. After an error, f
+// has not run and never will, so that it can write to variables of its caller.
 func (l *Loop) Do(ctx context.Context, f func(now time.Time, o *program.Owner)) error {
 	ran := make(chan struct{})
+	var claimed atomic.Bool // By the loop, which runs f, or by the caller, who gives it up.
 	op := func(now time.Time) {
+		if !claimed.CompareAndSwap(false, true) {
+			return
+		}
 		f(now, l.owner)
 		close(ran)
 	}
@@ -76,15 +82,21 @@
 	default:
 		return errkind.New(errkind.BacklogFull, "The owner has too many requests.").After(100 * time.Millisecond)
 	}
+	var err error
 	select {
 	case <-ran:
 		return nil
 	case <-l.done:
-		return errkind.New(errkind.NotOwner, "")
+		err = errkind.New(errkind.NotOwner, "")
 	case <-ctx.Done():
-		// The operation may still run. Every operation can be repeated.
-		return errkind.Wrap(errkind.OwnerUnavailable, ctx.Err(), "")
+		err = errkind.Wrap(errkind.OwnerUnavailable, ctx.Err(), "")
+	}
+	if !claimed.CompareAndSwap(false, true) {
+		// The operation runs now or has run. It does no I/O, so it ends soon.
+		<-ran
+		return nil
 	}
+	return err
 }
 
 // Run serves operations until the context ends.
