Do not take over from oneself after a lost answer

Change: a join that finds itself in the roster ends. Before: scenario lost_response, drop_answer_after_effect at the first write: 'roster changed ... members=0 sealed=1'. After: the daemon serves under term 1 and its first incarnation.

--- a/daemon/cluster/join.go
+++ b/daemon/cluster/join.go
@@ -46,6 +46,10 @@
 		return
 	}
 	a.OfferRoster(r, version)
+	if a.Joined() {
+		// The answer to the write that entered this daemon was lost.
+		return
+	}
 	self := a.Self()
 	if !a.reachable(ctx) {
 		return
