Repeat a seal whose answer was lost

Cause: Seal returned the error of a lost answer, so that the takeover started again from the suspicion. For a coordinator this costs the 2.5 s in which its sign of life must stand still, each time. Change: the same slot is written again, at most 3 times; a seal that was stored is found there.

--- a/daemon/owner/journal.go
+++ b/daemon/owner/journal.go
@@ -22,6 +22,10 @@
 // maxSealRaces bounds how often a seal runs into a segment that the living owner stores at the same time.
 const maxSealRaces = 200
 
+// maxLostSeals bounds how often a seal is repeated whose answer was lost. Without a repeat, a takeover starts again from
+// the suspicion and takes seconds longer.
+const maxLostSeals = 3
+
 // Seal fences an incarnation: it creates the next free slot of its journal with a seal. Sealing a sealed journal again
 // changes nothing.
 func Seal(ctx context.Context, store platform.Store, incarnation, by, reason string) error {
@@ -29,8 +33,9 @@
 	if err != nil || sealed {
 		return err
 	}
+	lost := 0
+	slot++
 	for range maxSealRaces {
-		slot++
 		s := journal.Segment{
 			Incarnation: incarnation,
 			Slot:        slot,
@@ -38,6 +43,11 @@
 			Seal:        &journal.Seal{By: by, Reason: reason},
 		}
 		_, err := store.Put(ctx, platform.KindJournal, journal.SegmentName(incarnation, slot), 0, s)
+		if errors.Is(err, platform.ErrUnknown) && ctx.Err() == nil && lost < maxLostSeals {
+			// The seal may be stored; the repeat then finds it in the slot.
+			lost++
+			continue
+		}
 		conflict, isConflict := platform.AsConflict(err)
 		if !isConflict {
 			return errors.Wrap(err, "seal journal")
@@ -52,6 +62,7 @@
 		if stored.Seal != nil {
 			return nil
 		}
+		slot++
 	}
 	return errors.New("seal journal: the owner writes faster than it can be sealed")
 }
