Add a caller program and a fleet for scenarios

Cause: scenarios could start single processes only; nothing played a caller that repeats calls, and nothing compared what callers were told with what ran. Change: testbed/agent runs seeded or scripted programs through api/client, predicts the engines' text, and writes a report; 'agent check' compares reports with ledgers, histories, budgets and engine caches. The harness command fleet starts an installation behind a relay in one line. Binaries are built with the race detector when the test is, and a reported race fails the script.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -247,3 +247,6 @@
 		return true
 	}
 }
+
+// Program returns a handle to read a program that exists. Calls need the state that Create returns and results update.
+func (c *Client) Program(id string) *Program { return &Program{ID: id, client: c} }
--- a/testbed/fleet/fleet.go
+++ b/testbed/fleet/fleet.go
@@ -24,9 +24,9 @@
 // Keys of the test bed. They protect nothing outside it.
 const (
 	TenantKey   = "tenant-key-of-the-test-bed"
-	platformKey = "platform-key-of-the-test-bed"
-	peerKey     = "peer-key-of-the-test-bed"
-	upstreamKey = "upstream-key-of-the-test-bed"
+	PlatformKey = "platform-key-of-the-test-bed"
+	PeerKey     = "peer-key-of-the-test-bed"
+	UpstreamKey = "upstream-key-of-the-test-bed"
 )
 
 // Names that the records of a fleet use.
@@ -103,7 +103,7 @@
 func (f *Fleet) keyFile(name string) string { return filepath.Join(f.cfg.Folder, name+".key") }
 
 func (f *Fleet) writeKeys(context.Context) error {
-	for name, key := range map[string]string{"platform": platformKey, "peer": peerKey, "upstream": upstreamKey} {
+	for name, key := range map[string]string{"platform": PlatformKey, "peer": PeerKey, "upstream": UpstreamKey} {
 		if err := os.WriteFile(f.keyFile(name), []byte(key+"\n"), 0o600); err != nil {
 			return errors.Wrap(err, "write key")
 		}
@@ -185,8 +185,14 @@
 	return nil
 }
 
-// addRecord decodes a document as an operator would write it, so that it is checked and gets its defaults.
 func (f *Fleet) addRecord(kind records.Kind, name string, spec map[string]any) error {
+	list, err := NewRecord(kind, name, spec)
+	f.Records = append(f.Records, list...)
+	return err
+}
+
+// NewRecord decodes a document as an operator would write it, so that it is checked and gets its defaults.
+func NewRecord(kind records.Kind, name string, spec map[string]any) ([]records.Record, error) {
 	document, err := json.Marshal(map[string]any{
 		"apiVersion": records.V2,
 		"kind":       kind,
@@ -194,14 +200,10 @@
 		"spec":       spec,
 	})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	list, err := records.Decode(document)
-	if err != nil {
-		return errors.Wrapf(err, "record %s %s", kind, name)
-	}
-	f.Records = append(f.Records, list...)
-	return nil
+	return list, errors.Wrapf(err, "record %s %s", kind, name)
 }
 
 func (f *Fleet) writeRecords(ctx context.Context) error {
@@ -237,7 +239,7 @@
 }
 
 func (f *Fleet) platformCall(ctx context.Context, method, path string, body []byte) ([]byte, error) {
-	return call(ctx, method, f.PlatformURL+path, platformKey, body)
+	return call(ctx, method, f.PlatformURL+path, PlatformKey, body)
 }
 
 // call makes one request and returns the body of its answer.
@@ -351,7 +353,7 @@
 
 // Runs returns how often each business key ran at a service.
 func (f *Fleet) Runs(ctx context.Context, service string) (map[string]int, error) {
-	data, err := call(ctx, http.MethodGet, "http://"+f.Services[service].Ready["address"]+"/control/runs", upstreamKey, nil)
+	data, err := call(ctx, http.MethodGet, "http://"+f.Services[service].Ready["address"]+"/control/runs", UpstreamKey, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/testbed/scenario/process.go
+++ b/testbed/scenario/process.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -314,6 +315,10 @@
 			<-p.exited
 		}
 		if output, err := os.ReadFile(p.log); err == nil {
+			if bytes.Contains(output, []byte("WARNING: DATA RACE")) {
+				h.races = append(h.races, name)
+				t.Log(string(output))
+			}
 			lines := strings.Split(strings.TrimSpace(string(output)), "\n")
 			lines = lines[max(0, len(lines)-loggedLines):]
 			t.Log(fmt.Sprintf("[%s, %s]\n%s", name, p.cmd.ProcessState, strings.Join(lines, "\n")))
--- a/testbed/scenario/scenario.go
+++ b/testbed/scenario/scenario.go
@@ -21,6 +21,7 @@
 // Packages of the binaries that scripts can run. They are on the PATH of a script.
 var binaries = []string{
 	"jackdawbay.dev/testbed/cmd/standin",
+	"jackdawbay.dev/testbed/cmd/agent",
 	"jackdawbay.dev/daemon/cmd/jackdawbayd",
 	"jackdawbay.dev/cli/cmd/jackdawbay",
 }
@@ -40,7 +41,11 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	build := exec.Command("go", append([]string{"build", "-o", dir + "/"}, binaries...)...)
+	args := []string{"build", "-o", dir + "/"}
+	if raceDetector {
+		args = append(args, "-race")
+	}
+	build := exec.Command("go", append(args, binaries...)...)
 	if output, err := build.CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "build the binaries: %v\n%s", err, output)
 		return 1
@@ -135,11 +140,18 @@
 		"ports":   (*harness).cmdPorts,
 		"standin": (*harness).cmdStandin,
 		"daemon":  (*harness).cmdDaemon,
+		"fleet":   (*harness).cmdFleet,
+		"start":   (*harness).cmdStart,
+		"agent":   (*harness).cmdAgent,
+		"open":    (*harness).cmdOpen,
+		"finish":  (*harness).cmdFinish,
+		"check":   (*harness).cmdCheck,
 		"kill":    (*harness).cmdKill,
 		"freeze":  (*harness).cmdFreeze,
 		"thaw":    (*harness).cmdThaw,
 		"stop":    (*harness).cmdStop,
 		"cut":     (*harness).cmdCut,
+		"part":    (*harness).cmdPart,
 		"heal":    (*harness).cmdHeal,
 		"outage":  (*harness).cmdOutage,
 		"fault":   (*harness).cmdFault,
@@ -158,6 +170,9 @@
 	processes map[string]*process
 	addresses map[string]string // By name, so that a restart gets the same address.
 	crashed   []string          // Names of processes that ended by themselves.
+	fleet     *fleetState       // Installation of the command fleet.
+	reports   []string          // Reports of the agents.
+	races     []string          // Names of processes whose log shows a data race.
 }
 
 func setup(env *testscript.Env) error {
@@ -165,7 +180,11 @@
 	env.Values[harnessKey{}] = h
 	env.Setenv("PATH", binDir+string(filepath.ListSeparator)+env.Getenv("PATH"))
 	env.Defer(func() {
-		if crashed := h.endAll(env.T()); len(crashed) > 0 {
+		crashed := h.endAll(env.T())
+		if len(h.races) > 0 {
+			env.T().Fatal("processes with a data race: " + strings.Join(h.races, ", "))
+		}
+		if len(crashed) > 0 {
 			env.T().Fatal("processes ended by themselves: " + strings.Join(crashed, ", "))
 		}
 	})
@@ -200,13 +219,15 @@
 	if !ok {
 		return usage("wait cannot repeat the command %q", args[0])
 	}
-	deadline := time.Now().Add(timeout)
+	start := time.Now()
+	deadline := start.Add(timeout)
 	for {
 		err := c(h, ts, args[1:])
 		switch {
 		case errors.Is(err, errUsage):
 			return err
 		case (err != nil) == negated:
+			ts.Logf("waited %d ms of at most %s for: %s", time.Since(start).Milliseconds(), timeout, strings.Join(args, " "))
 			return nil
 		case time.Now().After(deadline):
 			return errors.Newf("not reached within %s: %s: last result: %v", timeout, strings.Join(args, " "), err)
