--- a/daemon/cluster/join.go
+++ b/daemon/cluster/join.go
@@ -59,6 +59,10 @@
 		a.log.Warn("cannot join: roster cannot be read", "error", err)
 		return
 	}
+	if a.Joined() {
+		// The answer to the write that entered this daemon was lost.
+		return
+	}
 	self := a.Self()
 	if !a.reachable(ctx) {
 		return
