Answer unknown paths and methods from the error table

An unknown path was refused as invalid_value with status 400, a wrong method got an empty body from the router, and a path with an empty segment a redirect: all outside the closed list or under the kind of another fault. The new kinds path_not_found (404) and method_not_allowed (405) name them, and the router no longer cleans paths.

--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -42,6 +42,8 @@
 	BadHeader              Kind = "bad_header"
 	BodyTooLarge           Kind = "body_too_large"
 	Unauthenticated        Kind = "unauthenticated"
+	PathNotFound           Kind = "path_not_found"
+	MethodNotAllowed       Kind = "method_not_allowed"
 	ProgramNotFound        Kind = "program_not_found"
 	ProgramEnded           Kind = "program_ended"
 	WrongSequence          Kind = "wrong_sequence"
@@ -96,6 +98,8 @@
 	BadHeader:              {http.StatusBadRequest, NotRunTrue, RetryNever, "A header cannot be parsed."},
 	BodyTooLarge:           {http.StatusRequestEntityTooLarge, NotRunTrue, RetryNever, "The body is larger than allowed."},
 	Unauthenticated:        {http.StatusUnauthorized, NotRunTrue, RetryNever, "The bearer key is missing or unknown."},
+	PathNotFound:           {http.StatusNotFound, NotRunTrue, RetryNever, "The path does not exist."},
+	MethodNotAllowed:       {http.StatusMethodNotAllowed, NotRunTrue, RetryNever, "The path does not have this method."},
 	ProgramNotFound:        {http.StatusNotFound, NotRunTrue, RetryNever, "The program does not exist for this tenant."},
 	ProgramEnded:           {http.StatusGone, NotRunTrue, RetryNever, "The program has ended."},
 	WrongSequence:          {http.StatusConflict, NotRunTrue, RetryReadState, "The sequence is not the next one of the program."},
--- a/daemon/ingress/ingress.go
+++ b/daemon/ingress/ingress.go
@@ -115,7 +115,8 @@
 
 // Handler returns the handler of the caller listener.
 func (s *Server) Handler() http.Handler {
-	r := mux.NewRouter()
+	// A path is not cleaned: the redirect to the clean path would not come from the table of error kinds.
+	r := mux.NewRouter().SkipClean(true)
 	r.HandleFunc("/v1/programs", s.tenant(s.createProgram)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/programs/{id}", s.tenant(s.describeProgram)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/programs/{id}", s.tenant(s.endProgram)).Methods(http.MethodDelete)
@@ -123,12 +124,17 @@
 	r.HandleFunc("/v1/programs/{id}/calls", s.tenant(s.postCall)).Methods(http.MethodPost)
 	r.HandleFunc("/v1/programs/{id}/calls/{sequence}/stream", s.tenant(s.resumeStream)).Methods(http.MethodGet)
 	r.HandleFunc("/v1/chat/completions", s.tenant(s.postChat)).Methods(http.MethodPost)
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.refuse(w, "", errkind.New(errkind.InvalidValue, "The path "+r.URL.Path+" does not exist."))
-	})
+	r.NotFoundHandler = s.refusal(errkind.PathNotFound)
+	r.MethodNotAllowedHandler = s.refusal(errkind.MethodNotAllowed)
 	return r
 }
 
+func (s *Server) refusal(kind errkind.Kind) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.refuse(w, "", errkind.New(kind, ""))
+	})
+}
+
 type tenantHandler func(w http.ResponseWriter, r *http.Request, tenant string)
 
 // tenant authenticates a request.
