--- a/daemon/ingress/chat.go
+++ b/daemon/ingress/chat.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -103,10 +104,14 @@
 
 func decodeChat(w http.ResponseWriter, r *http.Request, limit int64) (chatRequest, error) {
 	var raw json.RawMessage
-	var req chatRequest
 	if err := decodeBody(w, r, limit, &raw); err != nil {
-		return req, err
+		return chatRequest{}, err
 	}
+	return decodeChatBody(raw)
+}
+
+func decodeChatBody(raw []byte) (chatRequest, error) {
+	var req chatRequest
 	// Unknown fields are allowed here: clients send settings of other services.
 	if err := json.Unmarshal(raw, &req); err != nil {
 		return req, decodeError(err)
@@ -176,16 +181,24 @@
 		return nil, false
 	}
 	for i, m := range t.Model.Messages {
-		if !reflect.DeepEqual(m, list[i]) {
+		if !sameMessage(m, list[i]) {
 			return nil, false
 		}
 	}
-	if !reflect.DeepEqual(*t.Message, list[n]) {
+	if !sameMessage(*t.Message, list[n]) {
 		return nil, false
 	}
 	return list[n+1:], true
 }
 
+// sameMessage reports whether two messages have the same JSON form. An empty list of tool calls is written like none, so it
+// is none after a message has gone to another daemon.
+func sameMessage(a, b caller.Message) bool {
+	calls := slices.Equal(a.ToolCalls, b.ToolCalls)
+	a.ToolCalls, b.ToolCalls = nil, nil
+	return calls && reflect.DeepEqual(a, b)
+}
+
 // chatCallKey derives a call key from the request, so that the repeats that a client library makes by itself are
 // recognised.
 func chatCallKey(body caller.Call) string {
--- a/daemon/ingress/decode.go
+++ b/daemon/ingress/decode.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strconv"
 	"strings"
 	"time"
@@ -117,8 +118,8 @@
 	if c.Service.Upstream == "" {
 		return invalid("service.upstream", "set")
 	}
-	if !strings.HasPrefix(c.Service.Path, "/") {
-		return invalid("service.path", "a path that starts with /")
+	if !plainPath(c.Service.Path) {
+		return invalid("service.path", "a percent-encoded path that starts with / and has no empty, . or .. segments")
 	}
 	switch c.Service.Method {
 	case "", http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete, http.MethodPatch:
@@ -128,6 +129,31 @@
 	}
 }
 
+// plainPath reports whether every service reads a path in the same way. A service that resolves dot segments or joins empty
+// ones would run another route than the one whose record says whether the call may be repeated.
+func plainPath(text string) bool {
+	// Go's client writes a query as it is, so a space in it would break the request line.
+	if strings.ContainsFunc(text, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return false
+	}
+	u, err := url.ParseRequestURI(text)
+	if err != nil || u.Scheme != "" || u.Host != "" || strings.Contains(text, "#") {
+		return false
+	}
+	rest, ok := strings.CutPrefix(u.Path, "/")
+	if !ok {
+		return false
+	}
+	segments := strings.Split(rest, "/")
+	for i, s := range segments {
+		last := i == len(segments)-1
+		if s == "." || s == ".." || s == "" && !last || strings.Contains(s, "\\") {
+			return false
+		}
+	}
+	return true
+}
+
 func checkCreate(c caller.CreateProgram) error {
 	switch {
 	case len(c.Class) > maxClassBytes:
