--- a/cli/command/command.go
+++ b/cli/command/command.go
@@ -50,6 +50,7 @@
 	Get      Get      `cmd:"" help:"Show records of the platform."`
 	Status   Status   `cmd:"" help:"Show in how many daemons each record is in force."`
 	Explain  Explain  `cmd:"" help:"Describe a kind of record or one of its fields."`
+	Load     Load     `cmd:"" help:"Drive daemons on loopback with a seeded load and check every answer."`
 }
 
 // ExitCode is the exit code of the tool.
@@ -77,6 +78,7 @@
 	ReasonPlatformRefused     records.Reason = "PlatformRefused"
 	ReasonPlatformUnavailable records.Reason = "PlatformUnavailable"
 	ReasonNotInForce          records.Reason = "NotInForce"
+	ReasonLoadFailed          records.Reason = "LoadFailed"
 )
 
 // Error is an error of a verb with the exit code that it causes.
@@ -137,6 +139,8 @@
 	globals Globals
 	connect func(Globals) (Platform, error)
 	report  report // Set by the verb, also when it returns an error.
+
+	progress io.Writer // For verbs that run for a while.
 }
 
 // Connect returns the platform of the settings.
@@ -175,7 +179,7 @@
 	if err != nil {
 		return finish(cli.Globals, nil, fail(ExitUsage, ReasonBadUsage, "%s.", strings.TrimSuffix(err.Error(), ".")), stdout, stderr)
 	}
-	env := &environment{ctx: ctx, globals: cli.Globals, connect: connect}
+	env := &environment{ctx: ctx, globals: cli.Globals, connect: connect, progress: stderr}
 	err = parsed.Run(env)
 	return finish(cli.Globals, env.report, err, stdout, stderr)
 }
--- a/cli/load/command.go
+++ b/cli/load/command.go
@@ -34,7 +34,6 @@
 	PauseMedian time.Duration `default:"200ms" help:"Median of the tool pauses; their tail is heavy."`
 	MaxPause    time.Duration `default:"10s" help:"Longest tool pause."`
 	MaxPrograms int           `default:"5000" help:"Programs under way at most; arrivals beyond it are counted and not started."`
-	Output      string        `short:"o" enum:"text,json" default:"text" help:"Format of the report: ${enum}."`
 	Plot        string        `help:"CSV file for the latency distributions." placeholder:"FILE"`
 }
 
@@ -103,17 +102,15 @@
 	return m, m.Check()
 }
 
-// Run runs the load and writes the report to standard output, and its progress to standard error.
-func (c *Command) Run(ctx context.Context) error { return c.run(ctx, os.Stdout, os.Stderr) }
-
-func (c *Command) run(ctx context.Context, out, progress io.Writer) error {
+// Execute runs the load and writes its progress. The report is complete also when an answer was wrong.
+func (c *Command) Execute(ctx context.Context, progress io.Writer) (Report, error) {
 	key, err := os.ReadFile(c.KeyFile)
 	if err != nil {
-		return errors.Wrap(err, "read key file")
+		return Report{}, errors.Wrap(err, "read key file")
 	}
 	mix, err := ParseMix(c.Mix)
 	if err != nil {
-		return err
+		return Report{}, err
 	}
 	options := Options{
 		BaseURLs:    c.BaseURL,
@@ -132,15 +129,12 @@
 	}
 	report, stats := Drive(ctx, options)
 	if err := c.writePlot(stats); err != nil {
-		return err
-	}
-	if err := c.write(out, report); err != nil {
-		return err
+		return report, err
 	}
 	if report.Counts.Faults > 0 {
-		return errors.Newf("%d answers were wrong", report.Counts.Faults)
+		return report, errors.Newf("%d answers were wrong", report.Counts.Faults)
 	}
-	return nil
+	return report, nil
 }
 
 func (c *Command) shape() Shape {
@@ -153,13 +147,6 @@
 	return s
 }
 
-func (c *Command) write(out io.Writer, r Report) error {
-	if c.Output == "json" {
-		return r.WriteJSON(out)
-	}
-	return r.WriteText(out)
-}
-
 func (c *Command) writePlot(s *Stats) error {
 	if c.Plot == "" {
 		return nil
