Use the platform's list of leaving VMs as a hint for dispatchers

The coordinator reads the list once a second and tells the members. An engine on a leaving VM gets no new work, unless that would leave no engine in its group.

--- a/daemon/dispatch/group.go
+++ b/daemon/dispatch/group.go
@@ -47,6 +47,7 @@
 	since    uint64 // Position in the cache events.
 	reported []upstream.ModelState
 	answered bool
+	hinted   bool                 // Its VM is said to be leaving.
 	drains   map[string]time.Time // End of the drain by model.
 }
 
@@ -107,12 +108,39 @@
 			Slots:       u.Slots,
 			CacheTokens: u.CacheTokens,
 			Models:      g.models(set, e),
-			Leaving:     u.Leaving || e.failures >= maxEngineFailures,
+			Leaving:     g.leaves(u, e),
 		}
 		g.d.SetEngine(e.spec)
 	}
 }
 
+// leaves reports whether an engine gets no new work.
+func (g *group) leaves(u records.Upstream, e *engineState) bool {
+	return u.Leaving || e.hinted || e.failures >= maxEngineFailures
+}
+
+// applyLeaving takes engines out of use whose VMs are said to be leaving. When that would leave no engine, the list is
+// ignored: it lags and may be wrong.
+func (g *group) applyLeaving() {
+	g.refresh()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	hinted := map[string]bool{}
+	for name, e := range g.engines {
+		if g.pool.saidToLeave(e.address) {
+			hinted[name] = true
+		}
+	}
+	if len(hinted) == len(g.engines) {
+		hinted = nil
+	}
+	for name, e := range g.engines {
+		e.hinted = hinted[name]
+		g.updateEngine(name, e)
+	}
+	g.pump(time.Now())
+}
+
 // maxEngineFailures is how many failed reports in a row take an engine out of use.
 const maxEngineFailures = 2
 
--- a/daemon/dispatch/poll.go
+++ b/daemon/dispatch/poll.go
@@ -139,7 +139,7 @@
 	if !ok {
 		return
 	}
-	e.spec.Leaving = u.Leaving
+	e.spec.Leaving = g.leaves(u, e)
 	e.spec.Models = g.models(g.set, e)
 	g.d.SetEngine(e.spec)
 }
--- a/daemon/dispatch/pool.go
+++ b/daemon/dispatch/pool.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"strings"
 	"sync"
 	"time"
@@ -38,9 +39,10 @@
 	engines *upstream.Engines
 	log     *slog.Logger
 
-	mu     sync.Mutex
-	groups map[string]*group
-	ctx    context.Context
+	mu      sync.Mutex
+	groups  map[string]*group
+	leaving map[string]bool // Addresses of VMs that are said to be leaving.
+	ctx     context.Context
 }
 
 // NewPool returns an empty pool.
@@ -119,6 +121,31 @@
 // Release gives a slot back.
 func (p *Pool) Release(r peer.Release) { p.group(r.Group).release(r) }
 
+// SetLeaving sets the addresses of VMs that are said to be leaving.
+func (p *Pool) SetLeaving(addresses []string) {
+	leaving := make(map[string]bool, len(addresses))
+	for _, a := range addresses {
+		leaving[a] = true
+	}
+	p.mu.Lock()
+	p.leaving = leaving
+	p.mu.Unlock()
+	for _, g := range p.all() {
+		g.applyLeaving()
+	}
+}
+
+// saidToLeave reports whether the VM of an upstream is said to be leaving.
+func (p *Pool) saidToLeave(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaving[address] {
+		return true
+	}
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && p.leaving[host]
+}
+
 // Drain stops new calls of a model to an engine for a while. It is repeated while the drain lasts.
 func (p *Pool) Drain(group, engine, model string, until time.Time) {
 	p.group(group).drain(engine, model, until)
--- a/daemon/ingress/calls.go
+++ b/daemon/ingress/calls.go
@@ -98,6 +98,9 @@
 	if !ok || u.Type != records.UpstreamService {
 		return errkind.New(errkind.UnknownUpstream, "Upstream: "+c.body.Service.Upstream+".")
 	}
+	if u.Leaving {
+		return errkind.New(errkind.UpstreamUnavailable, "The upstream is leaving.")
+	}
 	c.service = u
 	c.route, _ = u.RouteFor(c.body.Service.Method, c.body.Service.Path)
 	c.idempotent = c.route.Repeatable
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -199,6 +199,7 @@
 		{"status", n.runStatus},
 		{"maintenance", n.runMaintenance},
 		{"models", n.runModels},
+		{"vm-list", n.runVMList},
 		{"checkpoints", n.agent.RunCheckpoints},
 	} {
 		workers.Add(s)
--- a/daemon/node/peerhttp.go
+++ b/daemon/node/peerhttp.go
@@ -65,6 +65,7 @@
 	post(peer.PathRecords, handle(n.acceptRecords))
 	post(peer.PathGenerations, handle(n.answerGenerations))
 	post(peer.PathGone, handle(n.answerGone))
+	post(peer.PathLeaving, handle(n.acceptLeaving))
 	post(peer.PathDrain, handle(n.acceptDrain))
 	post(peer.PathReleaseCaches, handle(n.acceptReleaseCaches))
 	post(peer.PathCreate, handle(func(ctx context.Context, c peer.Create) (any, error) {
@@ -180,6 +181,11 @@
 	return none{}, nil
 }
 
+func (n *Node) acceptLeaving(_ context.Context, l peer.LeavingVMs) (none, error) {
+	n.pool.SetLeaving(l.Addresses)
+	return none{}, nil
+}
+
 func streamPath(tenant, programID string, sequence uint64, offset int) string {
 	q := url.Values{}
 	q.Set("tenant", tenant)
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -32,6 +32,7 @@
 	PathHandover      = "/peer/v1/handover"
 	PathReclaim       = "/peer/v1/reclaim"
 	PathGone          = "/peer/v1/programs/gone"
+	PathLeaving       = "/peer/v1/vms/leaving"
 	PathDrain         = "/peer/v1/engines/drain"
 	PathReleaseCaches = "/peer/v1/caches/release"
 	PathCheckpoint    = "/peer/v1/checkpoint"
@@ -98,6 +99,11 @@
 	Programs []string `json:"programs"`
 }
 
+// LeavingVMs lists the addresses of VMs that the platform says are leaving: IP addresses, or with the port of one process.
+type LeavingVMs struct {
+	Addresses []string `json:"addresses"`
+}
+
 // Drain stops new calls of a model to an engine for a while.
 type Drain struct {
 	Group  string    `json:"group"`
