--- /dev/null
+++ b/core/journal/journal_test.go
@@ -0,0 +1,225 @@
+package journal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func charge(n int64) Entry { return Entry{Program: "falls-a.1", Charge: &Charge{Tokens: n}} }
+
+func intentEntry() Entry { return Entry{Program: "falls-a.1", Intent: &Intent{CallKey: "k"}} }
+
+func large(n int) Entry {
+	return Entry{Program: "falls-a.1", Resolved: &Resolved{Reason: strings.Repeat("x", n)}}
+}
+
+func paced() WriterConfig {
+	return WriterConfig{MaxBacklogBytes: 8 << 20, MinInterval: 2 * time.Millisecond, MaxInterval: time.Second,
+		WriteRate: 2, WriteBurst: 2, LazyInterval: 100 * time.Millisecond}
+}
+
+// TestPacing guards against writes that grow with the number of entries, and against callers that wait for the lazy
+// interval. Each event is at a number of milliseconds after the start.
+func TestPacing(t *testing.T) {
+	type event struct {
+		at      int
+		entries []Entry
+		flush   bool // Whether a segment starts at this time; it is stored at once.
+	}
+	lazy, urgent := []Entry{charge(1)}, []Entry{intentEntry()}
+	fast := paced()
+	fast.WriteRate = 0
+	cases := []struct {
+		name   string
+		cfg    WriterConfig
+		events []event
+	}{
+		{"first entry at once", paced(), []event{{0, lazy, true}}},
+		{"nothing to write", paced(), []event{{0, nil, false}}},
+		{"lazy entries wait", fast, []event{{0, lazy, true}, {1, lazy, false}, {99, lazy, false}, {100, nil, true}}},
+		{"an intent does not wait", fast, []event{{0, lazy, true}, {1, urgent, false}, {2, nil, true}}},
+		{"an intent takes lazy entries along", fast, []event{{0, lazy, true}, {1, lazy, false}, {2, urgent, true}, {102, nil, false}}},
+		{"a durable intent hurries nothing", fast, []event{{0, urgent, true}, {5, lazy, false}, {100, nil, true}}},
+		{"a full segment does not wait", fast, []event{{0, lazy, true}, {2, []Entry{large(350_000), large(350_000)}, true}}},
+		{"the rate holds intents after the burst", paced(), []event{{0, urgent, true}, {2, urgent, true}, {4, urgent, false}, {499, nil, false}, {501, nil, true}}},
+		{"a clock that goes back adds nothing", paced(), []event{{0, urgent, true}, {2, urgent, true}, {-1000, urgent, false}, {501, nil, true}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := NewWriter("vm-1-a", c.cfg)
+			for _, e := range c.events {
+				_, err := w.AppendAll(e.entries...)
+				must.NoError(t, err)
+				_, ok := w.Next(start.Add(time.Duration(e.at) * time.Millisecond))
+				must.Eq(t, e.flush, ok, must.Sprintf("at %d ms", e.at))
+				w.Succeeded(0)
+			}
+		})
+	}
+}
+
+// TestWritesAreProportionalToTime runs ten seconds of intents and of other entries and counts the creates.
+func TestWritesAreProportionalToTime(t *testing.T) {
+	for _, perSecond := range []int{10, 100, 1000} {
+		w, creates := NewWriter("vm-1-a", paced()), 0
+		for i := range 10 * perSecond {
+			now := start.Add(time.Duration(i) * time.Second / time.Duration(perSecond))
+			_, err := w.Append(intentEntry())
+			must.NoError(t, err)
+			if _, ok := w.Next(now); ok {
+				creates++
+				w.Succeeded(time.Millisecond)
+			}
+		}
+		must.Between(t, 20, creates, 22)
+	}
+}
+
+func TestRateFor(t *testing.T) {
+	must.Eq(t, 1, RateFor(320, 400))
+	must.Eq(t, 0, RateFor(8, 0))
+	must.Eq(t, 0, RateFor(8, -1))
+	must.Eq(t, 80, RateFor(0, 100))
+}
+
+// TestWriterResults guards against entries that count as durable without being stored, and against a writer that takes
+// another daemon's object for its own.
+func TestWriterResults(t *testing.T) {
+	cfg := paced()
+	cfg.WriteRate = 0
+	begin := func() (*Writer, Segment) {
+		w := NewWriter("vm-1-a", cfg)
+		_, err := w.Append(intentEntry())
+		must.NoError(t, err)
+		s, ok := w.Next(start)
+		must.True(t, ok)
+		return w, s
+	}
+	t.Run("one create at a time", func(t *testing.T) {
+		w, _ := begin()
+		_, ok := w.Next(start.Add(time.Hour))
+		must.False(t, ok)
+	})
+	t.Run("a second answer of the same create", func(t *testing.T) {
+		w, _ := begin()
+		w.Succeeded(0)
+		_, err := w.Append(intentEntry())
+		must.NoError(t, err)
+		w.Succeeded(0)
+		must.Eq(t, 1, w.Durable())
+	})
+	t.Run("lost answer, own object found", func(t *testing.T) {
+		w, s := begin()
+		w.Failed()
+		again, ok := w.Next(start.Add(time.Second))
+		must.True(t, ok)
+		must.Eq(t, s, again)
+		must.True(t, w.Conflict(s, 0))
+		must.Eq(t, 1, w.Durable())
+		must.True(t, w.Conflict(s, 0), must.Sprint("late answer for an older slot"))
+		must.Eq(t, 2, w.Slot())
+	})
+	for name, change := range map[string]func(*Segment){
+		"seal":                  func(s *Segment) { s.Seal = &Seal{} },
+		"seal with own flush":   func(s *Segment) { s.Seal, s.Slot = &Seal{}, 0 },
+		"other incarnation":     func(s *Segment) { s.Incarnation = "vm-2-b" },
+		"other flush, own slot": func(s *Segment) { s.FlushID = "x" },
+		"later slot":            func(s *Segment) { s.Slot = 9 },
+	} {
+		t.Run("fenced by "+name, func(t *testing.T) {
+			w, s := begin()
+			change(&s)
+			must.False(t, w.Conflict(s, 0))
+			must.Eq(t, 0, w.Durable())
+			_, err := w.Append(charge(1))
+			must.ErrorIs(t, err, ErrFenced)
+		})
+	}
+	t.Run("all entries or none", func(t *testing.T) {
+		w := NewWriter("vm-1-a", WriterConfig{MaxBacklogBytes: 300})
+		_, err := w.AppendAll(charge(1), large(400))
+		must.ErrorIs(t, err, ErrBacklogFull)
+		must.Eq(t, 0, w.Backlog())
+		must.Eq(t, 0, w.Appended())
+	})
+}
+
+// TestReader guards against entries that are lost or invented at the borders of segments.
+func TestReader(t *testing.T) {
+	entries := []Entry{charge(1), large(1_000_000), charge(2), large(500_000), charge(3)}
+	segments, err := Pack("vm-1-a", entries)
+	must.NoError(t, err)
+	read := func(from uint64, list []Segment) ([]Entry, error) {
+		r, got := NewReader("vm-1-a", from), []Entry(nil)
+		for _, s := range list {
+			more, err := r.Add(s)
+			if err != nil {
+				return got, err
+			}
+			got = append(got, more...)
+		}
+		return got, nil
+	}
+	t.Run("all", func(t *testing.T) {
+		got, err := read(1, segments)
+		must.NoError(t, err)
+		must.Eq(t, entries, got)
+	})
+	t.Run("from the middle of an entry", func(t *testing.T) {
+		got, err := read(2, segments[1:])
+		must.NoError(t, err)
+		must.Eq(t, entries[2:], got)
+	})
+	t.Run("gap", func(t *testing.T) {
+		_, err := read(1, []Segment{segments[0], segments[2]})
+		must.ErrorIs(t, err, ErrGap)
+	})
+	t.Run("after the seal", func(t *testing.T) {
+		_, err := read(1, []Segment{{Incarnation: "vm-1-a", Slot: 1, Seal: &Seal{}}, {Incarnation: "vm-1-a", Slot: 2}})
+		must.ErrorIs(t, err, ErrGap)
+	})
+	t.Run("parts out of order", func(t *testing.T) {
+		broken := segments[0]
+		broken.Frames = append([]Frame{{Part: &Part{Index: 1, Count: 2}}}, broken.Frames...)
+		_, err := read(1, []Segment{broken})
+		must.ErrorIs(t, err, ErrCorrupt)
+	})
+	t.Run("broken entry", func(t *testing.T) {
+		_, err := read(1, []Segment{{Incarnation: "vm-1-a", Slot: 1, Frames: []Frame{{Entry: []byte("{")}}}})
+		must.ErrorIs(t, err, ErrCorrupt)
+	})
+}
+
+func BenchmarkAppend(b *testing.B) {
+	w := NewWriter("vm-1-a", WriterConfig{MaxBacklogBytes: 1 << 40})
+	for i := range b.N {
+		if _, err := w.Append(intentEntry()); err != nil {
+			b.Fatal(err)
+		}
+		if i%1000 == 999 {
+			w.pending, w.bytes = nil, 0
+		}
+	}
+}
+
+// BenchmarkCut cuts one segment out of a backlog of several.
+func BenchmarkCut(b *testing.B) {
+	for _, n := range []int{100, 20_000} {
+		b.Run(fmt.Sprintf("pending=%d", n), func(b *testing.B) {
+			full := NewWriter("vm-1-a", WriterConfig{MaxBacklogBytes: 1 << 40})
+			for range n {
+				_, _ = full.Append(intentEntry())
+			}
+			for b.Loop() {
+				w := *full
+				w.cut()
+			}
+		})
+	}
+}
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -164,8 +164,11 @@
 			w.inFlightLSN = p.lsn
 		}
 	}
-	// The rest is copied, so that the frames of a stored segment can be freed.
-	w.pending = append([]pendingFrame(nil), w.pending[n:]...)
+	// The rest stays where it is: copying it for each segment would take quadratic time after an outage. The memory of
+	// the cut frames is freed when the backlog is empty or the slice grows.
+	if w.pending = w.pending[n:]; len(w.pending) == 0 {
+		w.pending = nil
+	}
 	w.inFlight, w.inFlightBytes = s, size-segmentBytes
 }
 
