--- a/core/program/fault_test.go
+++ b/core/program/fault_test.go
@@ -231,3 +231,39 @@
 	must.Eq(t, defaultMaxTokens, a.MaxTokens)
 	must.Eq(t, defaultMaxTokens+50, a.WorstCase)
 }
+
+// TestWindowReplacesLastTurn guards against a caller that cannot go on because a replaced owner ran a repeat of its call.
+func TestWindowReplacesLastTurn(t *testing.T) {
+	old, id := openOwner(nil), testID(0)
+	create(t, old, id)
+	next := takeOver(t, old, flush(old), "b")
+	lost := modelCall(next, id, "k1")
+	admit(t, next, id, lost, "a1")
+	other := completion(id, lost, "a1")
+	other.Turn.Message = &caller.Message{Role: "assistant", Content: "an answer that the caller never got"}
+	_, err := next.Complete(testStart, other)
+	must.NoError(t, err)
+	got := run(t, old, id, modelCall(old, id, "k1"))
+	c := modelCall(old, id, "k2")
+	c.Receipt = got.Receipt
+	_, err = next.Admit(testStart, request(id, c, "a2"))
+	mustKind(t, err, errkind.HistoryGap, errkind.NotRunTrue)
+	c.Window = []caller.Turn{got.Turn}
+	admit(t, next, id, c, "a3")
+	turns, err := next.History(testTenant, id, 1)
+	must.NoError(t, err)
+	must.Eq(t, []caller.Turn{got.Turn}, turns)
+}
+
+// TestHistoryBytes guards against a count of the history's memory that drifts until all calls are refused.
+func TestHistoryBytes(t *testing.T) {
+	o, id := openOwner(nil), testID(0)
+	create(t, o, id)
+	first := run(t, o, id, modelCall(o, id, "k1"))
+	must.Eq(t, turnBytes(first.Turn), o.HistoryBytes())
+	next := takeOver(t, o, flush(o), "b")
+	must.Eq(t, o.HistoryBytes(), next.HistoryBytes())
+	_, err := o.CloseShard(testShard)
+	must.NoError(t, err)
+	must.Eq(t, 0, o.HistoryBytes())
+}
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -183,7 +183,13 @@
 
 // messages returns the model-visible history followed by the new messages.
 func (p *state) messages(next []caller.Message) []caller.Message {
-	var list []caller.Message
+	n := len(next)
+	for _, t := range p.turns {
+		if t.Kind == caller.CallModel {
+			n += len(t.Model.Messages) + 1
+		}
+	}
+	list := make([]caller.Message, 0, n)
 	for _, t := range p.turns {
 		if t.Kind != caller.CallModel {
 			continue
