Add the scheduling experiment and set the dispatcher's constants from it

The experiment runs the dispatchers, two baselines with regional variants and ours without each mechanism on simulated engines and a virtual clock. The penalty for attained service rose from 8 s to 100 s for each doubling, new programs wait up to 2 min (scaled by the weights) for 115% of engine memory, programs with small contexts never wait for room, and traffic between regions counts 3 s instead of 10 s for each MB.

--- a/core/schedule/config.go
+++ b/core/schedule/config.go
@@ -28,8 +28,9 @@
 	PrefillTokensPerSecond float64       // Speed of an engine on a prompt.
 	DecodeTokensPerSecond  float64       // Speed of an engine on one response in a usual batch.
 	ServiceUnit            float64       // Attained service, in prefill tokens, at which the penalty starts to grow.
-	ServicePenalty         float64       // Seconds of penalty for each doubling of attained service.
+	ServicePenalty         float64       // Seconds of penalty for each doubling of attained service; bounds the longest wait.
 	AdmissionDelay         time.Duration // Longest wait of a new program for room beside the programs under way.
+	MemoryDemand           float64       // Part of an engine's memory up to which programs under way count as fitting.
 	Off                    Mechanism
 }
 
@@ -41,8 +42,9 @@
 	DefaultPrefillTokensPerSecond = 8000
 	DefaultDecodeTokensPerSecond  = 40
 	DefaultServiceUnit            = 4000
-	DefaultServicePenalty         = 8
-	DefaultAdmissionDelay         = time.Minute
+	DefaultServicePenalty         = 100
+	DefaultAdmissionDelay         = 2 * time.Minute
+	DefaultMemoryDemand           = 1.15
 )
 
 // minAgeing keeps every ticket's wait bounded when a record sets no ageing, in priority for each second.
@@ -61,6 +63,7 @@
 	setDuration(&c.AdmissionDelay, DefaultAdmissionDelay)
 	setFloat(&c.PrefillTokensPerSecond, DefaultPrefillTokensPerSecond)
 	setFloat(&c.DecodeTokensPerSecond, DefaultDecodeTokensPerSecond)
+	setFloat(&c.MemoryDemand, DefaultMemoryDemand)
 	setFloat(&c.ServiceUnit, DefaultServiceUnit)
 	setFloat(&c.ServicePenalty, DefaultServicePenalty)
 	if c.Placement == (records.Placement{}) {
--- a/core/schedule/demand.go
+++ b/core/schedule/demand.go
@@ -51,13 +51,16 @@
 // expectedContext is the memory in tokens that a program will need for its calls to come.
 func (it *item) expectedContext() int64 { return max(it.context(), int64(it.class.context)) }
 
+// room returns the tokens that the demand for an engine's memory may reach.
+func (d *Dispatcher) room(e *engine) int64 { return int64(float64(e.CacheTokens) * d.cfg.MemoryDemand) }
+
 // overflow returns the tokens by which the demand for an engine's memory would exceed it with one more program. A program
 // that is at home there adds nothing.
 func (d *Dispatcher) overflow(it *item, e *engine) int64 {
 	if e.CacheTokens <= 0 || it.program.home == e || !d.cfg.on(PausedProtect) {
 		return 0
 	}
-	return max(e.demand+it.expectedContext()-e.CacheTokens, 0)
+	return max(e.demand+it.expectedContext()-d.room(e), 0)
 }
 
 // admissionDelay is the longest time that a new program waits for room. It is zero unless the placement puts more weight on
@@ -71,10 +74,17 @@
 	return time.Duration(part * float64(d.cfg.AdmissionDelay))
 }
 
+// smallContext is the part, as a divisor, of an engine's memory below which a new program never waits for room. Short
+// checks would otherwise wait behind long programs for little memory.
+const smallContext = 100
+
 // admits reports whether an engine has room for the first call of a program. After admissionDelay a program is admitted
 // without room, so that no program waits for ever.
 func (d *Dispatcher) admits(now time.Time, it *item, e *engine) bool {
-	if !it.newcomer() || e.demand == 0 || now.Sub(it.Enqueued) >= d.admissionDelay() {
+	if !it.newcomer() || e.demand == 0 || it.expectedContext()*smallContext < e.CacheTokens {
+		return true
+	}
+	if now.Sub(it.Enqueued) >= d.admissionDelay() {
 		return true
 	}
 	return d.overflow(it, e) == 0
@@ -83,7 +93,7 @@
 // Full reports whether the programs under way need all memory of the engines that take new work.
 func (d *Dispatcher) Full() bool {
 	for _, e := range d.engines {
-		if !e.Leaving && (e.CacheTokens <= 0 || e.demand < e.CacheTokens) {
+		if !e.Leaving && (e.CacheTokens <= 0 || e.demand < d.room(e)) {
 			return false
 		}
 	}
--- a/core/schedule/remote.go
+++ b/core/schedule/remote.go
@@ -31,7 +31,7 @@
 
 // crossRegionSeconds is the cost of sending one megabyte between regions, in seconds, at a cache weight of one. It stands
 // for the price of the traffic.
-const crossRegionSeconds = 10.0
+const crossRegionSeconds = 3.0
 
 const (
 	// fullSeconds is the expected wait of a new program for memory at a data centre that is full.
--- /dev/null
+++ b/testbed/cmd/experiment/main.go
@@ -0,0 +1,45 @@
+// Command experiment compares the scheduling core with baselines on simulated engines and a virtual clock.
+package main
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"jackdawbay.dev/testbed/experiment"
+)
+
+type settings struct {
+	Deployment      []string `default:"merrimack,odblask" enum:"merrimack,odblask" help:"Deployments to simulate."`
+	Seed            []uint64 `default:"11,12,13" help:"Seeds of the workloads; results are means over them."`
+	CalibrationSeed uint64   `default:"1" help:"Seed of the calibration of the capacity."`
+	JSON            string   `type:"path" help:"File for the results as JSON."`
+}
+
+func main() {
+	var s settings
+	ctx := kong.Parse(&s, kong.Description("Compares scheduling policies on simulated engines."))
+	ctx.FatalIfErrorf(run(s))
+}
+
+func run(s settings) error {
+	var reports []experiment.Report
+	for _, name := range s.Deployment {
+		dep := experiment.Merrimack()
+		if name == "odblask" {
+			dep = experiment.Odblask()
+		}
+		rep := experiment.Measure(dep, s.CalibrationSeed, s.Seed)
+		rep.WriteText(os.Stdout)
+		reports = append(reports, rep)
+	}
+	if s.JSON == "" {
+		return nil
+	}
+	body, err := json.MarshalIndent(reports, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(s.JSON, body, 0o644)
+}
--- /dev/null
+++ b/testbed/experiment/experiment_test.go
@@ -0,0 +1,83 @@
+package experiment
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func shortRun(p Policy, fault Fault) Run {
+	r := Base(Merrimack(), 7)
+	r.Warmup, r.Arrivals, r.Drain = 20, 200, 20_000
+	r.Rates = []float64{1.2, 0.6}
+	r.Policy, r.Fault = p, fault
+	return r
+}
+
+// Guards against runs that depend on anything but their settings and seed, and against programs that get lost.
+func TestRunsRepeatAndEnd(t *testing.T) {
+	for _, p := range append(Baselines(), Ours()) {
+		for _, fault := range []Fault{NoFault, EngineLost, SiteCut} {
+			t.Run(p.Name+" "+string(fault), func(t *testing.T) {
+				r := shortRun(p, fault)
+				first := Execute(r)
+				must.Eq(t, first, Execute(r))
+				must.Positive(t, first.Programs)
+				must.Zero(t, first.Unfinished)
+			})
+		}
+	}
+}
+
+// Guards against baselines and ours running different work.
+func TestSameArrivalsForAllPolicies(t *testing.T) {
+	a, b := Execute(shortRun(Baselines()[0], NoFault)), Execute(shortRun(Ours(), NoFault))
+	must.Eq(t, a.Programs, b.Programs)
+}
+
+func newTestCall(id string, prompt, history, output int64) *call {
+	return &call{id: id, p: &process{id: id}, prompt: prompt, history: history, output: output}
+}
+
+// Guards against an engine model that runs faster than its speeds, ignores its cache or exceeds its slots.
+func TestEngine(t *testing.T) {
+	var c clock
+	m := DefaultEngine()
+	m.Slots = 2
+	e := newEngine(&c, m, "e", 0, 0)
+	var ended []string
+	e.finished = func(x *call) { ended = append(ended, x.id) }
+	e.changed = func(*engine, string, int64, bool) {}
+	e.submit(newTestCall("a", 8000, 0, 100))
+	e.submit(newTestCall("b", 8000, 0, 50))
+	e.submit(newTestCall("c", 100, 0, 1))
+	must.Eq(t, 2, e.running())
+	for c.step() {
+		must.LessEq(t, 2, e.running())
+	}
+	must.Eq(t, []string{"b", "c", "a"}, ended)
+	// 16,000 prompt tokens take at least 2 s, and 100 tokens at least 1.5 s.
+	must.GreaterEq(t, 2.0, c.now)
+	again := newTestCall("a", 8200, 8100, 10)
+	e.submit(again)
+	must.Eq(t, int64(8100), again.cached)
+	must.Eq(t, e.total, e.cache["a"].Value.(*held).tokens+e.cache["b"].Value.(*held).tokens+e.cache["c"].Value.(*held).tokens)
+}
+
+// Guards against an eviction that takes what a call in work uses or that leaves the cache over its size.
+func TestEngineEvictsLeastRecentlyUsed(t *testing.T) {
+	var c clock
+	m := DefaultEngine()
+	m.CacheTokens = 10_000
+	e := newEngine(&c, m, "e", 0, 0)
+	e.finished = func(*call) {}
+	e.changed = func(*engine, string, int64, bool) {}
+	for _, id := range []string{"a", "b", "c"} {
+		e.submit(newTestCall(id, 4000, 0, 10))
+		for c.step() {
+			must.LessEq(t, m.CacheTokens, e.total)
+		}
+	}
+	must.Less(t, 4010, e.cache["a"].Value.(*held).tokens)
+	must.Eq(t, int64(4010), e.cache["c"].Value.(*held).tokens)
+}
--- /dev/null
+++ b/testbed/experiment/report.go
@@ -0,0 +1,225 @@
+package experiment
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+)
+
+// Loads are the parts of the capacity at which policies are compared.
+var Loads = []float64{0.5, 0.7, 0.85, 0.95, 1.2}
+
+// AblationLoads are the loads at which mechanisms are switched off.
+var AblationLoads = []float64{0.85, 0.95, 1.2}
+
+// unloaded is a load at which calls practically never wait.
+const unloaded = 0.05
+
+// Report holds everything that one invocation measured for a deployment. Results are means over the seeds.
+type Report struct {
+	Calibration   Calibration
+	IdealTokens   []float64 // Capacity by group with caches without limit.
+	Seeds         []uint64
+	Unloaded      Result
+	Policies      []Result
+	Ablations     []Result
+	LateSignals   []Result
+	EngineLost    []Result
+	SiteCut       []Result
+	TargetRatios  map[string]float64
+	BaselineNamed string
+}
+
+// LateSignals are reports that are ten times as late as usual, with almost a third of the cache events lost.
+func LateSignals() Signals { return Signals{LoadLag: 5, CacheLag: 10, CacheGap: 0.3} }
+
+// Measure runs the whole suite for a deployment.
+func Measure(dep Deployment, calibrationSeed uint64, seeds []uint64) Report {
+	rep := Report{Calibration: Calibrate(dep, calibrationSeed), Seeds: seeds}
+	rep.IdealTokens = idealTokens(dep, calibrationSeed)
+	m := measurement{dep: dep, c: rep.Calibration, seeds: seeds}
+	all := append(Baselines(), Ours())
+	rep.Unloaded = m.results([]float64{unloaded}, []Policy{Ours()}, nil)[0]
+	rep.Policies = m.results(Loads, all, nil)
+	rep.Ablations = m.results(AblationLoads, append([]Policy{Ours()}, Ablations()...), nil)
+	rep.LateSignals = m.results(AblationLoads, []Policy{Ours()}, func(r *Run) { r.Signals = LateSignals() })
+	rep.EngineLost = m.results([]float64{0.85}, all, func(r *Run) { r.Fault = EngineLost })
+	rep.SiteCut = m.results([]float64{0.85}, all, func(r *Run) { r.Fault = SiteCut })
+	rep.targets()
+	return rep
+}
+
+// idealTokens is the capacity with caches without limit, as a bound that no policy can exceed by much.
+func idealTokens(dep Deployment, seed uint64) []float64 {
+	best := make([]float64, len(dep.Groups))
+	var runs []Run
+	for _, n := range populations {
+		r := closedRun(dep, seed, Policy{Name: "ideal", Baseline: true, Sticky: true}, n)
+		r.Engine.CacheTokens = 1 << 40
+		runs = append(runs, r)
+	}
+	for _, r := range ExecuteAll(runs) {
+		for g, rate := range r.GroupRate {
+			best[g] = max(best[g], rate)
+		}
+	}
+	return best
+}
+
+type measurement struct {
+	dep   Deployment
+	c     Calibration
+	seeds []uint64
+}
+
+// results runs policies at loads and returns the means over the seeds, ordered by load and policy.
+func (m measurement) results(loads []float64, policies []Policy, change func(*Run)) []Result {
+	var runs []Run
+	for _, load := range loads {
+		for _, p := range policies {
+			for _, seed := range m.seeds {
+				r := m.c.At(load, Base(m.dep, seed))
+				r.Policy, r.Load = p, load
+				if change != nil {
+					change(&r)
+				}
+				runs = append(runs, r)
+			}
+		}
+	}
+	single := ExecuteAll(runs)
+	var list []Result
+	for i := 0; i < len(single); i += len(m.seeds) {
+		list = append(list, meanResult(single[i:i+len(m.seeds)]))
+	}
+	return list
+}
+
+// meanResult averages the runs of several seeds.
+func meanResult(runs []Result) Result {
+	m := runs[0]
+	m.Seed = 0
+	n := float64(len(runs))
+	for _, r := range runs[1:] {
+		m.Mean += r.Mean
+		m.P50 += r.P50
+		m.P95 += r.P95
+		m.P99 += r.P99
+		m.Wasted += r.Wasted
+		m.LinkMB += r.LinkMB
+		m.Goodput += r.Goodput
+		m.Refusals += r.Refusals
+		m.Unfinished += r.Unfinished
+		m.Programs += r.Programs
+		addClasses(m.ClassMean, r.ClassMean)
+		addClasses(m.ClassP95, r.ClassP95)
+		addClasses(m.ClassDone, r.ClassDone)
+		addClasses(m.ClassInTime, r.ClassInTime)
+	}
+	for _, v := range []*float64{&m.Mean, &m.P50, &m.P95, &m.P99, &m.Wasted, &m.LinkMB, &m.Goodput} {
+		*v /= n
+	}
+	for _, classes := range []map[string]float64{m.ClassMean, m.ClassP95, m.ClassDone, m.ClassInTime} {
+		for k := range classes {
+			classes[k] /= n
+		}
+	}
+	return m
+}
+
+func addClasses(to, from map[string]float64) {
+	for k, v := range from {
+		to[k] += v
+	}
+}
+
+// targets compares ours with the baseline that has the lower mean latency at 85% load.
+func (rep *Report) targets() {
+	var ours, better, full Result
+	for _, r := range rep.Policies {
+		switch {
+		case r.Policy == Ours().Name && r.Load == 0.85:
+			ours = r
+		case r.Policy == Ours().Name && r.Load == 1.2:
+			full = r
+		case r.Load == 0.85 && !strings.Contains(r.Policy, "regional") && (better.Policy == "" || r.Mean < better.Mean):
+			better = r
+		}
+	}
+	capacity := 0.0
+	for _, t := range rep.Calibration.Tokens {
+		capacity += t
+	}
+	rep.BaselineNamed = better.Policy
+	rep.TargetRatios = map[string]float64{
+		"mean at 85%":     ratio(ours.Mean, better.Mean),
+		"p95 at 85%":      ratio(ours.P95, better.P95),
+		"wasted at 85%":   ratio(ours.Wasted, better.Wasted),
+		"bytes at 85%":    ratio(ours.LinkMB, better.LinkMB),
+		"goodput at 120%": ratio(full.Goodput, capacity),
+		"floor of mean":   ratio(rep.Unloaded.Mean, better.Mean),
+	}
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// WriteText writes the report as tables in Markdown.
+func (rep Report) WriteText(w io.Writer) {
+	c := rep.Calibration
+	fmt.Fprintf(w, "### %s\n\nCapacity: %.2f programs/s (%.0f useful tokens/s) by group, reached by %s with %d programs under way; with caches without limit %.0f tokens/s. Seeds %d.\n\n",
+		c.Deployment, c.Programs, c.Tokens, strings.Join(c.Policy, ", "), c.Population, rep.IdealTokens, rep.Seeds)
+	rep.writeTargets(w)
+	writeTable(w, "Policies (first row: ours without waiting)", append([]Result{rep.Unloaded}, rep.Policies...))
+	writeTable(w, "Ours with one mechanism switched off", rep.Ablations)
+	writeTable(w, "Ours with late and incomplete reports", rep.LateSignals)
+	writeTable(w, "An engine lost in mid-run", rep.EngineLost)
+	writeTable(w, "The last data centre cut off for 120 s in mid-run", rep.SiteCut)
+	writeClasses(w, rep.Policies)
+}
+
+func (rep Report) writeTargets(w io.Writer) {
+	fmt.Fprintf(w, "Ratios of ours to the better baseline (%s):", rep.BaselineNamed)
+	for _, k := range sortedKeys(rep.TargetRatios) {
+		fmt.Fprintf(w, " %s %.3f;", k, rep.TargetRatios[k])
+	}
+	fmt.Fprint(w, "\n\n")
+}
+
+func writeTable(w io.Writer, title string, list []Result) {
+	fmt.Fprintf(w, "%s:\n\n| load | policy | mean s | p50 s | p95 s | p99 s | wasted %% | MB across | goodput tok/s | refusals | unfinished |\n|---|---|---|---|---|---|---|---|---|---|---|\n", title)
+	for _, r := range list {
+		fmt.Fprintf(w, "| %.0f%% | %s | %.1f | %.1f | %.1f | %.1f | %.2f | %.0f | %.0f | %d | %d |\n",
+			100*r.Load, r.Policy, r.Mean, r.P50, r.P95, r.P99, 100*r.Wasted, r.LinkMB, r.Goodput, r.Refusals, r.Unfinished)
+	}
+	fmt.Fprintln(w)
+}
+
+func writeClasses(w io.Writer, list []Result) {
+	fmt.Fprint(w, "Classes at 85% and 120% load (mean s / p95 s / part done / part done before arrivals stop):\n\n| load | policy | agent | order | question | stock |\n|---|---|---|---|---|---|\n")
+	for _, r := range list {
+		if r.Load != 0.85 && r.Load != 1.2 {
+			continue
+		}
+		fmt.Fprintf(w, "| %.0f%% | %s |", 100*r.Load, r.Policy)
+		for _, k := range sortedKeys(r.ClassMean) {
+			fmt.Fprintf(w, " %.1f / %.1f / %.3f / %.2f |", r.ClassMean[k], r.ClassP95[k], r.ClassDone[k], r.ClassInTime[k])
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintln(w)
+}
+
+func sortedKeys(m map[string]float64) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/testbed/experiment/suite.go
@@ -0,0 +1,143 @@
+package experiment
+
+import (
+	"runtime"
+	"sync"
+
+	"jackdawbay.dev/core/schedule"
+)
+
+// Calibration is the capacity of each group in programs and in useful tokens a second.
+type Calibration struct {
+	Deployment string
+	Programs   []float64
+	Tokens     []float64
+	Population []int // Programs under way at which the capacity was reached.
+	Policy     []string
+}
+
+// populations are the programs under way for each engine that Calibrate tries.
+var populations = []int{8, 12, 16, 24, 32, 48}
+
+// Baselines are the policies that ours is compared with. The regional ones use engines of the home region only.
+func Baselines() []Policy {
+	return []Policy{
+		{Name: "A least loaded", Baseline: true},
+		{Name: "B sticky", Baseline: true, Sticky: true},
+		{Name: "A regional", Baseline: true, Regional: true},
+		{Name: "B regional", Baseline: true, Sticky: true, Regional: true},
+	}
+}
+
+// Ours is the policy of core/schedule with all mechanisms.
+func Ours() Policy { return Policy{Name: "ours"} }
+
+// Ablations are ours with each mechanism switched off in turn.
+func Ablations() []Policy {
+	return []Policy{
+		{Name: "without service order", Config: schedule.Config{Off: schedule.ServiceOrder}},
+		{Name: "without cache placement", Config: schedule.Config{Off: schedule.CachePlacement}},
+		{Name: "without prefix hold", Config: schedule.Config{Off: schedule.PrefixHold}},
+		{Name: "without memory limit", Config: schedule.Config{Off: schedule.MemoryLimit}},
+		{Name: "without paused protect", Config: schedule.Config{Off: schedule.PausedProtect}},
+		{Name: "without cache release", Config: schedule.Config{Off: schedule.CacheRelease}},
+		{Name: "without site choice", NoSiteMove: true},
+	}
+}
+
+// Base returns a run with the usual settings.
+func Base(dep Deployment, seed uint64) Run {
+	return Run{Deployment: dep, Engine: DefaultEngine(), Signals: NormalSignals(), Seed: seed, Warmup: 300, Arrivals: 1800, Drain: 3600}
+}
+
+// Calibrate finds the capacity: the highest rate of useful tokens that the better baseline sustains with any closed
+// population of programs. The rate of programs follows from the mean useful tokens of a program.
+func Calibrate(dep Deployment, seed uint64) Calibration {
+	c := Calibration{Deployment: dep.Name, Programs: make([]float64, len(dep.Groups)), Tokens: make([]float64, len(dep.Groups)),
+		Population: make([]int, len(dep.Groups)), Policy: make([]string, len(dep.Groups))}
+	var runs []Run
+	for _, p := range Baselines() {
+		for _, n := range populations {
+			runs = append(runs, closedRun(dep, seed, p, n))
+		}
+	}
+	for i, r := range ExecuteAll(runs) {
+		for g, rate := range r.GroupRate {
+			if rate <= c.Tokens[g] {
+				continue
+			}
+			c.Tokens[g], c.Population[g], c.Policy[g] = rate, runs[i].Population[g], r.Policy
+		}
+	}
+	for g := range dep.Groups {
+		c.Programs[g] = c.Tokens[g] / meanTokens(dep, g, seed)
+	}
+	return c
+}
+
+func closedRun(dep Deployment, seed uint64, p Policy, perEngine int) Run {
+	r := Base(dep, seed)
+	r.Policy, r.Drain = p, 0
+	for _, g := range dep.Groups {
+		n := 0
+		for _, e := range g.Engines {
+			n += e * perEngine
+		}
+		r.Population = append(r.Population, n)
+	}
+	return r
+}
+
+// meanTokens returns the mean useful tokens of a program of a group with its sub-agents.
+func meanTokens(dep Deployment, group int, seed uint64) float64 {
+	const sample = 20_000
+	gen := newGenerator(dep, group, seed)
+	total := int64(0)
+	for i := range sample {
+		total += gen.script(group, i, 0).tokens()
+	}
+	return float64(total) / sample
+}
+
+func (s *script) tokens() int64 {
+	total := int64(0)
+	for _, t := range s.turns {
+		total += t.input + t.output
+		for _, c := range t.children {
+			total += c.tokens()
+		}
+	}
+	return total
+}
+
+// At returns a run at a part of the capacity.
+func (c Calibration) At(load float64, r Run) Run {
+	r.Rates = nil
+	for _, rate := range c.Programs {
+		r.Rates = append(r.Rates, rate*load)
+	}
+	return r
+}
+
+// maxParallel bounds the simulations that run at once.
+const maxParallel = 6
+
+// ExecuteAll executes runs in parallel and returns their results in order.
+func ExecuteAll(runs []Run) []Result {
+	results := make([]Result, len(runs))
+	jobs := make(chan int)
+	var wg sync.WaitGroup
+	for range min(maxParallel, runtime.GOMAXPROCS(0)) {
+		wg.Go(func() {
+			for i := range jobs {
+				results[i] = Execute(runs[i])
+			}
+		})
+	}
+	for i := range runs {
+		jobs <- i
+	}
+	close(jobs)
+	wg.Wait()
+	return results
+}
--- /dev/null
+++ b/testbed/experiment/workload.go
@@ -0,0 +1,201 @@
+package experiment
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+)
+
+// Deployment describes a fleet and its users, after section 1 of the design page.
+type Deployment struct {
+	Name          string
+	Sites         []Site
+	Groups        []Group
+	HomeShare     []float64 // Share of the programs by home site.
+	OneWaySite    float64   // Seconds between sites of a region.
+	OneWayRegion  float64   // Seconds between regions.
+	LatencyWeight float64
+	CacheWeight   float64
+}
+
+// Site is a data centre.
+type Site struct{ Name, Region string }
+
+// Group is an engine group with the number of its engines at each site.
+type Group struct {
+	Name    string
+	Engines []int
+	Mix     []Kind
+}
+
+// Kind is a kind of program in a group's mix.
+type Kind struct {
+	Class       string
+	Share       float64
+	Weight      float64 // Weight of the class's Limit record.
+	FirstPrompt float64 // Median tokens of the first prompt.
+	Turns       float64 // Median number of calls.
+	TurnSigma   float64
+	MaxTurns    int
+	Input       float64 // Median new tokens for each further call.
+	Output      float64 // Median output tokens.
+	Pause       float64 // Median tool pause in seconds.
+	SubAgents   float64 // Chance that the program starts sub-agents.
+}
+
+var agentKind = Kind{Class: "agent", Share: 0.8, Weight: 1, FirstPrompt: 4000, Turns: 8, TurnSigma: 1, MaxTurns: 120,
+	Input: 500, Output: 200, Pause: 1.5, SubAgents: 0.15}
+
+var questionKind = Kind{Class: "question", Share: 0.2, Weight: 1, FirstPrompt: 2000, Turns: 1.5, TurnSigma: 0.4, MaxTurns: 4,
+	Input: 300, Output: 150, Pause: 1, SubAgents: 0}
+
+var stockKind = Kind{Class: "stock", Share: 0.7, Weight: 4, FirstPrompt: 1200, Turns: 1.2, TurnSigma: 0.3, MaxTurns: 2,
+	Input: 200, Output: 60, Pause: 0.3, SubAgents: 0}
+
+var orderKind = Kind{Class: "order", Share: 0.3, Weight: 1, FirstPrompt: 3000, Turns: 12, TurnSigma: 0.8, MaxTurns: 100,
+	Input: 600, Output: 220, Pause: 2, SubAgents: 0.05}
+
+func mix() []Kind { return []Kind{agentKind, questionKind} }
+
+func orders() []Kind { return []Kind{stockKind, orderKind} }
+
+// Merrimack returns the deployment of Merrimack.
+func Merrimack() Deployment {
+	return Deployment{
+		Name:          "merrimack",
+		Sites:         []Site{{"falls-a", "merrimack"}, {"falls-b", "merrimack"}, {"harbor-a", "seacoast"}},
+		Groups:        []Group{{"kit-agents", []int{5, 4, 3}, mix()}, {"order-desk", []int{1, 1, 1}, orders()}},
+		HomeShare:     []float64{0.4, 0.3, 0.3},
+		OneWaySite:    0.001,
+		OneWayRegion:  0.012,
+		LatencyWeight: 1,
+		CacheWeight:   0.5,
+	}
+}
+
+// Odblask returns the deployment of Odblask.
+func Odblask() Deployment {
+	return Deployment{
+		Name:          "odblask",
+		Sites:         []Site{{"kalisz-a", "wielkopolska"}, {"poznan-a", "wielkopolska"}, {"warszawa-a", "mazowsze"}},
+		Groups:        []Group{{"agent-models", []int{4, 4, 3}, mix()}, {"order-desk", []int{1, 1, 1}, orders()}},
+		HomeShare:     []float64{0.35, 0.3, 0.35},
+		OneWaySite:    0.0015,
+		OneWayRegion:  0.012,
+		LatencyWeight: 1,
+		CacheWeight:   2,
+	}
+}
+
+// turn is one call of a script and what follows it.
+type turn struct {
+	input, output int64
+	pause         float64
+	children      []*script
+}
+
+// script is a program that is fixed before the run, so that every policy gets the same work.
+type script struct {
+	id     string
+	kind   Kind
+	group  int
+	home   int
+	arrive float64
+	turns  []turn
+}
+
+// contextLimit bounds the history of a program in tokens.
+const contextLimit = 100_000
+
+// generator draws scripts from a seeded source.
+type generator struct {
+	rng *rand.Rand
+	dep Deployment
+}
+
+func newGenerator(dep Deployment, group int, seed uint64) *generator {
+	return &generator{rng: rand.New(rand.NewPCG(seed, uint64(group)+1)), dep: dep}
+}
+
+// arrivals draws the programs of a group that arrive at a rate a second before the end.
+func (g *generator) arrivals(group int, rate, end float64) []*script {
+	var list []*script
+	for at := g.rng.ExpFloat64() / rate; at < end; at += g.rng.ExpFloat64() / rate {
+		list = append(list, g.script(group, len(list), at))
+	}
+	return list
+}
+
+func (g *generator) script(group, n int, at float64) *script {
+	s := &script{
+		id:     fmt.Sprintf("%d-%d", group, n),
+		kind:   g.kind(g.dep.Groups[group].Mix),
+		group:  group,
+		home:   g.home(),
+		arrive: at,
+	}
+	g.fill(s, s.kind.Turns)
+	if g.rng.Float64() < s.kind.SubAgents {
+		g.addChildren(s)
+	}
+	return s
+}
+
+func (g *generator) kind(kinds []Kind) Kind {
+	x := g.rng.Float64()
+	for _, k := range kinds {
+		if x < k.Share {
+			return k
+		}
+		x -= k.Share
+	}
+	return kinds[len(kinds)-1]
+}
+
+func (g *generator) home() int {
+	x := g.rng.Float64()
+	for i, share := range g.dep.HomeShare {
+		if x < share {
+			return i
+		}
+		x -= share
+	}
+	return 0
+}
+
+func (g *generator) fill(s *script, medianTurns float64) {
+	k := s.kind
+	n := min(max(int(g.lognormal(medianTurns, k.TurnSigma)+0.5), 1), k.MaxTurns)
+	input := g.lognormal(k.FirstPrompt, 0.4)
+	context := 0.0
+	for range n {
+		output := min(g.lognormal(k.Output, 0.7), 2000)
+		if context += input + output; context > contextLimit {
+			break
+		}
+		s.turns = append(s.turns, turn{input: int64(input) + 1, output: int64(output) + 1, pause: g.pause(k.Pause)})
+		input = min(g.lognormal(k.Input, 1), 8000)
+	}
+}
+
+// addChildren lets one turn of a program start two or three sub-agents that it waits for.
+func (g *generator) addChildren(s *script) {
+	t := &s.turns[g.rng.IntN(len(s.turns))]
+	for i := range 2 + g.rng.IntN(2) {
+		child := &script{id: fmt.Sprintf("%s.%d", s.id, i), kind: s.kind, group: s.group, home: s.home}
+		g.fill(child, s.kind.Turns/2)
+		t.children = append(t.children, child)
+	}
+}
+
+func (g *generator) lognormal(median, sigma float64) float64 {
+	return median * math.Exp(sigma*g.rng.NormFloat64())
+}
+
+// pause draws a tool pause: a lognormal body, and for one in twenty a Pareto tail from 20 s up to 300 s.
+func (g *generator) pause(median float64) float64 {
+	if g.rng.Float64() < 0.05 {
+		return min(20/math.Pow(1-g.rng.Float64(), 1/1.3), 300)
+	}
+	return min(g.lognormal(median, 1.2), 300)
+}
