--- a/core/program/owner.go
+++ b/core/program/owner.go
@@ -310,8 +310,13 @@
 type Ended struct {
 	Program string
 	Tenant  string
+	Class   string
 	Model   string
 	Reason  string
+	Took    time.Duration // From the creation to the newest call.
+	Turns   int
+
+	Repeated bool // It had ended before.
 }
 
 // End closes a program. Ending it twice changes nothing. A call in flight is not awaited; its outcome is still recorded.
@@ -324,9 +329,17 @@
 }
 
 func (o *Owner) end(p *state, reason string) (Ended, error) {
-	done := Ended{Program: p.id, Tenant: p.created.Tenant, Model: p.created.Model, Reason: reason}
+	done := Ended{
+		Program: p.id,
+		Tenant:  p.created.Tenant,
+		Class:   p.created.Class,
+		Model:   p.created.Model,
+		Reason:  reason,
+		Took:    p.active.Sub(time.UnixMilli(p.created.AtMillis)),
+		Turns:   len(p.turns),
+	}
 	if p.ended != "" {
-		done.Reason = p.ended
+		done.Reason, done.Repeated = p.ended, true
 		return done, nil
 	}
 	lsn, err := o.append(p, journal.Entry{Ended: &journal.Ended{Reason: reason}})
--- a/daemon/dispatch/pool.go
+++ b/daemon/dispatch/pool.go
@@ -88,6 +88,7 @@
 	if !ok {
 		g = newGroup(p, name)
 		p.groups[name] = g
+		go g.applyLeaving()
 		if p.ctx != nil {
 			go g.poll(p.ctx)
 		}
--- a/daemon/ingress/ingress.go
+++ b/daemon/ingress/ingress.go
@@ -44,6 +44,7 @@
 
 // Config bounds the ingress.
 type Config struct {
+	DataCentre    string
 	MaxBodyBytes  int64
 	MaxCalls      int           // Calls under way at once; further ones are refused.
 	ResumeGrace   time.Duration // How long a stream without a reader goes on before it is cancelled.
--- a/daemon/ingress/metrics.go
+++ b/daemon/ingress/metrics.go
@@ -46,6 +46,17 @@
 	m.observe("jackdawbay_call_seconds", tenant, class, d)
 }
 
+// ProgramEnded records the latency of a whole program: from its creation to its newest call.
+func (m *Metrics) ProgramEnded(tenant, class string, took time.Duration, turns int) {
+	m.observe("jackdawbay_program_seconds", tenant, class, took)
+	m.add("jackdawbay_program_turns_total", tenant, class, int64(turns))
+}
+
+// crossRegion counts bytes of a call that crossed between regions.
+func (m *Metrics) crossRegion(tenant, class string, bytes int64) {
+	m.add("jackdawbay_cross_region_bytes_total", tenant, class, bytes)
+}
+
 func (m *Metrics) refused(tenant string, kind errkind.Kind) {
 	name := fmt.Sprintf(`jackdawbay_refusals_total{tenant=%q,kind=%q}`, tenant, string(kind))
 	m.set.GetOrCreateCounter(name).Inc()
--- a/daemon/ingress/model.go
+++ b/daemon/ingress/model.go
@@ -106,11 +106,25 @@
 	if err != nil {
 		return nil, slot.Engine, s.modelFailed(ctx, c, attempt, err)
 	}
+	s.countRegion(c, a, slot, answer)
 	s.metrics.usage(c.tenant, c.class, answer.Usage, a.HistoryTokens)
 	result, err := s.finishModel(c, attempt, a, answer, slot.Engine)
 	return result, "", err
 }
 
+// countRegion counts the bytes of a call whose engine is in another region.
+func (s *Server) countRegion(c *call, a program.Admission, slot peer.Slot, answer upstream.Answer) {
+	set := s.records()
+	if set.Region(slot.Load.DataCentre) == set.Region(s.cfg.DataCentre) {
+		return
+	}
+	bytes := len(answer.Message.Content)
+	for _, m := range a.Messages {
+		bytes += len(m.Content)
+	}
+	s.metrics.crossRegion(c.tenant, c.class, int64(bytes))
+}
+
 // defaultMaxTokens bounds the output of a call that names no bound and whose model's record has none.
 const defaultMaxTokens = 4096
 
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -64,6 +64,7 @@
 	pool    *dispatch.Pool
 	ingress *ingress.Server
 	metrics *metrics.Set
+	calls   *ingress.Metrics
 	slots   *heldSlots
 	sites   *siteTable
 	grants  *grants.Keeper
@@ -113,6 +114,8 @@
 		n.config.Set, n.term, n.engines, log)
 	members := func() int { return len(n.agent.Roster().Members) }
 	n.grants = grants.NewKeeper(set.DataCentre, n.store, n.config.Set, members, log)
+	n.calls = ingress.NewMetrics(n.metrics)
+	set.Ingress.DataCentre = set.DataCentre
 	r := &router{node: n}
 	n.ingress = ingress.New(set.Ingress, ingress.Dependencies{
 		Records:  n.config.Set,
@@ -122,7 +125,7 @@
 		Engines:  n.engines,
 		Services: upstream.NewServices(set.UpstreamKey, options),
 		Signer:   signer,
-		Metrics:  ingress.NewMetrics(n.metrics),
+		Metrics:  n.calls,
 		Log:      log,
 	})
 	n.buildServers(r)
@@ -259,6 +262,7 @@
 // programsEnded releases the cache of ended programs at every dispatcher of the data centre.
 func (n *Node) programsEnded(list []program.Ended) {
 	for _, e := range list {
+		n.calls.ProgramEnded(e.Tenant, e.Class, e.Took, e.Turns)
 		n.log.Info("program ended", "program", e.Program, "reason", e.Reason)
 	}
 	go n.releaseCaches(list)
--- a/daemon/node/router.go
+++ b/daemon/node/router.go
@@ -218,7 +218,7 @@
 	if doErr != nil {
 		return doErr
 	}
-	if err == nil {
+	if err == nil && !ended.Repeated {
 		r.node.programsEnded([]program.Ended{ended})
 	}
 	return err
