--- a/core/membership/plan.go
+++ b/core/membership/plan.go
@@ -130,12 +130,6 @@
 	}
 }
 
-// Rejoined reports whether a member left the roster, which ends its claim on its shards.
-func Rejoined(r Roster, incarnation string) bool {
-	_, ok := r.Member(incarnation)
-	return !ok
-}
-
 // FailAndJoin plans the removal of a dead coordinator by a daemon that enters the roster in its place.
 func FailAndJoin(r Roster, m Member, failed string) Plan {
 	p := newPlan(r)
--- /dev/null
+++ b/daemon/clock/clock.go
@@ -0,0 +1,33 @@
+// Package clock holds the waits that the workers of a daemon share.
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep waits for a time. It reports false when the context ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Every calls f at an interval until the context ends, and returns the context's error.
+func Every(ctx context.Context, interval time.Duration, f func(now time.Time)) error {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-tick.C:
+			f(now)
+		}
+	}
+}
--- a/daemon/cluster/checkpoints.go
+++ b/daemon/cluster/checkpoints.go
@@ -9,6 +9,7 @@
 	"jackdawbay.dev/core/journal"
 	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/owner"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
@@ -38,16 +39,7 @@
 // was restored, and of single ones whose chain is long.
 func (a *Agent) RunCheckpoints(ctx context.Context) error {
 	c := &checkpointer{}
-	tick := time.NewTicker(checkpointInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			a.checkpointRound(ctx, c)
-		}
-	}
+	return clock.Every(ctx, checkpointInterval, func(time.Time) { a.checkpointRound(ctx, c) })
 }
 
 func (a *Agent) checkpointRound(ctx context.Context, c *checkpointer) {
--- a/daemon/cluster/join.go
+++ b/daemon/cluster/join.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/transport"
@@ -137,7 +138,7 @@
 	if err != nil {
 		return false
 	}
-	if !sleep(ctx, leadStaleAfter) {
+	if !clock.Sleep(ctx, leadStaleAfter) {
 		return false
 	}
 	after, err := a.leadVersion(ctx)
@@ -192,14 +193,3 @@
 func isRefused(err error) bool {
 	return errors.Is(err, transport.ErrConnectionRefused)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/cluster/leave.go
+++ b/daemon/cluster/leave.go
@@ -6,6 +6,7 @@
 
 	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 )
 
@@ -25,7 +26,7 @@
 		if a.leaveOnce(ctx) {
 			return
 		}
-		sleep(ctx, leaveRetryInterval)
+		clock.Sleep(ctx, leaveRetryInterval)
 	}
 	a.log.Warn("left without a handover")
 	a.flush(ctx)
--- a/daemon/cluster/shards.go
+++ b/daemon/cluster/shards.go
@@ -9,6 +9,7 @@
 	"jackdawbay.dev/core/journal"
 	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/owner"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
@@ -84,7 +85,7 @@
 	replays, err := replayShards(ctx, a.store, r, shards)
 	if err != nil {
 		a.log.Warn("shards cannot be opened", "shards", len(shards), "error", err)
-		sleep(ctx, joinInterval)
+		clock.Sleep(ctx, joinInterval)
 		return
 	}
 	err = loop.Do(ctx, func(now time.Time, o *program.Owner) {
--- a/daemon/config/agent.go
+++ b/daemon/config/agent.go
@@ -13,6 +13,7 @@
 	"jackdawbay.dev/api/records"
 	"jackdawbay.dev/core/configstate"
 	"jackdawbay.dev/core/membership"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
 )
@@ -152,12 +153,12 @@
 	}
 	for ctx.Err() == nil {
 		if !a.cluster.IsCoordinator() {
-			wait(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 			continue
 		}
 		if err := a.watch(ctx); err != nil && ctx.Err() == nil {
 			a.log.Warn("watch of records ended", "error", err)
-			wait(ctx, retryInterval)
+			clock.Sleep(ctx, retryInterval)
 		}
 	}
 	return ctx.Err()
@@ -273,12 +274,3 @@
 	}
 	return list
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/daemon/node/maintain.go
+++ b/daemon/node/maintain.go
@@ -8,6 +8,7 @@
 	"jackdawbay.dev/api/records"
 	"jackdawbay.dev/core/journal"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/owner"
 	"jackdawbay.dev/daemon/peer"
 )
@@ -16,17 +17,10 @@
 
 // runMaintenance applies resolutions of operators and keeps the journal's pace in step with the number of daemons.
 func (n *Node) runMaintenance(ctx context.Context) error {
-	tick := time.NewTicker(maintainInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-			n.applyResolutions(ctx)
-			n.paceJournal(ctx)
-		}
-	}
+	return clock.Every(ctx, maintainInterval, func(time.Time) {
+		n.applyResolutions(ctx)
+		n.paceJournal(ctx)
+	})
 }
 
 // applyResolutions closes the calls whose outcome an operator found out. Closing one twice changes nothing.
--- a/daemon/node/models.go
+++ b/daemon/node/models.go
@@ -7,6 +7,7 @@
 
 	"jackdawbay.dev/api/records"
 	"jackdawbay.dev/core/modelplan"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/upstream"
 )
@@ -21,18 +22,11 @@
 // runModels brings the engines of the data centre to the models that the records want, while this daemon is the
 // coordinator.
 func (n *Node) runModels(ctx context.Context) error {
-	tick := time.NewTicker(modelsInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
+	return clock.Every(ctx, modelsInterval, func(time.Time) {
 		if held, _ := n.agent.CommandLease(); held {
 			n.planModels(ctx)
 		}
-	}
+	})
 }
 
 func (n *Node) planModels(ctx context.Context) {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -15,6 +15,7 @@
 
 	"jackdawbay.dev/core/journal"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/cluster"
 	"jackdawbay.dev/daemon/config"
 	"jackdawbay.dev/daemon/dispatch"
@@ -243,7 +244,7 @@
 	n.agent.Leave(ctx)
 	n.log.Info("shards handed over", "ms", time.Since(start).Milliseconds())
 	// The balancer notices the failed readiness check within the drain delay. Until then calls are still taken.
-	pause(ctx, n.set.DrainDelay)
+	clock.Sleep(ctx, n.set.DrainDelay)
 	n.ingress.Stop()
 	if err := n.ingress.Wait(ctx); err != nil {
 		n.log.Warn("calls were still under way at the stop timeout")
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -10,6 +10,7 @@
 	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
 	"jackdawbay.dev/core/schedule"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/transport"
 )
@@ -106,7 +107,7 @@
 		if errors.Is(err, transport.ErrNotSent) && dataCentre == r.node.set.DataCentre {
 			go r.node.agent.Suspect(context.WithoutCancel(ctx), m, errors.Is(err, transport.ErrConnectionRefused))
 		}
-		if !pause(ctx, ownerRetryInterval) {
+		if !clock.Sleep(ctx, ownerRetryInterval) {
 			break
 		}
 	}
@@ -153,14 +154,3 @@
 		}
 	}()
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/daemon/node/status.go
+++ b/daemon/node/status.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
 )
@@ -56,30 +57,23 @@
 
 // runStatus writes the status of the data centre while this daemon is the coordinator.
 func (n *Node) runStatus(ctx context.Context) error {
-	tick := time.NewTicker(statusFast)
-	defer tick.Stop()
 	var version uint64
 	var written time.Time
 	settled := false
 	digest := ""
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
+	return clock.Every(ctx, statusFast, func(time.Time) {
 		if !n.agent.IsCoordinator() {
 			version, settled = 0, false
-			continue
+			return
 		}
 		key := n.statusKey()
 		if settled && key == digest && time.Since(written) < statusSlow {
-			continue
+			return
 		}
 		s := n.collectStatus(ctx)
 		version = n.writeStatus(ctx, version, s)
 		written, digest, settled = time.Now(), key, s.settled()
-	}
+	})
 }
 
 // statusKey changes when the status probably changed.
--- a/daemon/node/vmlist.go
+++ b/daemon/node/vmlist.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 )
 
@@ -24,30 +25,23 @@
 // runVMList reads the platform's list of VMs while this daemon is the coordinator, and tells the members which upstream
 // VMs are leaving. The list lags and may be wrong, so it only steers new work away.
 func (n *Node) runVMList(ctx context.Context) error {
-	tick := time.NewTicker(vmListInterval)
-	defer tick.Stop()
 	var sent map[string]bool
 	var at time.Time
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
+	return clock.Every(ctx, vmListInterval, func(time.Time) {
 		if !n.agent.IsCoordinator() {
 			sent = nil
-			continue
+			return
 		}
 		leaving, err := n.readLeaving(ctx)
 		if err != nil {
-			continue
+			return
 		}
 		if sent != nil && maps.Equal(sent, leaving) && time.Since(at) < vmListRepeat {
-			continue
+			return
 		}
 		n.sendLeaving(ctx, leaving)
 		sent, at = leaving, time.Now()
-	}
+	})
 }
 
 // readLeaving returns the addresses of the leaving VMs of this data centre.
