Keep sending the window until a call has ended

Cause: after a history_gap the client sent the window once; when that request went to a dead daemon of the list, the next try began without the window again. With two base URLs and one dead the two requests of a try always hit the live one first and the dead one second, so the call never ended. Change: once an owner lacked turns, every request carries the window until a call ends.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -92,6 +92,7 @@
 	Window   []caller.Turn // Turns that are not known to be durable.
 
 	client *Client
+	gap    bool // An owner lacked turns, and no call has ended since.
 }
 
 // Create starts a program.
@@ -148,14 +149,20 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		c.Deadline = &deadline
 	}
+	if p.gap {
+		// A repeat after a lost answer goes to another daemon; it must not depend on two daemons in a row.
+		c.Window = p.Window
+	}
 	result, err := p.once(ctx, c, onText)
-	if errkind.Is(err, errkind.HistoryGap) || errkind.Is(err, errkind.ProgramNotFound) {
+	if !p.gap && (errkind.Is(err, errkind.HistoryGap) || errkind.Is(err, errkind.ProgramNotFound)) {
+		p.gap = true
 		c.Window = p.Window
 		result, err = p.once(ctx, c, onText)
 	}
 	if err != nil {
 		return result, err
 	}
+	p.gap = false
 	return result, p.accept(result)
 }
 
