End forwarded requests when their receiver leaves the roster

Cause: a frozen daemon keeps connections open and answers nothing. A request that was forwarded to a frozen owner waited for its bound of 5 s although the roster had a new owner, and one to a frozen dispatcher had no bound but the call's. Change: a request to a member of the own data centre ends with its membership, and is then sent to the successor.

--- a/daemon/node/router.go
+++ b/daemon/node/router.go
@@ -87,6 +87,9 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
 	defer cancel()
+	if dataCentre == r.node.set.DataCentre {
+		go r.cancelWithMember(callCtx, cancel, m.Incarnation)
+	}
 	err = r.node.peers.Post(callCtx, m.PeerAddress, path, message, into)
 	if errors.Is(err, transport.ErrNotSent) && dataCentre == r.node.set.DataCentre {
 		go agent.Suspect(context.WithoutCancel(ctx), m, errors.Is(err, transport.ErrConnectionRefused))
@@ -94,6 +97,23 @@
 	return err
 }
 
+// cancelWithMember cancels a forwarded request when its receiver leaves the roster, since a frozen daemon keeps the
+// connection open and answers nothing. It ends with the context.
+func (r *router) cancelWithMember(ctx context.Context, cancel context.CancelFunc, incarnation string) {
+	for {
+		changed := r.node.agent.Changed()
+		if _, ok := r.node.agent.Roster().Member(incarnation); !ok {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
 // Create starts a program. The id is chosen so that this daemon owns its shard, if it owns any, because then no other
 // daemon is needed.
 func (r *router) Create(ctx context.Context, tenant string, body caller.CreateProgram) (caller.CreatedProgram, error) {
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -86,7 +86,7 @@
 		if m.Incarnation == r.node.agent.Incarnation() {
 			return r.node.pool.Acquire(ctx, a)
 		}
-		err = r.node.peers.Post(ctx, m.PeerAddress, peer.PathAcquire, a, &slot)
+		err = r.askDispatcher(ctx, dataCentre, m, a, &slot)
 		if err == nil || !errors.Is(err, peer.ErrUnreachable) {
 			return slot, err
 		}
@@ -103,6 +103,16 @@
 	return peer.Slot{}, errkind.Wrap(errkind.OwnerUnavailable, err, "The dispatcher of the engine group does not answer.")
 }
 
+// askDispatcher waits for a slot of another daemon, until that daemon leaves the roster.
+func (r *router) askDispatcher(ctx context.Context, dataCentre string, m membership.Member, a peer.Acquire, slot *peer.Slot) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if dataCentre == r.node.set.DataCentre {
+		go r.cancelWithMember(ctx, cancel, m.Incarnation)
+	}
+	return r.node.peers.Post(ctx, m.PeerAddress, peer.PathAcquire, a, slot)
+}
+
 // dispatcher returns the member that hands out the slots of an engine group in a data centre.
 func (r *router) dispatcher(ctx context.Context, dataCentre, group string, fresh bool) (membership.Member, error) {
 	roster, err := r.node.agent.RosterOf(ctx, dataCentre, fresh)
