Let an isolated coordinator give its place up

Cause: a coordinator that reaches fewer than half of its members removes no one, and while it writes its sign of life no other daemon takes its place. When the coordinator was cut from its peers only, nobody acted; when most daemons of a data centre were lost at once, their programs had no owner until an operator came. Change: such a coordinator stops its sign of life and reads the roster instead, so that its deputy can replace it. When nobody has done so for 8 s and the roster still names it, the others are gone and it removes them. Before: scenario coordinator_cut_from_peers: no new coordinator within 15 s. order_during_kill with three daemons and two killed: 'too few members answer' until the script ended after 25 s. After: deputy takes over 9.6 s after the cut (coordinator_cut_from_peers); programs of two lost daemons accepted after 9.2 to 9.6 s (coordinator_left_alone).

--- a/core/membership/detector.go
+++ b/core/membership/detector.go
@@ -80,3 +80,33 @@
 	p.last = now
 	return max(monotonic, wall) > p.limit
 }
+
+// Bounds of Isolation.
+const (
+	// IsolationLimit is how long a coordinator that reaches too few members leaves its place to others before it removes
+	// them. It is above the time in which they notice it and find its sign of life standing still.
+	IsolationLimit = 8 * time.Second
+
+	// isolationGap is the time without an observation after which the isolation is over. Suspicions repeat with each probe,
+	// and a coordinator that confirms one takes up to three probe timeouts.
+	isolationGap = ProbeInterval + 5*ProbeTimeout
+)
+
+// Isolation follows how long a coordinator has reached too few members to remove others. The zero value is not isolated.
+type Isolation struct {
+	since, last time.Time
+}
+
+// Observe records that too few members answered. It reports whether this has lasted for IsolationLimit.
+func (i *Isolation) Observe(now time.Time) bool {
+	if !i.Active(now) {
+		i.since = now
+	}
+	i.last = now
+	return now.Sub(i.since) >= IsolationLimit
+}
+
+// Active reports whether too few members answered just now.
+func (i *Isolation) Active(now time.Time) bool {
+	return !i.last.IsZero() && now.Sub(i.last) <= isolationGap
+}
--- a/daemon/cluster/coordinator.go
+++ b/daemon/cluster/coordinator.go
@@ -22,6 +22,8 @@
 	replacing  sync.Mutex // Held while a dead coordinator is replaced.
 	joinedTerm uint64     // Term of the newest roster that listed this incarnation; guarded by Agent.mu.
 	evicting   sync.Map   // Incarnations whose eviction is under way.
+	alone      membership.Isolation
+	aloneMu    sync.Mutex
 }
 
 // basis is the roster that a change starts from.
@@ -238,7 +240,7 @@
 	if result == membership.ProbeOK {
 		return
 	}
-	if result == membership.ProbeTimeOut && !a.reachesEnough(ctx) {
+	if result == membership.ProbeTimeOut && !a.reachesEnough(ctx) && !a.mayEvictAlone(ctx, incarnation) {
 		a.log.Warn("too few members answer; no one is removed", "suspect", m.VM)
 		return
 	}
@@ -252,6 +254,34 @@
 	a.log.Info("failed member removed", "member", m.VM)
 }
 
+// mayEvictAlone decides for a coordinator that reaches too few members. It gives the others time to replace it, and then
+// reads the roster: when nobody has replaced it, the others are gone.
+func (a *Agent) mayEvictAlone(ctx context.Context, incarnation string) bool {
+	a.coordinator.aloneMu.Lock()
+	long := a.coordinator.alone.Observe(time.Now())
+	a.coordinator.aloneMu.Unlock()
+	if !long {
+		return false
+	}
+	r, version, err := readRoster(ctx, a.store, a.cfg.DataCentre)
+	if err != nil {
+		return false
+	}
+	a.OfferRoster(r, version)
+	if _, ok := a.Roster().Member(incarnation); !ok || !a.IsCoordinator() {
+		return false
+	}
+	a.log.Warn("no other daemon took over as coordinator; members are removed although too few answer")
+	return true
+}
+
+// isAlone reports whether this coordinator reached too few members just now.
+func (a *Agent) isAlone() bool {
+	a.coordinator.aloneMu.Lock()
+	defer a.coordinator.aloneMu.Unlock()
+	return a.coordinator.alone.Active(time.Now())
+}
+
 // reachesEnough counts the members that answer this coordinator.
 func (a *Agent) reachesEnough(ctx context.Context) bool {
 	r := a.Roster()
@@ -306,6 +336,11 @@
 			version = 0
 			continue
 		}
+		if a.isAlone() {
+			// Without the sign of life, a daemon that reaches the others can take this one's place.
+			a.refreshFromPlatform(ctx)
+			continue
+		}
 		beat++
 		version = a.beat(ctx, version, beat)
 	}
