--- a/testbed/agent/run.go
+++ b/testbed/agent/run.go
@@ -38,6 +38,8 @@
 	Turns         int
 	CreateAt      string   // VM that must own the programs; empty leaves it open.
 	Through       []string // VMs that take the calls; empty takes all.
+	First         string   // VM that gets the first request of each call; empty takes them in turn.
+	UntilBudget   bool     // Ends a program when its budget refuses a call, which must happen.
 	Pause         time.Duration
 	MaxTokens     int
 	Budget        int64
@@ -171,11 +173,20 @@
 	if len(steps) == 0 {
 		steps = r.drawSteps()
 	}
+	exhausted := false
 	for i, kind := range steps {
-		if err := r.step(ctx, i+1, kind); err != nil {
+		err := r.step(ctx, i+1, kind)
+		if exhausted = r.cfg.UntilBudget && errkind.Is(err, errkind.ProgramBudgetExhausted); exhausted {
+			r.printf("budget is exhausted")
+			break
+		}
+		if err != nil {
 			return errors.Wrapf(err, "program %d: step %d (%s)", r.index+1, i+1, kind)
 		}
 	}
+	if r.cfg.UntilBudget && !exhausted {
+		r.fault("the budget of %d tokens refused no call", r.cfg.Budget)
+	}
 	if err := r.end(ctx); err != nil {
 		return errors.Wrapf(err, "program %d: end", r.index+1)
 	}
@@ -345,6 +356,10 @@
 // try bounds one request of a call and counts it.
 func (r *runner) try(ctx context.Context, s *Step, f func(context.Context) (caller.Result, error)) (caller.Result, error) {
 	s.Tries++
+	if first := r.urls([]string{r.cfg.First}); r.cfg.First != "" && s.Tries == 1 {
+		r.client.BaseURLs = first
+		defer func() { r.client.BaseURLs = r.urls(r.cfg.Through) }()
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.cfg.TryTimeout)
 	defer cancel()
 	result, err := f(ctx)
--- a/testbed/cmd/agent/main.go
+++ b/testbed/cmd/agent/main.go
@@ -25,6 +25,8 @@
 	Turns         int           `default:"6" help:"Number of drawn steps."`
 	CreateAt      string        `help:"VM that must own the programs."`
 	Through       []string      `help:"VMs that take the calls. Default: all."`
+	First         string        `help:"VM that gets the first request of each call. Default: in turn."`
+	UntilBudget   bool          `help:"End a program when its budget refuses a call, which must happen."`
 	Pause         time.Duration `help:"Upper bound of the pause before a call."`
 	MaxTokens     int           `default:"64" help:"Output bound of a model call."`
 	Budget        int64         `default:"1000000" help:"Budget of a program in tokens."`
@@ -66,7 +68,8 @@
 	}
 	report, err := agent.Run(ctx, agent.Config{
 		Topology: t, Name: c.Name, Seed: c.Seed, Programs: c.Programs, Steps: c.Steps, Turns: c.Turns,
-		CreateAt: c.CreateAt, Through: c.Through, Pause: c.Pause, MaxTokens: c.MaxTokens, Budget: c.Budget,
+		CreateAt: c.CreateAt, Through: c.Through, First: c.First,
+		UntilBudget: c.UntilBudget, Pause: c.Pause, MaxTokens: c.MaxTokens, Budget: c.Budget,
 		TryTimeout: c.TryTimeout, CallTimeout: c.CallTimeout, OrderPatience: c.OrderPatience, Gate: c.Gate, Out: os.Stdout,
 	})
 	fmt.Printf("programs=%d max_gap_ms=%d\n", len(report.Programs), report.MaxGapMillis)
