Spread the retry times of refused calls

Each refusal now reserves a part of the drain rate, and a call that returns may use the part of the queue that new programs may not.

--- a/core/schedule/dispatcher.go
+++ b/core/schedule/dispatcher.go
@@ -101,6 +101,7 @@
 	seq          uint64
 	epoch        time.Time // Zero of the queue keys.
 	meanService  float64   // Moving average over all engines, in seconds.
+	nextReturn   time.Time // When the refused call with the latest retry time returns.
 	freeItems    []*item
 	freePrefixes []*prefix
 }
--- a/core/schedule/dispatcher_test.go
+++ b/core/schedule/dispatcher_test.go
@@ -163,3 +163,22 @@
 func usageOf(prompt int64) caller.Usage {
 	return caller.Usage{PromptTokens: prompt, CompletionTokens: 100}
 }
+
+// Guards against refused calls that all return at once and find the queue full again.
+func TestRefusedCallsReturnOneByOne(t *testing.T) {
+	d := withEngines(Config{QueueDepth: 10}, engineNamed("e", 1))
+	for i := range 8 {
+		must.NoError(t, d.Enqueue(start, ticket(strconv.Itoa(i), strconv.Itoa(i))))
+	}
+	last := time.Duration(0)
+	for range 3 {
+		err := d.Enqueue(start, ticket("x", "x"))
+		after := errkind.From(err).RetryAfter
+		must.Greater(t, last, after)
+		last = after
+	}
+	// A call that returns may use the part of the queue that new programs may not.
+	again := ticket("x", "x")
+	again.Enqueued = start
+	must.NoError(t, d.Enqueue(start.Add(last), again))
+}
--- a/core/schedule/enqueue.go
+++ b/core/schedule/enqueue.go
@@ -13,7 +13,9 @@
 	// queueRetryLevel is the part of a bound to which the queue has to fall before a refused call is asked to return.
 	queueRetryLevel = 0.75
 	minRetryAfter   = 250 * time.Millisecond
-	maxRetryAfter   = time.Minute
+	maxRetryAfter   = 5 * time.Minute
+	// returnShare is the part of the drain rate at which refused calls are asked to return. The rest is left to new calls.
+	returnShare = 0.2
 	// noEngineRetry is the retry time when no engine serves the model; loading one takes longer than a second.
 	noEngineRetry = 2 * time.Second
 	// rankSamples bounds the tickets that are looked at to estimate a place in the queue.
@@ -28,7 +30,7 @@
 	if t.ID == "" || t.Program == "" || t.PromptTokens < 0 {
 		return errkind.New(errkind.InvalidValue, "A ticket needs an id, a program and a prompt of zero tokens or more.")
 	}
-	if err := d.checkDepth(t); err != nil {
+	if err := d.checkDepth(now, t); err != nil {
 		return err
 	}
 	l := d.lane(laneKey{t.Model, t.Adapter})
@@ -74,28 +76,38 @@
 	return nil
 }
 
-func (d *Dispatcher) checkDepth(t Ticket) error {
+func (d *Dispatcher) checkDepth(now time.Time, t Ticket) error {
 	depth := d.cfg.QueueDepth
-	if t.SpentTokens == 0 && t.HistoryTokens == 0 {
+	returned := !t.Enqueued.IsZero() && now.Sub(t.Enqueued) >= minRetryAfter
+	if t.SpentTokens == 0 && t.HistoryTokens == 0 && !returned {
 		depth = int(float64(depth) * newProgramDepth)
 	}
 	if d.waiting >= max(depth, 1) {
-		return d.queueFull(d.waiting, depth)
+		return d.queueFull(now, d.waiting, depth)
 	}
 	c := d.class(t.Class)
 	if c.limit.QueueDepth > 0 && c.waiting >= c.limit.QueueDepth {
-		return d.queueFull(c.waiting, c.limit.QueueDepth)
+		return d.queueFull(now, c.waiting, c.limit.QueueDepth)
 	}
 	return nil
 }
 
-// queueFull states when the queue will have drained below its bound at the present rate.
-func (d *Dispatcher) queueFull(waiting, depth int) error {
+// queueFull states when the queue will have drained below its bound. Refused calls are spread over the time to come, so
+// that they do not all return at once and find the queue full again.
+func (d *Dispatcher) queueFull(now time.Time, waiting, depth int) error {
+	rate := d.drainRate()
 	excess := float64(waiting) - queueRetryLevel*float64(depth)
+	earliest := now.Add(seconds(max(excess, 0) / rate))
+	d.nextReturn = later(d.nextReturn, earliest).Add(seconds(1 / (returnShare * rate)))
+	if limit := now.Add(maxRetryAfter); d.nextReturn.After(limit) {
+		d.nextReturn = limit
+	}
 	e := errkind.Newf(errkind.QueueFull, "%d calls wait.", waiting)
-	return e.After(clampRetry(excess / d.drainRate()))
+	return e.After(max(d.nextReturn.Sub(now), minRetryAfter))
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // checkDeadline refuses a ticket that cannot start in time to end before its deadline.
 func (d *Dispatcher) checkDeadline(now time.Time, it *item) error {
 	if it.Deadline.IsZero() {
@@ -113,9 +125,8 @@
 	return e.After(clampRetry(wait + d.runSeconds(it) - left))
 }
 
-func clampRetry(seconds float64) time.Duration {
-	after := time.Duration(seconds * float64(time.Second))
-	return min(max(after, minRetryAfter), maxRetryAfter)
+func clampRetry(after float64) time.Duration {
+	return min(max(seconds(after), minRetryAfter), maxRetryAfter)
 }
 
 // expectedWait estimates the seconds until a ticket gets a slot, from the tickets of its lane that go before it.
--- a/core/schedule/types.go
+++ b/core/schedule/types.go
@@ -17,9 +17,9 @@
 	MaxTokens       int64
 	SpentTokens     int64 // Attained service of the program, for a dispatcher that has not seen it before.
 	Deadline        time.Time
-	Enqueued        time.Time
-	PreferredEngine string // Engine of the last call, for a dispatcher that has not seen the program before.
-	Parent          string // Program that started this one as a sub-agent.
+	Enqueued        time.Time // First attempt to queue the call; earlier than now for a call that was refused before.
+	PreferredEngine string    // Engine of the last call, for a dispatcher that has not seen the program before.
+	Parent          string    // Program that started this one as a sub-agent.
 }
 
 // Grant gives a ticket one slot of an engine until Expires.
--- a/testbed/experiment/engine.go
+++ b/testbed/experiment/engine.go
@@ -27,19 +27,19 @@
 
 // call is one model call inside the simulation.
 type call struct {
-	id       string
-	p        *process
-	prompt   int64
-	history  int64
-	output   int64
-	cached   int64
-	prefill  float64 // Prompt tokens left to process.
-	decode   float64 // Output tokens left to generate.
-	engine   *engine
-	link     bool // Crosses the region border.
-	ready    float64
-	aborted  bool
-	attempts int
+	id      string
+	p       *process
+	prompt  int64
+	history int64
+	output  int64
+	cached  int64
+	prefill float64 // Prompt tokens left to process.
+	decode  float64 // Output tokens left to generate.
+	engine  *engine
+	link    bool // Crosses the region border.
+	ready   float64
+	aborted bool
+	refused bool // The last attempt was refused.
 }
 
 func (c *call) context() int64 { return c.prompt + c.output }
--- a/testbed/experiment/ours.go
+++ b/testbed/experiment/ours.go
@@ -105,7 +105,6 @@
 	if p.w.crosses(home, site) {
 		p.link[home].Spend(p.now(), p.remoteCall(c).LinkBytes())
 	}
-	c.attempts++
 	p.w.clock.after(p.w.oneWay(home, site), func() { p.enqueue(c, group, site) })
 }
 
@@ -168,15 +167,21 @@
 		HistoryTokens: c.history,
 		MaxTokens:     2000,
 		SpentTokens:   c.p.spent,
+		Enqueued:      virtualStart.Add(time.Duration(c.ready * float64(time.Second))),
 	}
 	if c.p.parent != nil {
 		t.Parent = c.p.parent.id
 	}
 	if err := p.dispatchers[group][site].Enqueue(p.now(), t); err != nil {
 		p.w.results.refusals++
+		if c.refused {
+			p.w.results.refusedAgain++
+		}
+		c.refused = true
 		p.w.retryLater(c, errkind.From(err).RetryAfter.Seconds())
 		return
 	}
+	c.refused = false
 	p.calls[c.id] = c
 	p.dispatch(group, site)
 }
--- a/testbed/experiment/report.go
+++ b/testbed/experiment/report.go
@@ -27,6 +27,7 @@
 	LateSignals   []Result
 	EngineLost    []Result
 	SiteCut       []Result
+	SmallQueue    []Result
 	TargetRatios  map[string]float64
 	BaselineNamed string
 }
@@ -46,6 +47,7 @@
 	rep.LateSignals = m.results(AblationLoads, []Policy{Ours()}, func(r *Run) { r.Signals = LateSignals() })
 	rep.EngineLost = m.results([]float64{0.85}, all, func(r *Run) { r.Fault = EngineLost })
 	rep.SiteCut = m.results([]float64{0.85}, all, func(r *Run) { r.Fault = SiteCut })
+	rep.SmallQueue = m.results([]float64{1.2}, []Policy{SmallQueue()}, nil)
 	rep.targets()
 	return rep
 }
@@ -110,6 +112,7 @@
 		m.LinkMB += r.LinkMB
 		m.Goodput += r.Goodput
 		m.Refusals += r.Refusals
+		m.Again += r.Again
 		m.Unfinished += r.Unfinished
 		m.Programs += r.Programs
 		addClasses(m.ClassMean, r.ClassMean)
@@ -180,6 +183,10 @@
 	writeTable(w, "Ours with late and incomplete reports", rep.LateSignals)
 	writeTable(w, "An engine lost in mid-run", rep.EngineLost)
 	writeTable(w, "The last data centre cut off for 120 s in mid-run", rep.SiteCut)
+	writeTable(w, "Ours with a short queue, which refuses calls", rep.SmallQueue)
+	for _, r := range rep.SmallQueue {
+		fmt.Fprintf(w, "Of %d refusals, %d were of calls that returned after the stated time.\n\n", r.Refusals, r.Again)
+	}
 	writeClasses(w, rep.Policies)
 }
 
--- a/testbed/experiment/results.go
+++ b/testbed/experiment/results.go
@@ -19,6 +19,7 @@
 	LinkMB      float64 // Megabytes between regions during the arrival time.
 	Goodput     float64 // Useful tokens a second of calls that ended in the arrival time after the warm-up.
 	Refusals    int
+	Again       int // Refusals of calls that returned after the stated time.
 	Unfinished  int // Programs without an end when the run stopped.
 	ClassMean   map[string]float64
 	ClassP95    map[string]float64
@@ -29,16 +30,17 @@
 }
 
 type results struct {
-	run        Run
-	prompt     int64
-	wasted     int64
-	linkBytes  int64
-	refusals   int
-	useful     []int64
-	latencies  map[string][]float64
-	arrivals   map[string]int
-	inTime     map[string]int
-	linkInTime int64
+	run          Run
+	prompt       int64
+	wasted       int64
+	linkBytes    int64
+	refusals     int
+	refusedAgain int
+	useful       []int64
+	latencies    map[string][]float64
+	arrivals     map[string]int
+	inTime       map[string]int
+	linkInTime   int64
 }
 
 func newResults(r Run) *results {
@@ -78,7 +80,7 @@
 func (r *results) summary() Result {
 	s := Result{
 		Deployment: r.run.Deployment.Name, Policy: r.run.Policy.Name, Load: r.run.Load, Seed: r.run.Seed, Fault: r.run.Fault,
-		LinkMB: float64(r.linkInTime) / 1e6, Refusals: r.refusals,
+		LinkMB: float64(r.linkInTime) / 1e6, Refusals: r.refusals, Again: r.refusedAgain,
 		ClassMean: map[string]float64{}, ClassP95: map[string]float64{},
 		ClassDone: map[string]float64{}, ClassInTime: map[string]float64{},
 	}
--- a/testbed/experiment/suite.go
+++ b/testbed/experiment/suite.go
@@ -45,6 +45,11 @@
 	}
 }
 
+// SmallQueue is ours with a queue so short that it refuses calls at 120% load.
+func SmallQueue() Policy {
+	return Policy{Name: "queue of 40", Config: schedule.Config{QueueDepth: 40}}
+}
+
 // Base returns a run with the usual settings.
 func Base(dep Deployment, seed uint64) Run {
 	return Run{Deployment: dep, Engine: DefaultEngine(), Signals: NormalSignals(), Seed: seed, Warmup: 300, Arrivals: 1800, Drain: 3600}
