Prefer the home data centre unless its engines are saturated, and leave silent ones out

Cause: the choice of a data centre took the largest allowed output as the expected one, so that an idle remote engine looked better than a busy home engine, and a request to a data centre behind a cut waited until the call's deadline. Change: other data centres count only while calls queue at home, the expected output is the class's mean, a remote slot is waited for 2 s at most, and a data centre that does not answer is left out for 10 s.

--- a/daemon/ingress/ingress.go
+++ b/daemon/ingress/ingress.go
@@ -76,6 +76,7 @@
 
 	live     *liveStreams
 	retries  *retryBudgets
+	outputs  *outputMeans
 	calls    chan struct{} // One element for each call under way.
 	mu       sync.Mutex
 	stopping bool
@@ -110,6 +111,7 @@
 		log:      d.Log,
 		live:     newLiveStreams(cfg.ResumeGrace),
 		retries:  newRetryBudgets(),
+		outputs:  newOutputMeans(),
 		calls:    make(chan struct{}, cfg.MaxCalls),
 	}
 }
--- a/daemon/ingress/model.go
+++ b/daemon/ingress/model.go
@@ -86,7 +86,7 @@
 		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
 		return nil, "", errkind.New(errkind.UnknownModel, "Model: "+a.Model+".")
 	}
-	acquire := c.acquire(s.streams.Incarnation(), attempt, a, model.Group, failed)
+	acquire := s.acquire(c, attempt, a, model.Group, failed)
 	queued := time.Now()
 	slot, err := s.slots.Acquire(ctx, acquire)
 	if err != nil {
@@ -106,6 +106,7 @@
 	if err != nil {
 		return nil, slot.Engine, s.modelFailed(ctx, c, attempt, err)
 	}
+	s.outputs.observe(c.class, answer.Usage.CompletionTokens)
 	s.countRegion(c, a, slot, answer)
 	s.metrics.usage(c.tenant, c.class, answer.Usage, a.HistoryTokens)
 	result, err := s.finishModel(c, attempt, a, answer, slot.Engine)
@@ -142,22 +143,23 @@
 	return nil
 }
 
-func (c *call) acquire(incarnation, attempt string, a program.Admission, group string, failed []string) peer.Acquire {
+func (s *Server) acquire(c *call, attempt string, a program.Admission, group string, failed []string) peer.Acquire {
 	return peer.Acquire{
-		Ticket:        incarnation + "/" + attempt,
-		Group:         group,
-		Program:       c.program,
-		Parent:        a.Parent,
-		Tenant:        c.tenant,
-		Class:         a.Class,
-		Model:         a.Model,
-		PromptTokens:  a.WorstCase - int64(c.body.Model.MaxTokens),
-		HistoryTokens: a.HistoryTokens,
-		MaxTokens:     int64(c.body.Model.MaxTokens),
-		SpentTokens:   a.SpentTokens,
-		Deadline:      c.deadline,
-		Exclude:       failed,
-		Preferred:     a.Engine,
+		Ticket:         s.streams.Incarnation() + "/" + attempt,
+		Group:          group,
+		Program:        c.program,
+		Parent:         a.Parent,
+		Tenant:         c.tenant,
+		Class:          a.Class,
+		Model:          a.Model,
+		PromptTokens:   a.WorstCase - int64(c.body.Model.MaxTokens),
+		HistoryTokens:  a.HistoryTokens,
+		MaxTokens:      int64(c.body.Model.MaxTokens),
+		ExpectedTokens: min(s.outputs.expected(a.Class), int64(c.body.Model.MaxTokens)),
+		SpentTokens:    a.SpentTokens,
+		Deadline:       c.deadline,
+		Exclude:        failed,
+		Preferred:      a.Engine,
 	}
 }
 
--- a/daemon/node/sites.go
+++ b/daemon/node/sites.go
@@ -32,13 +32,14 @@
 // siteTable holds the lagging load of engine groups in all data centres, and the byte budgets of the link between regions.
 // Its size is bounded by the groups and data centres of the records.
 type siteTable struct {
-	mu    sync.Mutex
-	loads map[siteKey]observedLoad
-	links map[string]*schedule.LinkBudget // By engine group.
+	mu     sync.Mutex
+	loads  map[siteKey]observedLoad
+	links  map[string]*schedule.LinkBudget // By engine group.
+	silent map[string]time.Time            // Data centres that did not answer, with the time until which they are left out.
 }
 
 func newSiteTable() *siteTable {
-	return &siteTable{loads: map[siteKey]observedLoad{}, links: map[string]*schedule.LinkBudget{}}
+	return &siteTable{loads: map[siteKey]observedLoad{}, links: map[string]*schedule.LinkBudget{}, silent: map[string]time.Time{}}
 }
 
 func (t *siteTable) observe(group string, l peer.GroupLoad) {
@@ -50,6 +51,15 @@
 	t.loads[key] = known
 }
 
+// silentTime is how long a data centre is left out after it did not answer.
+const silentTime = 10 * time.Second
+
+func (t *siteTable) fail(dataCentre string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.silent[dataCentre] = time.Now().Add(silentTime)
+}
+
 // stale reports whether a load should be read again, and notes that it is.
 func (t *siteTable) stale(group, dataCentre string) bool {
 	t.mu.Lock()
@@ -78,6 +88,9 @@
 	defer t.mu.Unlock()
 	list := make([]schedule.SiteLoad, 0, len(slots))
 	for dc, n := range slots {
+		if dc != home && time.Now().Before(t.silent[dc]) {
+			continue
+		}
 		s := schedule.SiteLoad{DataCentre: dc, Slots: n, Home: dc == home, OtherRegion: set.Region(dc) != set.Region(home)}
 		if dc == holder {
 			s.CachedTokens = a.HistoryTokens
@@ -129,7 +142,7 @@
 }
 
 func remoteCall(a peer.Acquire) schedule.RemoteCall {
-	return schedule.RemoteCall{PromptTokens: a.PromptTokens, HistoryTokens: a.HistoryTokens, OutputTokens: a.MaxTokens}
+	return schedule.RemoteCall{PromptTokens: a.PromptTokens, HistoryTokens: a.HistoryTokens, OutputTokens: a.ExpectedTokens}
 }
 
 // link returns the byte budget of an engine group; t.mu is held.
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -18,8 +18,8 @@
 // slotTries bounds how often a slot is asked for again when the dispatcher cannot be reached.
 const slotTries = 3
 
-// Acquire gets an engine slot in the best data centre. The others follow by distance when it has no usable engine. A data
-// centre of another region is used only while the byte budget of the link covers the call.
+// Acquire gets an engine slot in the best data centre. When it has no usable engine or cannot be reached, the others
+// follow by distance. A data centre of another region is used only while the byte budget of the link covers the call.
 func (r *router) Acquire(ctx context.Context, a peer.Acquire) (peer.Slot, error) {
 	err := error(errkind.New(errkind.UpstreamUnavailable, "No engine serves the group "+a.Group+"."))
 	for _, s := range r.sites(a) {
@@ -28,18 +28,46 @@
 			continue
 		}
 		var slot peer.Slot
-		slot, err = r.acquireIn(ctx, s.DataCentre, a)
+		slot, err = r.acquireAt(ctx, s, a)
 		if err == nil {
 			r.granted(a, s, slot)
 			return slot, nil
 		}
-		if !errkind.Is(err, errkind.UpstreamUnavailable) && !errkind.Is(err, errkind.OwnerUnavailable) {
+		if !r.nextSite(ctx, s, err) {
 			return peer.Slot{}, err
 		}
 	}
 	return peer.Slot{}, err
 }
 
+// remoteWait bounds the wait for a slot in a data centre other than the home. It was chosen because a slot should be free
+// there, so a longer wait shows that it cannot be reached.
+const remoteWait = 2 * time.Second
+
+func (r *router) acquireAt(ctx context.Context, s schedule.SiteLoad, a peer.Acquire) (peer.Slot, error) {
+	if s.Home {
+		return r.acquireIn(ctx, s.DataCentre, a)
+	}
+	ctx, cancel := context.WithTimeout(ctx, remoteWait)
+	defer cancel()
+	return r.acquireIn(ctx, s.DataCentre, a)
+}
+
+// nextSite reports whether another data centre is tried after an error. One that did not answer is left out for a while.
+func (r *router) nextSite(ctx context.Context, s schedule.SiteLoad, err error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if errkind.Is(err, errkind.UpstreamUnavailable) {
+		return true
+	}
+	silent := errkind.Is(err, errkind.OwnerUnavailable) || errkind.Is(err, errkind.DeadlineUnreachable)
+	if silent && !s.Home {
+		r.node.sites.fail(s.DataCentre)
+	}
+	return silent
+}
+
 // granted notes a slot for its release and the load that came with it.
 func (r *router) granted(a peer.Acquire, s schedule.SiteLoad, slot peer.Slot) {
 	r.node.slots.put(a.Ticket, s.DataCentre)
@@ -61,14 +89,21 @@
 		holder = u.DataCentre
 	}
 	list := r.node.sites.list(set, a, home, holder)
+	if len(list) == 0 || (list[0].Home && !saturated(list[0])) {
+		return list
+	}
 	for _, s := range list {
-		if !s.Home && list[0].Waiting > 0 {
+		if !s.Home {
 			r.refreshLoad(a.Group, s.DataCentre)
 		}
 	}
 	return r.node.sites.bestFirst(set, a, list)
 }
 
+// saturated reports whether calls queue in a data centre. Only then can another one finish a call sooner, so that the
+// usual call depends on no other data centre.
+func saturated(s schedule.SiteLoad) bool { return s.Waiting > 0 || s.Running >= s.Slots }
+
 // refreshLoad reads the load of a group in another data centre, within a bound on the rate.
 func (r *router) refreshLoad(group, dataCentre string) {
 	if !r.node.sites.stale(group, dataCentre) {
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -162,20 +162,21 @@
 
 // Acquire asks a dispatcher for an engine slot. The answer comes when the slot is granted.
 type Acquire struct {
-	Ticket        string    `json:"ticket"`
-	Group         string    `json:"group"`
-	Program       string    `json:"program"`
-	Parent        string    `json:"parent,omitempty"`
-	Tenant        string    `json:"tenant"`
-	Class         string    `json:"class,omitempty"`
-	Model         string    `json:"model"`
-	PromptTokens  int64     `json:"prompt_tokens"`
-	HistoryTokens int64     `json:"history_tokens"`
-	MaxTokens     int64     `json:"max_tokens"`
-	SpentTokens   int64     `json:"spent_tokens"`
-	Deadline      time.Time `json:"deadline"`
-	Exclude       []string  `json:"exclude,omitempty"`   // Engines that failed for this call.
-	Preferred     string    `json:"preferred,omitempty"` // Engine of the program's newest call.
+	Ticket         string    `json:"ticket"`
+	Group          string    `json:"group"`
+	Program        string    `json:"program"`
+	Parent         string    `json:"parent,omitempty"`
+	Tenant         string    `json:"tenant"`
+	Class          string    `json:"class,omitempty"`
+	Model          string    `json:"model"`
+	PromptTokens   int64     `json:"prompt_tokens"`
+	HistoryTokens  int64     `json:"history_tokens"`
+	MaxTokens      int64     `json:"max_tokens"`
+	ExpectedTokens int64     `json:"expected_tokens"` // Usual output of the class, for the choice of a data centre.
+	SpentTokens    int64     `json:"spent_tokens"`
+	Deadline       time.Time `json:"deadline"`
+	Exclude        []string  `json:"exclude,omitempty"`   // Engines that failed for this call.
+	Preferred      string    `json:"preferred,omitempty"` // Engine of the program's newest call.
 }
 
 // Slot is a granted engine slot.
