--- a/testbed/experiment/report.go
+++ b/testbed/experiment/report.go
@@ -28,6 +28,7 @@
 	EngineLost    []Result
 	SiteCut       []Result
 	SmallQueue    []Result
+	IdealLoad     []Result // At 85% of the capacity with caches without limit, as a part of IdealTokens.
 	TargetRatios  map[string]float64
 	BaselineNamed string
 }
@@ -48,6 +49,8 @@
 	rep.EngineLost = m.results([]float64{0.85}, all, func(r *Run) { r.Fault = EngineLost })
 	rep.SiteCut = m.results([]float64{0.85}, all, func(r *Run) { r.Fault = SiteCut })
 	rep.SmallQueue = m.results([]float64{1.2}, []Policy{SmallQueue()}, nil)
+	ideal := measurement{dep: dep, c: rep.Calibration.scaled(rep.IdealTokens), seeds: seeds}
+	rep.IdealLoad = ideal.results([]float64{0.85}, all, nil)
 	rep.targets()
 	return rep
 }
@@ -175,7 +178,7 @@
 // WriteText writes the report as tables in Markdown.
 func (rep Report) WriteText(w io.Writer) {
 	c := rep.Calibration
-	fmt.Fprintf(w, "### %s\n\nCapacity: %.2f programs/s (%.0f useful tokens/s) by group, reached by %s with %d programs under way; with caches without limit %.0f tokens/s. Seeds %d.\n\n",
+	fmt.Fprintf(w, "### Tables: %s\n\nCapacity: %.2f programs/s (%.0f useful tokens/s) by group, reached by %s with %d programs under way; with caches without limit %.0f tokens/s. Seeds %d.\n\n",
 		c.Deployment, c.Programs, c.Tokens, strings.Join(c.Policy, ", "), c.Population, rep.IdealTokens, rep.Seeds)
 	rep.writeTargets(w)
 	writeTable(w, "Policies (first row: ours without waiting)", append([]Result{rep.Unloaded}, rep.Policies...))
@@ -187,6 +190,7 @@
 	for _, r := range rep.SmallQueue {
 		fmt.Fprintf(w, "Of %d refusals, %d were of calls that returned after the stated time.\n\n", r.Refusals, r.Again)
 	}
+	writeTable(w, "At 85% of the capacity with caches without limit", rep.IdealLoad)
 	writeClasses(w, rep.Policies)
 }
 
--- a/testbed/experiment/suite.go
+++ b/testbed/experiment/suite.go
@@ -124,6 +124,16 @@
 	return r
 }
 
+// scaled returns the calibration with other capacities in useful tokens a second.
+func (c Calibration) scaled(tokens []float64) Calibration {
+	s := c
+	s.Tokens, s.Programs = tokens, nil
+	for g, rate := range c.Programs {
+		s.Programs = append(s.Programs, rate*tokens[g]/c.Tokens[g])
+	}
+	return s
+}
+
 // maxParallel bounds the simulations that run at once.
 const maxParallel = 6
 
