--- a/core/schedule/property_test.go
+++ b/core/schedule/property_test.go
@@ -186,7 +186,7 @@
 		d.SetClass(records.Limit{Class: "slow", Weight: rapid.Float64Range(0.5, 1).Draw(t, "weight")})
 		d.SetClass(records.Limit{Class: "fast", Weight: 10})
 		old := ticket("old", "old")
-		old.Class, old.SpentTokens = "slow", rapid.Int64Range(0, 1_000_000).Draw(t, "spent")
+		old.Class, old.SpentTokens = "slow", rapid.Int64Range(0, 10_000_000).Draw(t, "spent")
 		if err := d.Enqueue(start, old); err != nil {
 			t.Fatal(err)
 		}
@@ -194,7 +194,7 @@
 		// arrive and one is served each second.
 		difference := d.items["old"].key
 		bound := 2*int(math.Ceil(difference)) + 4
-		highest := basePenalty + d.cfg.ServicePenalty*math.Log2(1+spentToService*1_000_000/d.cfg.ServiceUnit)
+		highest := basePenalty + d.cfg.ServicePenalty*math.Log2(1+spentToService*10_000_000/d.cfg.ServiceUnit)
 		if difference > highest/0.5 {
 			t.Fatalf("the penalty is %.0f s", difference)
 		}
