Refuse an admission that arrives after its attempt was given up

When a "not sent" overtook the admission of its attempt, the late admission put an order in flight that nobody sends. Its outcome became unknown and the program could place no further order at that upstream until an operator looked into it.

--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -71,6 +71,10 @@
 		return Admission{}, errkind.New(errkind.ProgramEnded, "Reason: "+p.ended+".")
 	}
 	o.expireAttempt(now, p)
+	if o.givenUp.has(req.Attempt) {
+		e := errkind.New(errkind.CallerGone, "The attempt was given up before it was admitted.")
+		return Admission{}, e.WithNotRun(errkind.NotRunTrue)
+	}
 	if p.granted(req, hash) {
 		return o.admission(p, req.Call, p.inFlight.worstCase, o.chargeToAwait(p)), nil
 	}
--- a/core/program/complete.go
+++ b/core/program/complete.go
@@ -87,6 +87,7 @@
 	if p.inFlight != nil && p.inFlight.id == c.Attempt {
 		p.inFlight = nil
 	}
+	o.givenUp.add(c.Attempt)
 	return nil
 }
 
--- a/core/program/fault_test.go
+++ b/core/program/fault_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -267,3 +268,14 @@
 	must.NoError(t, err)
 	must.Eq(t, 0, o.HistoryBytes())
 }
+
+// TestGivenUpIsBounded guards against a memory of given up attempts that grows without end.
+func TestGivenUpIsBounded(t *testing.T) {
+	var g givenUp
+	for i := range 2 * maxGivenUp {
+		g.add(fmt.Sprint(i))
+	}
+	must.MapLen(t, maxGivenUp, g.known)
+	must.False(t, g.has("0"))
+	must.True(t, g.has(fmt.Sprint(2*maxGivenUp-1)))
+}
--- a/core/program/owner.go
+++ b/core/program/owner.go
@@ -52,6 +52,7 @@
 	opened   map[int]uint64 // Newest epoch under which each shard was ever opened.
 	programs map[string]*state
 
+	givenUp      givenUp
 	historyBytes int64
 	checkpoints  uint64 // Checkpoints taken so far.
 }
--- a/core/program/refusal_test.go
+++ b/core/program/refusal_test.go
@@ -139,6 +139,13 @@
 				o.programs[id].resolve(string(rune('a'+i)), true, "")
 			}
 		}, admitCall(serviceCall, "k9", nil), errkind.OutcomeUnknown, yes},
+		{"given up before it was admitted", nil, func(t *testing.T, o *Owner, id string) {
+			create(t, o, id)
+			c := completion(id, serviceCall(o, id, "k"), "a9")
+			c.Outcome = OutcomeNotSent
+			_, err := o.Complete(testStart, c)
+			must.NoError(t, err)
+		}, admitCall(serviceCall, "k", nil), errkind.CallerGone, yes},
 		{"turn limit", nil, func(t *testing.T, o *Owner, id string) { withTurn(t, o, id); o.programs[id].created.MaxTurns = 1 },
 			admitCall(modelCall, "k", nil), errkind.TurnLimit, yes},
 		{"budget", nil, func(t *testing.T, o *Owner, id string) { withTurn(t, o, id); o.programs[id].created.BudgetTokens = 179 },
