Read the roster when no neighbour answers

While it was idle it kept answering as the owner of its shards. Change: when none of its neighbours answers a probe, a daemon reads the roster from the platform.

--- a/daemon/cluster/probes.go
+++ b/daemon/cluster/probes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jackdawbay.dev/core/membership"
@@ -25,11 +26,24 @@
 
 func (a *Agent) probeNeighbours(ctx context.Context) {
 	targets := a.Roster().Neighbours(a.Incarnation(), membership.ProbeFanOut)
-	var group sync.WaitGroup
+	var (
+		group    sync.WaitGroup
+		answered atomic.Int64
+	)
 	for _, m := range targets {
-		group.Go(func() { a.observe(ctx, m, a.probe(ctx, m)) })
+		group.Go(func() {
+			result := a.probe(ctx, m)
+			if result == membership.ProbeOK {
+				answered.Add(1)
+			}
+			a.observe(ctx, m, result)
+		})
 	}
 	group.Wait()
+	if len(targets) > 0 && answered.Load() == 0 {
+		// A daemon that is cut from its peers learns of its own removal from the platform only.
+		a.refreshFromPlatform(ctx)
+	}
 }
 
 // observe records the result of a probe and acts on a suspicion.
