Do not send a service call after its deadline

An ingress that was paused between the admission and the send sent the call late, when its owner had given the attempt up and the caller had been told that the outcome is unknown. It now reports that the call was not sent.

--- a/daemon/ingress/calls.go
+++ b/daemon/ingress/calls.go
@@ -84,6 +84,13 @@
 	return c, nil
 }
 
+// expired reports whether the deadline has passed, by the clock that advanced most: the monotonic clock stands still while
+// a VM is suspended. An attempt that was paused between its admission and here is not sent.
+func (c *call) expired() bool {
+	now := time.Now()
+	return now.After(c.deadline) || now.Round(0).After(c.deadline.Round(0))
+}
+
 // attempts returns how often the call may be tried: as its class says, within the bound of the daemon.
 func (c *call) attempts(bound int) int {
 	if c.limit.MaxAttempts > 0 {
@@ -226,6 +233,10 @@
 	if a.Repeat != nil {
 		return a.Repeat, nil
 	}
+	if c.expired() {
+		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
+		return nil, errkind.New(errkind.DeadlineUnreachable, "The call was not sent before its deadline.")
+	}
 	response, err := s.services.Send(ctx, c.service.Address, c.serviceRequest())
 	if err != nil {
 		return nil, s.serviceFailed(ctx, c, attempt, err)
