Refuse duplicates of an attempt that awaits a charge

A duplicate admission of an attempt was answered like the first. When the first one waited for a charge and the daemon gave it up as not sent, the attempt was taken out of the books while the duplicate was sent. Duplicates are now refused with an unknown "not run" while the first answer waits.

Found while looking into TestModel, which reported "program used 203 of 200 tokens" once in 200,000 runs.

--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -76,7 +76,7 @@
 		return Admission{}, e.WithNotRun(errkind.NotRunTrue)
 	}
 	if p.granted(req, hash) {
-		return o.admission(p, req.Call, p.inFlight.worstCase, o.chargeToAwait(p)), nil
+		return o.grantAgain(p, req)
 	}
 	if err := o.checkOrder(p, req); err != nil {
 		return Admission{}, err
@@ -87,13 +87,23 @@
 	return o.grant(now, p, req, hash)
 }
 
-// granted reports whether the request is a duplicate of the one that is in flight. It gets the same answer, because
-// replacing an attempt by itself would charge it twice.
+// granted reports whether the request is a duplicate of the one that is in flight.
 func (p *state) granted(req AdmitRequest, hash string) bool {
 	a := p.inFlight
 	return a != nil && a.idempotent && a.id == req.Attempt && a.callKey == req.Call.CallKey && a.requestHash == hash
 }
 
+// grantAgain gives a duplicate the same answer, because replacing an attempt by itself would charge it twice. Where the
+// first answer has to wait, the duplicate is refused: the daemon may give the first up as not sent, which would take the
+// attempt out of the books while the second is sent.
+func (o *Owner) grantAgain(p *state, req AdmitRequest) (Admission, error) {
+	if p.inFlight.await != 0 {
+		e := errkind.New(errkind.CallInProgress, "The attempt was admitted before.")
+		return Admission{}, e.WithNotRun(errkind.NotRunUnknown)
+	}
+	return o.admission(p, req.Call, p.inFlight.worstCase, 0), nil
+}
+
 // repeated answers a call that has finished, or refuses a call key with another body.
 func (o *Owner) repeated(p *state, c caller.Call, hash string) (*caller.Result, error) {
 	if r, ok := p.resolved[c.CallKey]; ok && r.ran {
@@ -219,6 +229,7 @@
 		idempotent:  req.Idempotent,
 		worstCase:   k.worst,
 		expires:     req.Expires,
+		await:       await,
 	}
 	return o.admission(p, req.Call, k.worst, await), nil
 }
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -23,6 +23,7 @@
 	idempotent  bool
 	worstCase   int64
 	expires     time.Time
+	await       journal.LSN // What had to be durable before it was sent, zero when nothing had to.
 }
 
 // intent is a recorded non-idempotent call without an outcome.
--- a/core/program/refusal_test.go
+++ b/core/program/refusal_test.go
@@ -146,6 +146,13 @@
 			_, err := o.Complete(testStart, c)
 			must.NoError(t, err)
 		}, admitCall(serviceCall, "k", nil), errkind.CallerGone, yes},
+		{"duplicate of an attempt that awaits a charge", nil, func(t *testing.T, o *Owner, id string) {
+			create(t, o, id)
+			for _, attempt := range []string{"a1", "a2", "a9"} {
+				admit(t, o, id, modelCall(o, id, "k"), attempt)
+			}
+			flush(o)
+		}, admitCall(modelCall, "k", nil), errkind.CallInProgress, unknown},
 		{"turn limit", nil, func(t *testing.T, o *Owner, id string) { withTurn(t, o, id); o.programs[id].created.MaxTurns = 1 },
 			admitCall(modelCall, "k", nil), errkind.TurnLimit, yes},
 		{"budget", nil, func(t *testing.T, o *Owner, id string) { withTurn(t, o, id); o.programs[id].created.BudgetTokens = 179 },
