--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -71,7 +71,7 @@
 		return Admission{Repeat: repeat}, err
 	}
 	if p.granted(req, hash) {
-		return o.admission(p, req.Call, p.inFlight.worstCase, o.awaitOf(p)), nil
+		return o.grantAgain(p, req)
 	}
 	if in, ok := p.intents[req.Call.CallKey]; ok && !in.resendable(req, hash) {
 		// Checked before everything that answers with a true "not run".
@@ -94,21 +94,12 @@
 	return o.grant(now, p, req, hash)
 }
 
-// granted reports whether the request is a duplicate of the one that is in flight, whose answer was lost. It gets the same
-// answer: the ingress sends a call only after it has an answer, and replacing an attempt by itself would charge it twice.
+// granted reports whether the request is a duplicate of the one that is in flight.
 func (p *state) granted(req AdmitRequest, hash string) bool {
 	a := p.inFlight
 	return a != nil && a.id == req.Attempt && a.callKey == req.Call.CallKey && a.requestHash == hash
 }
 
-// awaitOf returns the entry that must be durable before the call in flight is sent.
-func (o *Owner) awaitOf(p *state) journal.LSN {
-	if !p.inFlight.idempotent {
-		return p.inFlight.await
-	}
-	return o.chargeToAwait(p)
-}
-
 // resendable reports whether a call with an unknown outcome can be sent: because its upstream runs a repeated idempotency
 // key once, or because the same attempt asks again. An ingress asks again only while it has no answer, and it does not
 // send before it has one, so that attempt has not been sent.
@@ -116,6 +107,17 @@
 	return in.unknown && in.RequestHash == hash && (req.KeyHonoured || in.Attempt == req.Attempt)
 }
 
+// grantAgain gives a duplicate the same answer, because replacing an attempt by itself would charge it twice. Where the
+// first answer has to wait, the duplicate is refused: the daemon may give the first up as not sent, which would take the
+// attempt out of the books while the second is sent.
+func (o *Owner) grantAgain(p *state, req AdmitRequest) (Admission, error) {
+	if p.inFlight.await != 0 {
+		e := errkind.New(errkind.CallInProgress, "The attempt was admitted before.")
+		return Admission{}, e.WithNotRun(errkind.NotRunUnknown)
+	}
+	return o.admission(p, req.Call, p.inFlight.worstCase, 0), nil
+}
+
 // repeated answers a call that has finished, or refuses a call key with another body.
 func (o *Owner) repeated(p *state, c caller.Call, hash string) (*caller.Result, error) {
 	if r, ok := p.resolved[c.CallKey]; ok && r.ran {
