Add the measurements of capacity on fleets of real processes

Processor time and bytes come from /proc/PID/stat and /proc/PID/io, platform calls from the stand-in's statistics, body bytes and stages from the daemon's metrics. IP and TCP headers are estimated from the number of exchanges.

--- /dev/null
+++ b/testbed/capacity/arithmetic_test.go
@@ -0,0 +1,56 @@
+package capacity
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// Guards against percentiles that are off by one, which would pass a target that is missed.
+func TestMedianAndQuantile(t *testing.T) {
+	for _, tc := range []struct {
+		values           []float64
+		median, p95, max float64
+	}{
+		{[]float64{5}, 5, 5, 5},
+		{[]float64{3, 1, 2}, 2, 3, 3},
+		{[]float64{4, 1, 3, 2}, 2.5, 4, 4},
+		{[]float64{20, 19, 18, 17, 16, 15, 14, 13, 12, 11, 10, 9, 8, 7, 6, 5, 4, 3, 2, 1}, 10.5, 19, 20},
+	} {
+		must.Eq(t, tc.median, Median(tc.values))
+		must.Eq(t, tc.p95, Quantile(tc.values, 0.95))
+		must.Eq(t, tc.max, Quantile(tc.values, 1))
+	}
+	must.True(t, math.IsNaN(Median(nil)))
+	must.True(t, math.IsNaN(Quantile(nil, 0.5)))
+}
+
+// Guards against a slope that takes the base cost for a cost of each item.
+func TestFit(t *testing.T) {
+	l := Fit([]float64{100, 1000, 4500}, []float64{7 + 200, 7 + 2000, 7 + 9000})
+	must.InDelta(t, 2, l.Slope, 1e-9)
+	must.InDelta(t, 7, l.Intercept, 1e-6)
+	must.InDelta(t, 20_007, l.At(10_000), 1e-6)
+}
+
+// Guards against a field of /proc/PID/stat that is read one place off when the name of the program has spaces.
+func TestParseStat(t *testing.T) {
+	u, err := parseStat("42 (a (b) c) S 1 2 3 4 5 6 7 8 9 10 150 50 0 0 20 0 9 0 1397 3133440 382 0")
+	must.NoError(t, err)
+	must.Eq(t, 2*time.Second, u.CPU)
+	must.Eq(t, 382*4096, u.Resident)
+	_, err = parseStat("42 (short) S 1")
+	must.Error(t, err)
+}
+
+// Guards against a unit error in the estimate of packet headers and in the share of a core.
+func TestUnits(t *testing.T) {
+	must.Eq(t, 10*3*52, PacketBytes(10))
+	must.InDelta(t, 2+1.0/15, restExchanges(2, false, 0), 1e-9)
+	must.InDelta(t, 4+31.0/15+1.2, restExchanges(32, true, 1.2), 1e-9)
+	must.Eq(t, 2.0, percent(300*time.Millisecond, 15*time.Second))
+	must.Eq(t, map[string]float64{"rchar": 10, "wchar": 5}, parseIO("rchar: 10\nwchar: 5\n"))
+	must.Eq(t, map[string]float64{"a_total": 3, `b{x="y"}`: 4}, parseMetrics("# HELP a\na_total 3\nb{x=\"y\"} 4\n"))
+}
--- /dev/null
+++ b/testbed/capacity/control.go
@@ -0,0 +1,72 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"time"
+)
+
+// controlWindow is one period of the status, which is written every 15 s at rest, so that each window holds one.
+const controlWindow = 15 * time.Second
+
+var controlLayouts = []layout{
+	{dataCentres: 1, daemons: 2, engines: 1},
+	{dataCentres: 1, daemons: 4, engines: 1},
+	{dataCentres: 1, daemons: 8, engines: 1},
+	{dataCentres: 1, daemons: 16, engines: 1},
+	{dataCentres: 1, daemons: 32, engines: 1},
+	{dataCentres: 2, daemons: 4, engines: 1},
+	{dataCentres: 8, daemons: 4, engines: 1},
+}
+
+const (
+	kilobyte = 1000
+	megabyte = 1000 * kilobyte
+)
+
+// control measures daemons without callers, and on the same fleets the changes.
+func (r *runner) control(ctx context.Context) error {
+	cost := r.table("control", "daemons without callers; CPU in % of a core, memory in MB, bytes a second sent and received",
+		"DCs", "daemons", "role", "CPU", "CPU max", "RSS", "peer body B/s", "platform body B/s", "socket B/s", "with TCP/IP B/s", "writes/s", "reads/s", "watches")
+	cost.note("Socket bytes are rchar+wchar of /proc/PID/io, so HTTP headers are counted, and 16 bytes for each wake-up of the network poller.")
+	cost.note("TCP and IP headers are estimated: 3 segments of 52 bytes for each exchange (probes sent and answered, status, platform calls).")
+	cost.note("Writes, reads and waiting watches are those of the whole fleet at the platform.")
+	changes := r.changeTable()
+	for _, l := range controlLayouts {
+		if err := r.controlAt(ctx, l, cost, changes); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *runner) controlAt(ctx context.Context, l layout, cost, changes *Table) error {
+	b, err := startBed(ctx, r.binaries, l)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	sleep(ctx, settle)
+	w, err := b.watch(ctx, b.Daemons, func() { sleep(ctx, controlWindow) })
+	if err != nil {
+		return err
+	}
+	n := l.dataCentres * l.daemons
+	for _, role := range []struct {
+		name        string
+		coordinator bool
+	}{{"coordinator", true}, {"member", false}} {
+		pick := func(field func(Sample) float64) float64 { return Median(w.pick(role.coordinator, field)) }
+		calls := 0.0
+		if role.coordinator {
+			calls = (w.Writes + w.Reads) / float64(l.dataCentres)
+		}
+		wire := pick(socketOf) + PacketBytes(restExchanges(l.daemons, role.coordinator, calls))
+		cost.add(l.dataCentres, n, role.name, pick(cpuOf), Quantile(w.pick(role.coordinator, cpuOf), 1), pick(residentOf)/megabyte,
+			pick(peerOf), pick(platformOf), pick(socketOf), wire, w.Writes, w.Reads, w.Watching)
+	}
+	if err := r.changesAt(ctx, b, l, changes); err != nil {
+		return fmt.Errorf("changes with %d daemons: %w", n, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/testbed/capacity/meter.go
@@ -0,0 +1,200 @@
+package capacity
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/testbed/fleet"
+	"jackdawbay.dev/testbed/standin/platform"
+)
+
+// Names of the daemon's metrics that are read.
+const (
+	metricPeerBytes   = "jackdawbay_peer_bytes_total"
+	metricPlatformIn  = "jackdawbay_platform_bytes_in_total"
+	metricPlatformOut = "jackdawbay_platform_bytes_out_total"
+	metricNextGC      = "go_memstats_next_gc_bytes"
+)
+
+// scrape reads the metrics without labels from the operations listener of a daemon.
+func scrape(ctx context.Context, d *fleet.Daemon) (map[string]float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, d.OpsURL+"/metrics", nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "read metrics")
+	}
+	return parseMetrics(string(body)), nil
+}
+
+func parseMetrics(text string) map[string]float64 {
+	values := map[string]float64{}
+	for line := range strings.Lines(text) {
+		name, value, ok := strings.Cut(strings.TrimSpace(line), " ")
+		if !ok || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			values[name] = v
+		}
+	}
+	return values
+}
+
+func platformStats(ctx context.Context, f *fleet.Fleet) (platform.Stats, error) {
+	var s platform.Stats
+	raw, err := f.Control(ctx, http.MethodGet, "/control/stats", nil)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(raw, &s)
+}
+
+// Sample is what a daemon used in a window, a second. Bytes count both directions.
+type Sample struct {
+	VM          string
+	Coordinator bool
+	CPU         float64 // Per cent of a core.
+	Resident    float64 // Bytes at the end.
+	LiveHeap    float64 // Bytes after the last garbage collection.
+	Peer        float64 // Body bytes to and from daemons.
+	Platform    float64 // Body bytes to and from the platform.
+	Socket      float64 // All bytes that were read and written, with HTTP headers.
+}
+
+// Window is what a fleet used in a window.
+type Window struct {
+	Samples  []Sample
+	Writes   float64 // Platform calls a second.
+	Reads    float64
+	Watches  float64 // Watches begun a second, which are reads too.
+	Watching float64 // Watches that wait at the end.
+	Limited  float64 // Calls a second that the platform refused because of its rate.
+}
+
+type reading struct {
+	usage   Usage
+	metrics map[string]float64
+}
+
+// watch measures daemons while work runs. The metrics are read outside the window, so that their bytes do not count.
+func (b *bed) watch(ctx context.Context, daemons []*fleet.Daemon, work func()) (Window, error) {
+	coordinators, err := b.coordinators(ctx, daemons)
+	if err != nil {
+		return Window{}, err
+	}
+	before := make([]reading, len(daemons))
+	for i, d := range daemons {
+		if before[i].metrics, err = scrape(ctx, d); err != nil {
+			return Window{}, err
+		}
+	}
+	statsBefore, err := platformStats(ctx, b.Fleet)
+	if err != nil {
+		return Window{}, err
+	}
+	for i, d := range daemons {
+		if before[i].usage, err = ReadUsage(d.PID()); err != nil {
+			return Window{}, err
+		}
+	}
+	start := time.Now()
+	work()
+	window := time.Since(start)
+	after := make([]reading, len(daemons))
+	for i, d := range daemons {
+		if after[i].usage, err = ReadUsage(d.PID()); err != nil {
+			return Window{}, err
+		}
+	}
+	statsAfter, err := platformStats(ctx, b.Fleet)
+	if err != nil {
+		return Window{}, err
+	}
+	w := windowOf(statsBefore, statsAfter, window)
+	for i, d := range daemons {
+		if after[i].metrics, err = scrape(ctx, d); err != nil {
+			return Window{}, err
+		}
+		s := sampleOf(before[i], after[i], window)
+		s.VM, s.Coordinator = d.VM, coordinators[d.VM]
+		w.Samples = append(w.Samples, s)
+	}
+	return w, nil
+}
+
+func windowOf(before, after platform.Stats, window time.Duration) Window {
+	rate := func(a, b int64) float64 { return float64(b-a) / window.Seconds() }
+	return Window{
+		Writes:   rate(before.Writes, after.Writes),
+		Reads:    rate(before.Reads, after.Reads),
+		Watches:  rate(before.Watches, after.Watches),
+		Watching: float64(after.WatchesWaiting),
+		Limited:  rate(before.RateLimited, after.RateLimited),
+	}
+}
+
+func sampleOf(before, after reading, window time.Duration) Sample {
+	rate := func(a, b float64) float64 { return (b - a) / window.Seconds() }
+	metric := func(name string) float64 { return rate(before.metrics[name], after.metrics[name]) }
+	return Sample{
+		CPU:      percent(after.usage.CPU-before.usage.CPU, window),
+		Resident: after.usage.Resident,
+		// The collector runs next when the heap has doubled, so half of that is what was live.
+		LiveHeap: after.metrics[metricNextGC] / 2,
+		Peer:     metric(metricPeerBytes),
+		Platform: metric(metricPlatformIn) + metric(metricPlatformOut),
+		Socket:   rate(before.usage.Bytes, after.usage.Bytes),
+	}
+}
+
+// pick returns a field of the samples of coordinators or of the other members.
+func (w Window) pick(coordinator bool, field func(Sample) float64) []float64 {
+	var values []float64
+	for _, s := range w.Samples {
+		if s.Coordinator == coordinator {
+			values = append(values, field(s))
+		}
+	}
+	return values
+}
+
+// sum adds a field of all samples.
+func (w Window) sum(field func(Sample) float64) float64 {
+	total := 0.0
+	for _, s := range w.Samples {
+		total += field(s)
+	}
+	return total
+}
+
+// largest returns the largest value of a field of all samples.
+func (w Window) largest(field func(Sample) float64) float64 {
+	most := 0.0
+	for _, s := range w.Samples {
+		most = max(most, field(s))
+	}
+	return most
+}
+
+// Fields of a sample.
+func cpuOf(s Sample) float64      { return s.CPU }
+func residentOf(s Sample) float64 { return s.Resident }
+func liveOf(s Sample) float64     { return s.LiveHeap }
+func socketOf(s Sample) float64   { return s.Socket }
+func peerOf(s Sample) float64     { return s.Peer }
+func platformOf(s Sample) float64 { return s.Platform }
--- /dev/null
+++ b/testbed/capacity/pace.go
@@ -0,0 +1,47 @@
+package capacity
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// pacedResult is what an open-loop load saw.
+type pacedResult struct {
+	mu     sync.Mutex
+	times  []float64 // Milliseconds from the time at which a call was due.
+	failed map[string]int
+	value  int64 // Sum of what the calls returned, such as tokens.
+}
+
+// paced starts calls at a rate whatever their answers do, and waits for the last one.
+func paced(ctx context.Context, rate float64, duration time.Duration, call func(i int) (int64, error)) *pacedResult {
+	r := &pacedResult{failed: map[string]int{}}
+	interval := time.Duration(float64(time.Second) / rate)
+	start := time.Now()
+	var group sync.WaitGroup
+	for i := 0; ; i++ {
+		due := start.Add(time.Duration(i) * interval)
+		if due.Sub(start) >= duration || !sleep(ctx, time.Until(due)) {
+			break
+		}
+		group.Go(func() {
+			value, err := call(i)
+			r.record(due, value, err)
+		})
+	}
+	group.Wait()
+	return r
+}
+
+func (r *pacedResult) record(due time.Time, value int64, err error) {
+	ms := millis(time.Since(due))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.failed[kindOf(err)]++
+		return
+	}
+	r.times = append(r.times, ms)
+	r.value += value
+}
--- /dev/null
+++ b/testbed/capacity/proc.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU      time.Duration // User and system time.
+	Resident float64       // Bytes.
+	Bytes    float64       // Bytes through read and write calls, so HTTP headers are included.
+}
+
+// ReadUsage reads the usage of a process from /proc.
+func ReadUsage(pid int) (Usage, error) {
+	folder := "/proc/" + strconv.Itoa(pid)
+	stat, err := os.ReadFile(folder + "/stat")
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "read stat")
+	}
+	u, err := parseStat(string(stat))
+	if err != nil {
+		return Usage{}, err
+	}
+	io, err := os.ReadFile(folder + "/io")
+	if err != nil {
+		return Usage{}, errors.Wrap(err, "read io")
+	}
+	fields := parseIO(string(io))
+	u.Bytes = fields["rchar"] + fields["wchar"]
+	return u, nil
+}
+
+// Positions of fields of /proc/PID/stat after the name of the program, which may contain spaces.
+const (
+	statUserTicks   = 11
+	statSystemTicks = 12
+	statResident    = 21 // In pages.
+)
+
+func parseStat(text string) (Usage, error) {
+	end := strings.LastIndex(text, ")")
+	fields := strings.Fields(text[end+1:])
+	if end < 0 || len(fields) <= statResident {
+		return Usage{}, errors.Newf("stat has %d fields", len(fields))
+	}
+	number := func(i int) float64 {
+		v, _ := strconv.ParseFloat(fields[i], 64)
+		return v
+	}
+	ticks := number(statUserTicks) + number(statSystemTicks)
+	return Usage{
+		CPU:      time.Duration(ticks) * clockTick,
+		Resident: number(statResident) * float64(os.Getpagesize()),
+	}, nil
+}
+
+func parseIO(text string) map[string]float64 {
+	fields := map[string]float64{}
+	for line := range strings.Lines(text) {
+		name, value, _ := strings.Cut(line, ":")
+		if v, err := strconv.ParseFloat(strings.TrimSpace(value), 64); err == nil {
+			fields[name] = v
+		}
+	}
+	return fields
+}
+
+// loadAverage returns the load average of the machine over one minute.
+func loadAverage() float64 {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return -1
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	v, err := strconv.ParseFloat(first, 64)
+	if err != nil {
+		return -1
+	}
+	return v
+}
--- /dev/null
+++ b/testbed/capacity/report.go
@@ -0,0 +1,86 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+	"text/tabwriter"
+)
+
+// Table is the result of one measurement.
+type Table struct {
+	Name        string   `json:"name"` // Name for the flag --only.
+	Title       string   `json:"title"`
+	LoadAverage float64  `json:"load_average"` // Of the machine over one minute, at the end.
+	Columns     []string `json:"columns"`
+	Rows        [][]any  `json:"rows"` // Numbers and strings.
+	Notes       []string `json:"notes,omitempty"`
+	Error       string   `json:"error,omitempty"`
+}
+
+func (t *Table) add(cells ...any) { t.Rows = append(t.Rows, cells) }
+
+func (t *Table) note(format string, args ...any) {
+	t.Notes = append(t.Notes, fmt.Sprintf(format, args...))
+}
+
+func cellText(c any) string {
+	if v, ok := c.(float64); ok {
+		return strconv.FormatFloat(v, 'f', decimals(v), 64)
+	}
+	return fmt.Sprint(c)
+}
+
+// decimals keeps about three digits of a number.
+func decimals(v float64) int {
+	switch {
+	case v >= 100 || v <= -100:
+		return 0
+	case v >= 10 || v <= -10:
+		return 1
+	case v >= 1 || v <= -1:
+		return 2
+	default:
+		return 3
+	}
+}
+
+// WriteText writes the table for a reader.
+func (t *Table) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "\n%s: %s (load average %.1f)\n", t.Name, t.Title, t.LoadAverage)
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, c := range t.Columns {
+		fmt.Fprintf(out, "%s\t", c)
+	}
+	fmt.Fprintln(out)
+	for _, row := range t.Rows {
+		for _, c := range row {
+			fmt.Fprintf(out, "%s\t", cellText(c))
+		}
+		fmt.Fprintln(out)
+	}
+	if err := out.Flush(); err != nil {
+		return err
+	}
+	for _, n := range t.Notes {
+		fmt.Fprintf(w, "  %s\n", n)
+	}
+	if t.Error != "" {
+		fmt.Fprintf(w, "  failed: %s\n", t.Error)
+	}
+	return nil
+}
+
+// Report is the result of a run.
+type Report struct {
+	Cores  int      `json:"cores"`
+	Tables []*Table `json:"tables"`
+}
+
+// WriteJSON writes the report for a program.
+func (r Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", " ")
+	return e.Encode(r)
+}
--- /dev/null
+++ b/testbed/capacity/workload.go
@@ -0,0 +1,56 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"jackdawbay.dev/cli/load"
+	"jackdawbay.dev/testbed/fleet"
+)
+
+// workload runs the workload of the verb "load" on a small fleet in two data centres.
+func (r *runner) workload(ctx context.Context) error {
+	b, err := startBed(ctx, r.binaries, layout{dataCentres: 2, daemons: 4, engines: 4, engineArgs: []string{"--speed=4"}})
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	sleep(ctx, settle)
+	var urls []string
+	for _, d := range b.Daemons {
+		urls = append(urls, d.CallerURL)
+	}
+	report, _ := load.Drive(ctx, load.Options{
+		BaseURLs:    urls,
+		Key:         fleet.TenantKey,
+		Model:       fleet.Model,
+		Stock:       fleet.StockChecks,
+		Orders:      fleet.Printer,
+		Seed:        1,
+		Rate:        10,
+		Duration:    10 * time.Second,
+		Drain:       10 * time.Second,
+		Mix:         load.DefaultMix(),
+		Shape:       load.DefaultShape(),
+		MaxPrograms: 1000,
+	})
+	t := r.table("workload", "workload of the verb load, 10 programs a second on 8 daemons and 8 engines; ms",
+		"measure", "class", "count", "mean", "p50", "p95", "p99")
+	for _, l := range report.Latency {
+		t.add(string(l.Measure), string(l.Class), l.Count, l.Mean, l.P50, l.P95, l.P99)
+	}
+	runs, err := b.Runs(ctx, fleet.Printer)
+	if err != nil {
+		return err
+	}
+	twice := 0
+	for _, n := range runs {
+		if n > 1 {
+			twice++
+		}
+	}
+	t.note("counts: %+v", report.Counts)
+	t.note("refusals: %v; wrong answers: %v; failures: %v", report.Refusals, report.Faults, report.Failures)
+	t.note("the printer ran %d orders, %d of them more than once", len(runs), twice)
+	return nil
+}
