Admit an attempt again only on the first request to a successor

Cause: a delayed copy of an admission found the intent of its own attempt as unknown after the attempt had failed, was admitted again, and its refusal after the wait said "not run" of a call that had run.

--- a/core/program/admit.go
+++ b/core/program/admit.go
@@ -101,10 +101,12 @@
 }
 
 // resendable reports whether a call with an unknown outcome can be sent: because its upstream runs a repeated idempotency
-// key once, or because the same attempt asks again. An ingress asks again only while it has no answer, and it does not
-// send before it has one, so that attempt has not been sent.
+// key once, or because the attempt that the former owner admitted asks again. An ingress asks a successor only while it
+// has no answer, and it does not send before it has one, so that attempt has not been sent. The first request counts: a
+// copy of it that arrives after the attempt was admitted here finds an intent of this owner.
 func (in *intent) resendable(req AdmitRequest, hash string) bool {
-	return in.unknown && in.RequestHash == hash && (req.KeyHonoured || in.Attempt == req.Attempt)
+	same := in.unheard && in.Attempt == req.Attempt
+	return in.unknown && in.RequestHash == hash && (req.KeyHonoured || same)
 }
 
 // grantAgain gives a duplicate the same answer, because replacing an attempt by itself would charge it twice. Where the
--- a/core/program/checkpoint.go
+++ b/core/program/checkpoint.go
@@ -129,7 +129,7 @@
 		active:     time.UnixMilli(s.ActiveAt),
 	}
 	for _, in := range s.Intents {
-		p.addIntent(&intent{Intent: in, unknown: true})
+		p.addIntent(&intent{Intent: in, unknown: true, unheard: true})
 	}
 	for _, c := range s.Resolved {
 		p.resolve(c.CallKey, c.Ran, c.Reason)
--- a/core/program/complete.go
+++ b/core/program/complete.go
@@ -93,6 +93,9 @@
 }
 
 func (o *Owner) failed(p *state, c Completion) {
+	if in, ok := p.intents[c.Call.CallKey]; ok && in.Attempt == c.Attempt {
+		in.unheard = false
+	}
 	if p.inFlight != nil && p.inFlight.id == c.Attempt {
 		o.loseAttempt(p)
 	}
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -30,6 +30,9 @@
 type intent struct {
 	journal.Intent
 	unknown bool // The sender is lost; the call may have run.
+
+	// unheard is set while the intent is known from a former owner's journal only, and its ingress has reported nothing.
+	unheard bool
 }
 
 // resolution is a closed intent whose turn is not part of the history.
--- a/core/program/replay.go
+++ b/core/program/replay.go
@@ -117,7 +117,7 @@
 	case e.Turn != nil:
 		return p.applyTurn(*e.Turn)
 	case e.Intent != nil:
-		p.addIntent(&intent{Intent: *e.Intent, unknown: true})
+		p.addIntent(&intent{Intent: *e.Intent, unknown: true, unheard: true})
 	case e.Cancel != nil:
 		if in, ok := p.intents[e.Cancel.CallKey]; ok && in.Attempt == e.Cancel.Attempt {
 			delete(p.intents, e.Cancel.CallKey)
