Ask the next dispatcher when one does not answer

Cause: the dispatcher of an engine group is chosen from the roster, which cannot be changed while the platform is down. When the dispatcher died during an outage, no model call of its data centre could start until the outage ended. Change: after two requests without an answer, the next member in rendezvous order is asked. Two dispatchers can overload an engine for a while, which costs time only.

--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -14,8 +14,14 @@
 	"jackdawbay.dev/daemon/transport"
 )
 
-// slotTries bounds how often a slot is asked for again when the dispatcher cannot be reached.
-const slotTries = 3
+const (
+	// slotTries bounds how often a slot is asked for again when the dispatcher cannot be reached.
+	slotTries = 6
+
+	// dispatcherTries is how often one dispatcher is asked. Afterwards the next in rendezvous order is, since a roster cannot
+	// be changed while the platform is down. Two dispatchers can overload an engine, which costs time only.
+	dispatcherTries = 2
+)
 
 // Acquire gets an engine slot. The data centre of the program comes first, since the program's cache is there; the others
 // follow by distance when the first has no engine.
@@ -76,9 +82,10 @@
 
 func (r *router) acquireIn(ctx context.Context, dataCentre string, a peer.Acquire) (peer.Slot, error) {
 	var err error
+	failures := map[string]int{}
 	for try := range slotTries {
 		var m membership.Member
-		m, err = r.dispatcher(ctx, dataCentre, a.Group, try > 0)
+		m, err = r.dispatcher(ctx, dataCentre, a.Group, try > 0, failures)
 		if err != nil {
 			return peer.Slot{}, err
 		}
@@ -90,6 +97,7 @@
 		if err == nil || !errors.Is(err, peer.ErrUnreachable) {
 			return slot, err
 		}
+		failures[m.Incarnation]++
 		if errors.Is(err, transport.ErrNotSent) && dataCentre == r.node.set.DataCentre {
 			go r.node.agent.Suspect(context.WithoutCancel(ctx), m, errors.Is(err, transport.ErrConnectionRefused))
 		}
@@ -113,15 +121,22 @@
 	return r.node.peers.Post(ctx, m.PeerAddress, peer.PathAcquire, a, slot)
 }
 
-// dispatcher returns the member that hands out the slots of an engine group in a data centre.
-func (r *router) dispatcher(ctx context.Context, dataCentre, group string, fresh bool) (membership.Member, error) {
+// dispatcher returns the member that hands out the slots of an engine group in a data centre, without those that failed
+// to answer often enough.
+func (r *router) dispatcher(ctx context.Context, dataCentre, group string, fresh bool, failures map[string]int) (membership.Member, error) {
 	roster, err := r.node.agent.RosterOf(ctx, dataCentre, fresh)
 	if err != nil {
 		return membership.Member{}, errkind.Wrap(errkind.OwnerUnavailable, err, "")
 	}
-	m, ok := roster.HashOwner("dispatcher/" + group)
+	var answering membership.Roster
+	for _, m := range roster.Members {
+		if failures[m.Incarnation] < dispatcherTries {
+			answering.Members = append(answering.Members, m)
+		}
+	}
+	m, ok := answering.HashOwner("dispatcher/" + group)
 	if !ok {
-		return m, errkind.New(errkind.OwnerUnavailable, "The data centre "+dataCentre+" has no daemon.")
+		return m, errkind.New(errkind.OwnerUnavailable, "No daemon of the data centre "+dataCentre+" answers.")
 	}
 	return m, nil
 }
@@ -137,7 +152,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		m, err := r.dispatcher(ctx, dataCentre, rel.Group, false)
+		m, err := r.dispatcher(ctx, dataCentre, rel.Group, false, nil)
 		if err != nil {
 			return
 		}
