--- a/daemon/node/heldslots.go
+++ b/daemon/node/heldslots.go
@@ -1,25 +1,29 @@
 package node
 
-import "sync"
+import (
+	"sync"
 
-// heldSlots remembers in which data centre each held slot was granted. Its size is bounded by the calls under way.
+	"jackdawbay.dev/core/membership"
+)
+
+// heldSlots remembers which dispatcher granted each held slot. Its size is bounded by the calls under way.
 type heldSlots struct {
 	mu       sync.Mutex
-	byTicket map[string]string
+	byTicket map[string]membership.Member
 }
 
-func newHeldSlots() *heldSlots { return &heldSlots{byTicket: map[string]string{}} }
+func newHeldSlots() *heldSlots { return &heldSlots{byTicket: map[string]membership.Member{}} }
 
-func (h *heldSlots) put(ticket, dataCentre string) {
+func (h *heldSlots) put(ticket string, dispatcher membership.Member) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.byTicket[ticket] = dataCentre
+	h.byTicket[ticket] = dispatcher
 }
 
-func (h *heldSlots) take(ticket string) (string, bool) {
+func (h *heldSlots) take(ticket string) (membership.Member, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	dataCentre, ok := h.byTicket[ticket]
+	dispatcher, ok := h.byTicket[ticket]
 	delete(h.byTicket, ticket)
-	return dataCentre, ok
+	return dispatcher, ok
 }
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -15,8 +15,14 @@
 	"jackdawbay.dev/daemon/transport"
 )
 
-// slotTries bounds how often a slot is asked for again when the dispatcher cannot be reached.
-const slotTries = 3
+const (
+	// slotTries bounds how often a slot is asked for again when the dispatcher cannot be reached.
+	slotTries = 6
+
+	// dispatcherTries is how often one dispatcher is asked. Afterwards the next in rendezvous order is, since a roster cannot
+	// be changed while the platform is down. Two dispatchers can overload an engine, which costs time only.
+	dispatcherTries = 2
+)
 
 // Acquire gets an engine slot in the best data centre. When it has no usable engine or cannot be reached, the others
 // follow by distance. A data centre of another region is used only while the byte budget of the link covers the call.
@@ -27,11 +33,11 @@
 			err = errkind.New(errkind.QueueFull, "The byte budget of the link between regions is used up.").After(time.Second)
 			continue
 		}
-		var slot peer.Slot
-		slot, err = r.acquireAt(ctx, s, a)
+		var g grantedSlot
+		g, err = r.acquireAt(ctx, s, a)
 		if err == nil {
-			r.granted(a, s, slot)
-			return slot, nil
+			r.granted(a, s, g)
+			return g.slot, nil
 		}
 		if !r.nextSite(ctx, s, err) {
 			return peer.Slot{}, err
@@ -44,7 +50,13 @@
 // there, so a longer wait shows that it cannot be reached.
 const remoteWait = 2 * time.Second
 
-func (r *router) acquireAt(ctx context.Context, s schedule.SiteLoad, a peer.Acquire) (peer.Slot, error) {
+// grantedSlot is a slot with the dispatcher that granted it, which also takes it back.
+type grantedSlot struct {
+	slot       peer.Slot
+	dispatcher membership.Member
+}
+
+func (r *router) acquireAt(ctx context.Context, s schedule.SiteLoad, a peer.Acquire) (grantedSlot, error) {
 	if s.Home {
 		return r.acquireIn(ctx, s.DataCentre, a)
 	}
@@ -69,9 +81,9 @@
 }
 
 // granted notes a slot for its release and the load that came with it.
-func (r *router) granted(a peer.Acquire, s schedule.SiteLoad, slot peer.Slot) {
-	r.node.slots.put(a.Ticket, s.DataCentre)
-	r.node.sites.observe(a.Group, slot.Load)
+func (r *router) granted(a peer.Acquire, s schedule.SiteLoad, g grantedSlot) {
+	r.node.slots.put(a.Ticket, g.dispatcher)
+	r.node.sites.observe(a.Group, g.slot.Load)
 	if s.OtherRegion {
 		r.node.sites.spend(a)
 	}
@@ -112,7 +124,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		m, err := r.dispatcher(ctx, dataCentre, group, false)
+		m, err := r.dispatcher(ctx, dataCentre, group, false, nil)
 		if err != nil {
 			return
 		}
@@ -123,22 +135,25 @@
 	}()
 }
 
-func (r *router) acquireIn(ctx context.Context, dataCentre string, a peer.Acquire) (peer.Slot, error) {
+func (r *router) acquireIn(ctx context.Context, dataCentre string, a peer.Acquire) (grantedSlot, error) {
 	var err error
+	failures := map[string]int{}
 	for try := range slotTries {
 		var m membership.Member
-		m, err = r.dispatcher(ctx, dataCentre, a.Group, try > 0)
+		m, err = r.dispatcher(ctx, dataCentre, a.Group, try > 0, failures)
 		if err != nil {
-			return peer.Slot{}, err
+			return grantedSlot{}, err
 		}
-		var slot peer.Slot
+		g := grantedSlot{dispatcher: m}
 		if m.Incarnation == r.node.agent.Incarnation() {
-			return r.node.pool.Acquire(ctx, a)
+			g.slot, err = r.node.pool.Acquire(ctx, a)
+			return g, err
 		}
-		err = r.askDispatcher(ctx, dataCentre, m, a, &slot)
+		err = r.askDispatcher(ctx, dataCentre, m, a, &g.slot)
 		if err == nil || !errors.Is(err, peer.ErrUnreachable) {
-			return slot, err
+			return g, err
 		}
+		failures[m.Incarnation]++
 		if errors.Is(err, transport.ErrNotSent) && dataCentre == r.node.set.DataCentre {
 			go r.node.agent.Suspect(context.WithoutCancel(ctx), m, errors.Is(err, transport.ErrConnectionRefused))
 		}
@@ -147,9 +162,9 @@
 		}
 	}
 	if ctx.Err() != nil {
-		return peer.Slot{}, errkind.Wrap(errkind.DeadlineUnreachable, ctx.Err(), "")
+		return grantedSlot{}, errkind.Wrap(errkind.DeadlineUnreachable, ctx.Err(), "")
 	}
-	return peer.Slot{}, errkind.Wrap(errkind.OwnerUnavailable, err, "The dispatcher of the engine group does not answer.")
+	return grantedSlot{}, errkind.Wrap(errkind.OwnerUnavailable, err, "The dispatcher of the engine group does not answer.")
 }
 
 // askDispatcher waits for a slot of another daemon, until that daemon leaves the roster.
@@ -162,15 +177,22 @@
 	return r.node.peers.Post(ctx, m.PeerAddress, peer.PathAcquire, a, slot)
 }
 
-// dispatcher returns the member that hands out the slots of an engine group in a data centre.
-func (r *router) dispatcher(ctx context.Context, dataCentre, group string, fresh bool) (membership.Member, error) {
+// dispatcher returns the member that hands out the slots of an engine group in a data centre, without those that failed
+// to answer often enough.
+func (r *router) dispatcher(ctx context.Context, dataCentre, group string, fresh bool, failures map[string]int) (membership.Member, error) {
 	roster, err := r.node.agent.RosterOf(ctx, dataCentre, fresh)
 	if err != nil {
 		return membership.Member{}, errkind.Wrap(errkind.OwnerUnavailable, err, "")
 	}
-	m, ok := roster.HashOwner(dispatcherKey(group))
+	var answering membership.Roster
+	for _, m := range roster.Members {
+		if failures[m.Incarnation] < dispatcherTries {
+			answering.Members = append(answering.Members, m)
+		}
+	}
+	m, ok := answering.HashOwner(dispatcherKey(group))
 	if !ok {
-		return m, errkind.New(errkind.OwnerUnavailable, "The data centre "+dataCentre+" has no daemon.")
+		return m, errkind.New(errkind.OwnerUnavailable, "No daemon of the data centre "+dataCentre+" answers.")
 	}
 	return m, nil
 }
@@ -179,21 +201,17 @@
 
 // Release gives a slot back in the background. A release that is lost ends with the expiry of the grant.
 func (r *router) Release(rel peer.Release) {
-	dataCentre, ok := r.node.slots.take(rel.Ticket)
+	m, ok := r.node.slots.take(rel.Ticket)
 	if !ok {
 		return
 	}
+	if m.Incarnation == r.node.agent.Incarnation() {
+		r.node.pool.Release(rel)
+		return
+	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 		defer cancel()
-		m, err := r.dispatcher(ctx, dataCentre, rel.Group, false)
-		if err != nil {
-			return
-		}
-		if m.Incarnation == r.node.agent.Incarnation() {
-			r.node.pool.Release(rel)
-			return
-		}
 		if err := r.node.peers.Post(ctx, m.PeerAddress, peer.PathRelease, rel, nil); err != nil {
 			r.node.log.Debug("slot was not released", "ticket", rel.Ticket, "error", err)
 		}
