Let a daemon that leaves finish its calls

Cause: members that were missing from a new roster counted as lost at once. A daemon that stops in a planned way leaves the roster before it finishes its calls, so the dispatcher cancelled their engine requests and the owners gave up their attempts. Change: a former member is lost when it no longer answers its probe under its incarnation. One that was killed refuses the probe, so nothing changes for it.

--- a/daemon/cluster/agent.go
+++ b/daemon/cluster/agent.go
@@ -257,35 +257,46 @@
 	a.detectMu.Unlock()
 	a.notifyLocked()
 	a.poke()
-	if len(gone) > 0 && a.loop != nil {
-		go a.loseIngresses(a.loop, gone)
-	}
-	if len(gone) > 0 && a.onMembersGone != nil {
-		go a.onMembersGone(gone)
+	for _, m := range gone {
+		go a.loseMember(a.loop, m)
 	}
 }
 
-func missingMembers(before, after membership.Roster) []string {
-	var gone []string
+func missingMembers(before, after membership.Roster) []membership.Member {
+	var gone []membership.Member
 	for _, m := range before.Members {
 		if _, ok := after.Member(m.Incarnation); !ok {
-			gone = append(gone, m.Incarnation)
+			gone = append(gone, m)
 		}
 	}
 	return gone
 }
 
-// loseIngresses gives up the calls that dead daemons were sending.
-func (a *Agent) loseIngresses(loop *owner.Loop, gone []string) {
+// maxFinishTime bounds how long a daemon that left the roster is taken to finish its calls. It is the longest stop timeout.
+const maxFinishTime = time.Hour
+
+// loseMember gives up the calls that a former member was sending, once it has ended. A daemon that stops in a planned way
+// leaves the roster first and then finishes its calls.
+func (a *Agent) loseMember(loop *owner.Loop, m membership.Member) {
+	ctx, cancel := context.WithTimeout(context.Background(), maxFinishTime)
+	defer cancel()
+	for a.probe(ctx, m) == membership.ProbeOK && sleep(ctx, membership.ProbeInterval) {
+	}
+	if loop != nil {
+		a.loseIngress(loop, m.Incarnation)
+	}
+	if a.onMembersGone != nil {
+		a.onMembersGone([]string{m.Incarnation})
+	}
+}
+
+// loseIngress gives up the calls that a dead daemon was sending.
+func (a *Agent) loseIngress(loop *owner.Loop, incarnation string) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	err := loop.Do(ctx, func(_ time.Time, o *program.Owner) {
-		for _, g := range gone {
-			o.IngressLost(g)
-		}
-	})
+	err := loop.Do(ctx, func(_ time.Time, o *program.Owner) { o.IngressLost(incarnation) })
 	if err != nil {
-		a.log.Warn("attempts of lost daemons are not given up yet", "error", err)
+		a.log.Warn("attempts of a lost daemon are not given up yet", "error", err)
 	}
 }
 
