Repeat a status that was not stored and pause after a watch gap

Causes: a status counted as written when its write had found a conflict, which is how a new coordinator learns the version, and stayed stale for 15 s; after a restore of the platform nothing made the coordinator write it again; and a platform that reports a gap at every watch was listed in a loop without a pause. Change: a status that was not stored is written at the next tick, a new list of the records makes it due, and the watch always pauses before it starts again. After: the scenarios config_watch_gap (below 100 watches), config_after_restarts and config_after_restore pass.

--- a/daemon/config/agent.go
+++ b/daemon/config/agent.go
@@ -6,6 +6,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,7 @@
 	state   *configstate.State
 	changed chan struct{}
 	syncing map[string]bool // Peers that are asked now.
+	lists   atomic.Int64
 }
 
 // NewAgent returns an agent without records. The cluster is set with SetCluster before Run.
@@ -80,6 +82,9 @@
 	return a.state.Newer(than)
 }
 
+// Lists returns how often all records were read from the platform.
+func (a *Agent) Lists() int64 { return a.lists.Load() }
+
 // Changed returns a channel that is closed at the next change.
 func (a *Agent) Changed() <-chan struct{} {
 	a.mu.RLock()
@@ -157,8 +162,9 @@
 		}
 		if err := a.watch(ctx); err != nil && ctx.Err() == nil {
 			a.log.Warn("watch of records ended", "error", err)
-			wait(ctx, retryInterval)
 		}
+		// A platform that reports a gap at every watch would otherwise be listed without a pause.
+		wait(ctx, retryInterval)
 	}
 	return ctx.Err()
 }
@@ -210,6 +216,7 @@
 	if err != nil {
 		return 0, err
 	}
+	a.lists.Add(1)
 	values := make([][]byte, 0, len(items))
 	versions := map[string]uint64{}
 	for _, o := range items {
--- a/daemon/node/status.go
+++ b/daemon/node/status.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"strconv"
 	"sync"
 	"time"
 
@@ -77,15 +78,18 @@
 			continue
 		}
 		s := n.collectStatus(ctx)
-		version = n.writeStatus(ctx, version, s)
-		written, digest, settled = time.Now(), key, s.settled()
+		next, stored := n.writeStatus(ctx, version, s)
+		version = next
+		// A status that was not stored is written again at the next tick. A new coordinator learns the version by a conflict.
+		written, digest, settled = time.Now(), key, stored && s.settled()
 	}
 }
 
-// statusKey changes when the status probably changed.
+// statusKey changes when the status probably changed, or when the platform may have lost it: records are listed again after
+// the platform was restored from an old backup.
 func (n *Node) statusKey() string {
 	r := n.agent.Roster()
-	return n.config.Digest() + "/" + r.WriteID
+	return n.config.Digest() + "/" + r.WriteID + "/" + strconv.FormatInt(n.config.Lists(), 10)
 }
 
 // settled reports whether every record is in force in every daemon.
@@ -98,19 +102,20 @@
 	return true
 }
 
-func (n *Node) writeStatus(ctx context.Context, version uint64, s Status) uint64 {
+// writeStatus returns the version for the next write, and whether the status was stored.
+func (n *Node) writeStatus(ctx context.Context, version uint64, s Status) (next uint64, stored bool) {
 	next, err := n.store.Put(ctx, platform.KindStatus, n.set.DataCentre, version, s)
 	if err == nil {
-		return next
+		return next, true
 	}
 	conflict, ok := platform.AsConflict(err)
 	if !ok {
-		return version
+		return version, false
 	}
 	if conflict.Current == nil {
-		return 0
+		return 0, false
 	}
-	return conflict.Current.Version
+	return conflict.Current.Version, false
 }
 
 func (n *Node) collectStatus(ctx context.Context) Status {
