Add scenarios about configuration, access and planned operations

The harness gains the commands fleet, spec, restart, expand, load, calls, mark, endload and resume. fleet starts an installation; load runs callers behind a balancer that follows readiness, checks each history and the ledger, and counts cut requests.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -108,6 +108,9 @@
 	}, nil
 }
 
+// Open returns a program that exists, to read it. It has no history and makes no calls.
+func (c *Client) Open(id string) *Program { return &Program{ID: id, client: c} }
+
 // Describe returns the state of the program.
 func (p *Program) Describe(ctx context.Context) (caller.Program, error) {
 	var d caller.Program
--- /dev/null
+++ b/testbed/scenario/fleet.go
@@ -0,0 +1,310 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"jackdawbay.dev/api/records"
+)
+
+// Keys of a fleet. They protect nothing outside it. No process may log or return one.
+var fleetKeys = map[string]string{
+	"tenant":   "tenant-key-of-the-fleet",
+	"other":    "other-tenant-key-of-the-fleet",
+	"platform": "platform-key-of-the-fleet",
+	"peer":     "peer-key-of-the-fleet",
+	"upstream": "upstream-key-of-the-fleet",
+}
+
+// Names in the records of a fleet.
+const (
+	fleetTenant  = "merrimack-falls"
+	fleetOther   = "seacoast-club"
+	fleetModel   = "kit-model"
+	fleetGroup   = "kit-agents"
+	fleetPrinter = "printer" // Its orders may not be repeated.
+	fleetStock   = "stock"   // Its checks may be repeated.
+)
+
+// fleetDaemon is a daemon that the command fleet started.
+type fleetDaemon struct {
+	name string
+	args []string
+}
+
+// fleetState is the installation of a script.
+type fleetState struct {
+	daemons []fleetDaemon
+	records map[string]map[string]any // Specs by <Kind>-<name>.
+}
+
+// dataCentreArg is an argument NAME:REGION:DAEMONS:ENGINES.
+type dataCentreArg struct {
+	name, region     string
+	daemons, engines int
+}
+
+const fleetSynopsis = "fleet [engine=FLAG|daemon=FLAG|printer=FLAG]... NAME:REGION:DAEMONS:ENGINES..."
+
+func parseDataCentre(arg string) (dataCentreArg, error) {
+	parts := strings.Split(arg, ":")
+	if len(parts) != 4 {
+		return dataCentreArg{}, usage(fleetSynopsis)
+	}
+	daemons, err := strconv.Atoi(parts[2])
+	if err != nil {
+		return dataCentreArg{}, usage(fleetSynopsis)
+	}
+	engines, err := strconv.Atoi(parts[3])
+	if err != nil {
+		return dataCentreArg{}, usage(fleetSynopsis)
+	}
+	return dataCentreArg{name: parts[0], region: parts[1], daemons: daemons, engines: engines}, nil
+}
+
+// cmdFleet starts a whole installation and waits until its daemons are ready: the stand-ins platform, printer and stock,
+// the engines <dc>_e1..., and the daemons <dc>1..., where a hyphen in the name of the data centre becomes an underscore.
+// Each daemon has the variables NAME_addr, NAME_ops_addr and NAME_peer_addr. The records are files records/<Kind>-<name>.yaml
+// that the script can change and apply; jackdawbay finds the platform by its environment variables. The variables
+// tenant_key and other_key hold the keys of two tenants.
+func (h *harness) cmdFleet(ts *testscript.TestScript, args []string) error {
+	flags := map[string][]string{}
+	var list []dataCentreArg
+	for _, arg := range args {
+		if kind, flag, ok := strings.Cut(arg, "="); ok && slices.Contains([]string{"engine", "daemon", "printer"}, kind) {
+			flags[kind] = append(flags[kind], flag)
+			continue
+		}
+		dc, err := parseDataCentre(arg)
+		if err != nil {
+			return err
+		}
+		list = append(list, dc)
+	}
+	if len(list) == 0 || h.fleet != nil {
+		return usage(fleetSynopsis)
+	}
+	h.fleet = &fleetState{records: map[string]map[string]any{}}
+	if err := h.writeKeys(ts); err != nil {
+		return err
+	}
+	if err := h.startStandins(ts, list, flags); err != nil {
+		return err
+	}
+	if err := h.writeRecords(); err != nil {
+		return err
+	}
+	if err := ts.Exec("jackdawbay", "apply", "records"); err != nil {
+		return errors.Wrap(err, "apply the records")
+	}
+	return h.startFleetDaemons(ts, list, flags["daemon"])
+}
+
+func (h *harness) writeKeys(ts *testscript.TestScript) error {
+	for name, key := range fleetKeys {
+		if err := os.WriteFile(filepath.Join(h.workDir, name+".key"), []byte(key+"\n"), 0o600); err != nil {
+			return errors.Wrap(err, "write a key")
+		}
+	}
+	ts.Setenv("tenant_key", fleetKeys["tenant"])
+	ts.Setenv("other_key", fleetKeys["other"])
+	ts.Setenv("platform_key", fleetKeys["platform"])
+	return nil
+}
+
+func (h *harness) startStandins(ts *testscript.TestScript, list []dataCentreArg, flags map[string][]string) error {
+	if err := h.cmdStandin(ts, []string{"platform", "platform", "--key-file=platform.key"}); err != nil {
+		return err
+	}
+	ts.Setenv("JACKDAWBAY_PLATFORM_URL", "http://"+h.addresses["platform"])
+	ts.Setenv("JACKDAWBAY_PLATFORM_KEY_FILE", "platform.key")
+	r := h.fleet.records
+	r["Tenant-"+fleetTenant] = map[string]any{"keyHashes": []string{records.HashKey(fleetKeys["tenant"])}, "maxPrograms": 100_000}
+	r["Tenant-"+fleetOther] = map[string]any{"keyHashes": []string{records.HashKey(fleetKeys["other"])}}
+	r["Model-"+fleetModel] = map[string]any{
+		"group": fleetGroup, "version": "1", "contextTokens": 128_000, "maxOutputTokens": 2000, "weightBytes": 1 << 30,
+	}
+	r["Limit-default"] = map[string]any{"class": "default", "maxTurns": 420}
+	for _, dc := range list {
+		r["DataCentre-"+dc.name] = map[string]any{"region": dc.region}
+		for i := range dc.engines {
+			if err := h.startEngine(ts, dc.name, i+1, flags["engine"]); err != nil {
+				return err
+			}
+		}
+	}
+	if err := h.startService(ts, list[0].name, fleetPrinter, flags["printer"], "POST", "/orders", "unsafe"); err != nil {
+		return err
+	}
+	return h.startService(ts, list[0].name, fleetStock, nil, "GET", "/stock", "safe")
+}
+
+func (h *harness) startEngine(ts *testscript.TestScript, dataCentre string, number int, flags []string) error {
+	name := fmt.Sprintf("%s_e%d", identifier(dataCentre), number)
+	args := append([]string{name, "engine", "--model=" + fleetModel, "--checks-fencing", "--key-file=upstream.key"}, flags...)
+	if err := h.cmdStandin(ts, args); err != nil {
+		return err
+	}
+	h.fleet.records["Upstream-"+strings.ReplaceAll(name, "_", "-")] = map[string]any{
+		"type": "engine", "group": fleetGroup, "dataCentre": dataCentre, "address": h.addresses[name],
+		"slots": 16, "cacheTokens": 400_000, "checksFencing": true,
+	}
+	return nil
+}
+
+func (h *harness) startService(ts *testscript.TestScript, dataCentre, name string, flags []string, method, prefix, idempotency string) error {
+	if err := h.cmdStandin(ts, append([]string{name, "service", "--key-file=upstream.key"}, flags...)); err != nil {
+		return err
+	}
+	h.fleet.records["Upstream-"+name] = map[string]any{
+		"type": "service", "dataCentre": dataCentre, "address": h.addresses[name],
+		"routes": []any{map[string]any{"method": method, "pathPrefix": prefix, "idempotency": idempotency, "timeout": "5s"}},
+	}
+	return nil
+}
+
+func identifier(name string) string { return strings.ReplaceAll(name, "-", "_") }
+
+// writeRecords writes each record as a document of one line, which is JSON and so YAML.
+func (h *harness) writeRecords() error {
+	dir := filepath.Join(h.workDir, "records")
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return errors.Wrap(err, "create the directory of records")
+	}
+	for key, spec := range h.fleet.records {
+		kind, name, _ := strings.Cut(key, "-")
+		document, err := json.Marshal(map[string]any{
+			"apiVersion": records.V2, "kind": kind, "metadata": map[string]any{"name": name}, "spec": spec,
+		})
+		if err != nil {
+			return errors.Wrap(err, "encode a record")
+		}
+		if err := os.WriteFile(filepath.Join(dir, key+".yaml"), append(document, '\n'), 0o600); err != nil {
+			return errors.Wrap(err, "write a record")
+		}
+	}
+	return nil
+}
+
+// cmdSpec is "spec KIND-NAME JSON": changes fields of the spec of a record of the fleet and writes its file. The script
+// applies it with jackdawbay.
+func (h *harness) cmdSpec(_ *testscript.TestScript, args []string) error {
+	if len(args) != 2 || h.fleet == nil {
+		return usage("spec KIND-NAME JSON")
+	}
+	spec := h.fleet.records[args[0]]
+	if spec == nil {
+		spec = map[string]any{}
+		h.fleet.records[args[0]] = spec
+	}
+	if err := json.Unmarshal([]byte(args[1]), &spec); err != nil {
+		return usage("%v", err)
+	}
+	return h.writeRecords()
+}
+
+func (h *harness) startFleetDaemons(ts *testscript.TestScript, list []dataCentreArg, flags []string) error {
+	for _, dc := range list {
+		for i := range dc.daemons {
+			name := identifier(dc.name) + strconv.Itoa(i+1)
+			for _, n := range []string{name, name + "_ops", name + "_peer"} {
+				if _, err := h.address(ts, n, "127.0.0.1"); err != nil {
+					return err
+				}
+			}
+			d := fleetDaemon{name: name, args: append([]string{
+				"--vm=" + dc.name + "-vm-" + strconv.Itoa(i+1), "--data-centre=" + dc.name,
+				"--listen=" + h.addresses[name], "--peer-listen=" + h.addresses[name+"_peer"], "--ops-listen=" + h.addresses[name+"_ops"],
+				"--platform-url=http://" + h.addresses["platform"], "--platform-key-file=platform.key",
+				"--peer-key-file=peer.key", "--upstream-key-file=upstream.key",
+				"--drain-delay=" + balancerDelay.String(), "--poll-interval=100ms",
+			}, flags...)}
+			h.fleet.daemons = append(h.fleet.daemons, d)
+			if err := h.startAgain(ts, d); err != nil {
+				return err
+			}
+		}
+	}
+	for _, d := range h.fleet.daemons {
+		if err := h.processes[d.name].await(startTimeout, "ready", func() bool { return h.isReady(d.name) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (h *harness) startAgain(ts *testscript.TestScript, d fleetDaemon) error {
+	_, err := h.start(ts, d.name, "daemon", "jackdawbayd", d.args)
+	return err
+}
+
+// cmdRestart is "restart NAME": starts a daemon of the fleet again with the same flags and waits until it is ready.
+func (h *harness) cmdRestart(ts *testscript.TestScript, args []string) error {
+	if len(args) != 1 || h.fleet == nil {
+		return usage("restart NAME")
+	}
+	i := slices.IndexFunc(h.fleet.daemons, func(d fleetDaemon) bool { return d.name == args[0] })
+	if i < 0 {
+		return usage("no daemon %s in the fleet", args[0])
+	}
+	// A restart truncates the log.
+	if err := h.checkLog(h.processes[args[0]]); err != nil {
+		return err
+	}
+	if err := h.startAgain(ts, h.fleet.daemons[i]); err != nil {
+		return err
+	}
+	return h.processes[args[0]].await(startTimeout, "ready", func() bool { return h.isReady(args[0]) })
+}
+
+// isReady reports whether a daemon wants new connections, as its balancer asks.
+func (h *harness) isReady(name string) bool {
+	call := httpCall{method: http.MethodGet, url: "http://" + h.addresses[name+"_ops"] + "/readyz", headers: http.Header{}, timeout: time.Second}
+	response, _, err := call.send("")
+	return err == nil && response.StatusCode == http.StatusOK
+}
+
+// cmdExpand is "expand FILE COPY": copies a file and replaces ${NAME} in it by the variables of the script.
+func (h *harness) cmdExpand(ts *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return usage("expand FILE COPY")
+	}
+	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
+	return errors.Wrap(os.WriteFile(ts.MkAbs(args[1]), []byte(text), 0o600), "write the copy")
+}
+
+// keyIn returns the name of a key of the fleet that a text holds.
+func (h *harness) keyIn(text []byte) string {
+	if h.fleet == nil {
+		return ""
+	}
+	for name, key := range fleetKeys {
+		if bytes.Contains(text, []byte(key)) {
+			return name
+		}
+	}
+	return ""
+}
+
+// checkLog reports a key of the fleet in the log of a process.
+func (h *harness) checkLog(p *process) error {
+	output, err := os.ReadFile(p.log)
+	if err != nil {
+		return errors.Wrap(err, "read the log")
+	}
+	if name := h.keyIn(output); name != "" {
+		return errors.Newf("the log of %s holds the %s key", p.name, name)
+	}
+	return nil
+}
--- a/testbed/scenario/http.go
+++ b/testbed/scenario/http.go
@@ -78,6 +78,9 @@
 		return err
 	}
 	_, _ = ts.Stdout().Write(raw)
+	if name := h.keyIn(raw); name != "" {
+		return errors.Newf("%s %s: the response holds the %s key", call.method, call.url, name)
+	}
 	if err := call.check(response, raw); err != nil {
 		return errors.Wrapf(err, "%s %s: %d %.500s", call.method, call.url, response.StatusCode, raw)
 	}
--- a/testbed/scenario/scenario.go
+++ b/testbed/scenario/scenario.go
@@ -147,6 +147,15 @@
 		"http":    (*harness).cmdHTTP,
 		"ledger":  (*harness).cmdLedger,
 		"log":     (*harness).cmdLog,
+		"fleet":   (*harness).cmdFleet,
+		"spec":    (*harness).cmdSpec,
+		"restart": (*harness).cmdRestart,
+		"expand":  (*harness).cmdExpand,
+		"load":    (*harness).cmdLoad,
+		"calls":   (*harness).cmdCalls,
+		"mark":    (*harness).cmdMark,
+		"resume":  (*harness).cmdResume,
+		"endload": (*harness).cmdEndload,
 	}
 }
 
@@ -158,16 +167,26 @@
 	processes map[string]*process
 	addresses map[string]string // By name, so that a restart gets the same address.
 	crashed   []string          // Names of processes that ended by themselves.
+	fleet     *fleetState
+	loads     map[string]*load
 }
 
 func setup(env *testscript.Env) error {
-	h := &harness{workDir: env.WorkDir, processes: map[string]*process{}, addresses: map[string]string{}}
+	h := &harness{workDir: env.WorkDir, processes: map[string]*process{}, addresses: map[string]string{}, loads: map[string]*load{}}
 	env.Values[harnessKey{}] = h
 	env.Setenv("PATH", binDir+string(filepath.ListSeparator)+env.Getenv("PATH"))
 	env.Defer(func() {
+		for _, l := range h.loads {
+			l.cancel()
+		}
 		if crashed := h.endAll(env.T()); len(crashed) > 0 {
 			env.T().Fatal("processes ended by themselves: " + strings.Join(crashed, ", "))
 		}
+		for _, p := range h.processes {
+			if err := h.checkLog(p); err != nil {
+				env.T().Fatal(err.Error())
+			}
+		}
 	})
 	return nil
 }
--- a/testbed/scenario/scenario_test.go
+++ b/testbed/scenario/scenario_test.go
@@ -16,6 +16,9 @@
 
 func TestScenarios(t *testing.T) { Run(t, "testdata") }
 
+// Scripts about configuration, access and planned operations.
+func TestOperations(t *testing.T) { Run(t, filepath.Join("testdata", "operations")) }
+
 // recorder is a testscript.T that records a failure instead of failing the test.
 type recorder struct {
 	t      *testing.T
