Test the clients against faults and against repeats of their libraries

The tables drive the real clients against the stand-ins: slow, refused, cut in mid-answer, lost after the effect, stale, malformed, larger than allowed, out of order. Each case checks the kind of the error and the effects at the stand-in.

--- /dev/null
+++ b/testbed/contract/faults_test.go
@@ -0,0 +1,497 @@
+package contract
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/transport"
+	"jackdawbay.dev/daemon/upstream"
+	"jackdawbay.dev/testbed/standin/engine"
+	platformstandin "jackdawbay.dev/testbed/standin/platform"
+	"jackdawbay.dev/testbed/standin/service"
+)
+
+// slowTimeout bounds a request in the cases "slow", whose fault takes longer. All others get patience, since the race detector
+// needs up to a second for a response of 16 MiB.
+const (
+	slowTimeout = 500 * time.Millisecond
+	patience    = 20 * time.Second
+)
+
+func timeoutOf(name string) time.Duration {
+	if strings.HasPrefix(name, "slow") {
+		return slowTimeout
+	}
+	return patience
+}
+
+// standin is a stand-in that serves in the test process.
+type standin struct {
+	address string
+	handler http.Handler
+}
+
+func startStandin(t *testing.T, h http.Handler) standin {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return standin{address: s.Listener.Addr().String(), handler: h}
+}
+
+// control calls the control interface, which meets no fault.
+func (s standin) control(t *testing.T, method, path, body string, into any) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	s.handler.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+	must.Eq(t, http.StatusOK, w.Code, must.Sprint(w.Body.String()))
+	must.NoError(t, json.Unmarshal(w.Body.Bytes(), into))
+}
+
+func (s standin) fault(t *testing.T, faults string) {
+	t.Helper()
+	var out map[string]any
+	s.control(t, http.MethodPut, "/control/faults", faults, &out)
+}
+
+// closedAddress returns an address at which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	must.NoError(t, l.Close())
+	return l.Addr().String()
+}
+
+// assertIs checks an error; a nil want means success.
+func assertIs(t *testing.T, want, err error) {
+	t.Helper()
+	if want == nil {
+		test.NoError(t, err)
+		return
+	}
+	test.True(t, errors.Is(err, want), test.Sprintf("got %v, expected %v", err, want))
+}
+
+const storeKey = "platform-key"
+
+func startPlatform(t *testing.T, timeout time.Duration) (standin, *platform.Client) {
+	t.Helper()
+	s := startStandin(t, platformstandin.New(platformstandin.Config{Keys: []string{storeKey}}).Handler())
+	return s, newStore(storeKey, timeout)(s.address)
+}
+
+// Guards against a platform client that takes a lost or damaged response for a refusal, or a refusal for an effect. A
+// write is sent once. Reads are repeated within their budget.
+func TestPlatformFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		faults string
+		write  error // Result of a write.
+		effect bool  // Whether the write took place.
+		read   error // Result of a read.
+	}{
+		{"none", `{}`, nil, true, nil},
+		{"slow before the effect", `{"latency_ms":1500}`, platform.ErrUnknown, true, platform.ErrUnknown},
+		{"slow after the effect", `{"hang_ms":1500}`, platform.ErrUnknown, true, platform.ErrUnknown},
+		{"connection closed without an effect", `{"refuse":true}`, platform.ErrUnknown, false, platform.ErrUnknown},
+		{"outage", `{"outage":true}`, platform.ErrUnavailable, false, platform.ErrUnavailable},
+		{"response lost after the effect", `{"drop_answer_after_effect":1}`, platform.ErrUnknown, true, nil},
+		{"cut in mid-answer", `{"cut_answer_after_bytes":10}`, platform.ErrUnknown, true, nil},
+		{"malformed", `{"malformed":1}`, platform.ErrUnknown, true, nil},
+		{"larger than allowed", `{"oversized":1}`, platform.ErrUnknown, true, nil},
+		{"malformed every time", `{"malformed":9}`, platform.ErrUnknown, true, platform.ErrUnknown},
+		{"rate limited", `{"status":429,"status_count":1}`, platform.ErrUnavailable, false, nil},
+		{"unavailable once", `{"status":503,"status_count":1}`, platform.ErrUnavailable, false, nil},
+		{"internal error", `{"status":500,"status_count":1}`, platform.ErrUnknown, false, nil},
+		{"bad request", `{"status":400,"status_count":1}`, platform.ErrRejected, false, platform.ErrRejected},
+		{"key refused", `{"status":401,"status_count":1}`, platform.ErrRejected, false, platform.ErrRejected},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s, c := startPlatform(t, timeoutOf(tc.name))
+			_, err := c.Put(t.Context(), "config", "a", 0, 1)
+			must.NoError(t, err)
+			before := writes(t, s)
+
+			s.fault(t, tc.faults)
+			_, err = c.Put(t.Context(), "config", "b", 0, 2)
+			assertIs(t, tc.write, err)
+			s.fault(t, tc.faults)
+			err = c.Delete(t.Context(), "config", "a", 1)
+			assertIs(t, tc.write, err)
+			await(t, func() bool { return writes(t, s)-before == effects2(tc.effect) })
+
+			s.fault(t, `{}`)
+			_, err = c.Get(t.Context(), "config", "b")
+			assertIs(t, present(tc.effect), err)
+			_, err = c.Get(t.Context(), "config", "a")
+			assertIs(t, present(!tc.effect), err)
+			_, err = c.Put(t.Context(), "config", "c", 0, 3)
+			must.NoError(t, err)
+
+			s.fault(t, tc.faults)
+			o, err := c.Get(t.Context(), "config", "c")
+			assertIs(t, tc.read, err)
+			if tc.read == nil {
+				test.Eq(t, "3", string(o.Value))
+			}
+			s.fault(t, tc.faults)
+			_, err = c.List(t.Context(), "config", "", "", 0)
+			assertIs(t, tc.read, err)
+			s.fault(t, tc.faults)
+			_, err = c.VMs(t.Context())
+			assertIs(t, tc.read, err)
+		})
+	}
+}
+
+func effects2(effect bool) int64 {
+	if effect {
+		return 2
+	}
+	return 0
+}
+
+func present(yes bool) error {
+	if yes {
+		return nil
+	}
+	return platform.ErrNotFound
+}
+
+func writes(t *testing.T, s standin) int64 {
+	t.Helper()
+	var stats platformstandin.Stats
+	s.control(t, http.MethodGet, "/control/stats", "", &stats)
+	return stats.Writes
+}
+
+func await(t *testing.T, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(5 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatal("condition was not reached in time")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// Guards against a lost update: a write under a stale or a missing version must report the present object.
+func TestPlatformConflicts(t *testing.T) {
+	s, c := startPlatform(t, patience)
+	first, err := c.Put(t.Context(), "config", "a", 0, 1)
+	must.NoError(t, err)
+	second, err := c.Put(t.Context(), "config", "a", first, 2)
+	must.NoError(t, err)
+
+	s.fault(t, `{"stale_reads":1}`)
+	stale, err := c.Get(t.Context(), "config", "a")
+	must.NoError(t, err)
+	must.Eq(t, first, stale.Version)
+	for name, version := range map[string]uint64{"stale read": stale.Version, "creation": 0, "version that never was": 99} {
+		_, err = c.Put(t.Context(), "config", "a", version, 3)
+		conflict, ok := platform.AsConflict(err)
+		must.True(t, ok, must.Sprintf("%s: %v", name, err))
+		test.Eq(t, second, conflict.Current.Version)
+		test.Eq(t, "2", string(conflict.Current.Value))
+		test.True(t, platform.Available(err))
+	}
+	_, err = c.Put(t.Context(), "config", "gone", 7, 3)
+	conflict, ok := platform.AsConflict(err)
+	must.True(t, ok, must.Sprint(err))
+	test.Nil(t, conflict.Current)
+	_, err = c.Put(t.Context(), "config", "large", 0, strings.Repeat("x", 1_000_001))
+	assertIs(t, platform.ErrRejected, err)
+	_, err = newStore("wrong", patience)(s.address).Get(t.Context(), "config", "a")
+	assertIs(t, platform.ErrRejected, err)
+	_, err = newStore(storeKey, patience)(closedAddress(t)).Put(t.Context(), "config", "a", 0, 1)
+	assertIs(t, platform.ErrUnavailable, err)
+	assertIs(t, transport.ErrNotSent, err)
+}
+
+// Guards against a watch that skips events: a gap, a revision from before a restore and a lost response are reported.
+func TestPlatformWatch(t *testing.T) {
+	s, c := startPlatform(t, patience)
+	_, err := c.Put(t.Context(), "config", "a", 0, 1)
+	must.NoError(t, err)
+	var out struct{}
+	s.control(t, http.MethodPost, "/control/snapshot", "", &out)
+	_, err = c.Put(t.Context(), "config", "b", 0, 1)
+	must.NoError(t, err)
+
+	revision, events, err := c.Watch(t.Context(), "config", 0, time.Second)
+	must.NoError(t, err)
+	must.Eq(t, 2, len(events))
+	test.True(t, events[0].Revision < events[1].Revision)
+	test.Eq(t, events[1].Revision, revision)
+	same, events, err := c.Watch(t.Context(), "config", revision, 50*time.Millisecond)
+	must.NoError(t, err)
+	test.SliceEmpty(t, events)
+	test.Eq(t, revision, same)
+	for faults, want := range map[string]error{
+		`{"watch_gap":true}`: platform.ErrGap, `{"outage":true}`: platform.ErrUnavailable, `{"refuse":true}`: platform.ErrUnknown,
+		`{"malformed":1}`: platform.ErrUnknown, `{"oversized":1}`: platform.ErrUnknown, `{"cut_answer_after_bytes":5}`: platform.ErrUnknown,
+	} {
+		s.fault(t, faults)
+		_, _, err = c.Watch(t.Context(), "config", 0, 50*time.Millisecond)
+		test.True(t, errors.Is(err, want), test.Sprintf("%s: %v", faults, err))
+	}
+	s.fault(t, `{}`)
+	s.control(t, http.MethodPost, "/control/restore", "", &out)
+	_, _, err = c.Watch(t.Context(), "config", revision, time.Second)
+	assertIs(t, platform.ErrGap, err)
+}
+
+const engineKey = "upstream-key"
+
+func startEngine(t *testing.T) (standin, *upstream.Engines) {
+	t.Helper()
+	cfg := engine.DefaultConfig()
+	cfg.Keys, cfg.Speed, cfg.ChecksFencing = []string{engineKey}, 50, true
+	cfg.Reply.Tokens = 30
+	e := engine.New(cfg)
+	t.Cleanup(e.Close)
+	return startStandin(t, e.Handler()), upstream.NewEngines(engineKey, options)
+}
+
+func stream(t *testing.T, c *upstream.Engines, address, id string) (upstream.Answer, string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	var sb strings.Builder
+	a, err := c.Stream(ctx, address, chat(id), func(text string) error {
+		sb.WriteString(text)
+		return nil
+	})
+	return a, sb.String(), err
+}
+
+// Guards against an answer that is taken for complete although its stream broke, and against a resume that loses or
+// repeats text.
+func TestEngineStreamFaults(t *testing.T) {
+	s, c := startEngine(t)
+	whole, text, err := stream(t, c, s.address, "whole")
+	must.NoError(t, err)
+	must.Eq(t, text, string(whole.Message.Content))
+	for _, tc := range []struct {
+		name, faults string
+		want         error
+		resumable    bool
+	}{
+		{"cut before the first text", `{"cut_answer_after_bytes":1}`, upstream.ErrBroken, true},
+		{"cut in mid-answer", `{"cut_answer_after_bytes":1500}`, upstream.ErrBroken, true},
+		{"malformed", `{"malformed":1}`, upstream.ErrBroken, true},
+		{"larger than allowed", `{"oversized":1}`, upstream.ErrBroken, true},
+		{"refused by status 500", `{"status":500,"status_count":1}`, upstream.ErrRefused, false},
+		{"refused by status 503", `{"status":503,"status_count":1}`, upstream.ErrRefused, false},
+		{"refused by status 429", `{"status":429,"status_count":1}`, upstream.ErrRefused, false},
+		{"slow", `{"hang_ms":4000}`, context.DeadlineExceeded, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			id := strings.ReplaceAll(tc.name, " ", "-")
+			s.fault(t, tc.faults)
+			broken, part, err := stream(t, c, s.address, id)
+			s.fault(t, `{}`)
+			assertIs(t, tc.want, err)
+			test.False(t, errors.Is(err, upstream.ErrNotSent))
+			test.Eq(t, part, string(broken.Message.Content))
+			test.StrHasPrefix(t, part, text)
+			if !tc.resumable {
+				return
+			}
+			rest := ""
+			a, err := c.Resume(t.Context(), s.address, id, len(part), func(text string) error {
+				rest += text
+				return nil
+			})
+			must.NoError(t, err)
+			test.Eq(t, text, part+rest)
+			test.Eq(t, whole.Usage.CompletionTokens, a.Usage.CompletionTokens)
+		})
+	}
+	s.fault(t, `{"refuse":true}`)
+	_, _, err = stream(t, c, s.address, "refused")
+	s.fault(t, `{}`)
+	test.Error(t, err)
+	test.False(t, errors.IsAny(err, upstream.ErrNotSent, upstream.ErrRefused))
+	_, _, err = stream(t, c, closedAddress(t), "closed")
+	assertIs(t, upstream.ErrNotSent, err)
+	_, err = c.Resume(t.Context(), s.address, "never-was", 0, func(string) error { return nil })
+	assertIs(t, upstream.ErrGone, err)
+	_, _, err = stream(t, c, s.address, "whole")
+	assertIs(t, upstream.ErrRefused, err)
+	_, _, err = stream(t, upstream.NewEngines("wrong", options), s.address, "key")
+	assertIs(t, upstream.ErrRefused, err)
+}
+
+// Guards against chunks in an order or form that no engine should send.
+func TestEngineStreamForms(t *testing.T) {
+	const usage = `{"choices":[],"usage":{"prompt_tokens":3,"completion_tokens":2}}`
+	chunk := func(text string) string { return `{"choices":[{"delta":{"content":"` + text + `"}}]}` }
+	for _, tc := range []struct {
+		name   string
+		events []string
+		want   error
+	}{
+		{"usual order", []string{chunk("a"), chunk("b"), usage, "[DONE]"}, nil},
+		{"usage before the text", []string{usage, chunk("a"), chunk("b"), "[DONE]"}, nil},
+		{"end mark without usage", []string{chunk("a"), "[DONE]"}, upstream.ErrBroken},
+		{"end without an end mark", []string{chunk("a"), usage}, upstream.ErrBroken},
+		{"nothing", nil, upstream.ErrBroken},
+		{"no JSON", []string{chunk("a"), "x"}, upstream.ErrBroken},
+		{"wrong type", []string{`{"choices":[{"delta":{"content":7}}]}`}, upstream.ErrBroken},
+		{"tool call out of bounds", []string{`{"choices":[{"delta":{"tool_calls":[{"index":1000000}]}}]}`}, upstream.ErrBroken},
+		{"negative tool call", []string{`{"choices":[{"delta":{"tool_calls":[{"index":-1}]}}]}`}, upstream.ErrBroken},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := startStandin(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Content-Type", "text/event-stream")
+				for _, e := range tc.events {
+					_, _ = w.Write([]byte("data: " + e + "\n\n"))
+				}
+			}))
+			a, text, err := stream(t, upstream.NewEngines("k", options), s.address, "r")
+			assertIs(t, tc.want, err)
+			test.Eq(t, text, string(a.Message.Content))
+			if tc.want == nil {
+				test.Eq(t, "ab", text)
+				test.Eq(t, 5, a.Usage.Total())
+			}
+		})
+	}
+}
+
+// Guards against a report or an order whose damaged response counts as a good one.
+func TestEngineReportsAndOrders(t *testing.T) {
+	s, c := startEngine(t)
+	for _, tc := range []struct {
+		name, faults string
+		want         error
+	}{
+		{"none", `{}`, nil},
+		{"cut in mid-answer", `{"cut_answer_after_bytes":5}`, upstream.ErrBroken},
+		{"malformed", `{"malformed":1}`, upstream.ErrBroken},
+		{"larger than allowed", `{"oversized":1}`, upstream.ErrBroken},
+		{"outage", `{"outage":true}`, upstream.ErrRefused},
+		{"slow", `{"hang_ms":1500}`, context.DeadlineExceeded},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), timeoutOf(tc.name))
+			defer cancel()
+			s.fault(t, tc.faults)
+			_, err := c.Load(ctx, s.address)
+			assertIs(t, tc.want, err)
+			s.fault(t, tc.faults)
+			_, err = c.Cache(ctx, s.address)
+			assertIs(t, tc.want, err)
+			s.fault(t, tc.faults)
+			_, err = c.CacheEvents(ctx, s.address, 0)
+			assertIs(t, tc.want, err)
+		})
+	}
+	s.fault(t, `{"watch_gap":true}`)
+	events, err := c.CacheEvents(t.Context(), s.address, 0)
+	must.NoError(t, err)
+	test.True(t, events.Gap)
+	s.fault(t, `{"drop_answer_after_effect":1}`)
+	order := upstream.Order{FencingToken: 5, Type: upstream.OrderSetRole, Role: "decode"}
+	err = c.Order(t.Context(), s.address, order)
+	test.Error(t, err)
+	test.False(t, errors.IsAny(err, upstream.ErrNotSent, upstream.ErrRefused, upstream.ErrStaleFencing))
+	order.FencingToken = 4
+	assertIs(t, upstream.ErrStaleFencing, c.Order(t.Context(), s.address, order))
+}
+
+// Guards against a service call that reports "not sent" although it ran, or that runs twice.
+func TestServiceFaults(t *testing.T) {
+	for _, tc := range []struct {
+		name, faults string
+		want         error // Nil where any error will do, or none.
+		failed       bool
+		runs         int
+	}{
+		{"none", `{}`, nil, false, 1},
+		{"slow before the effect", `{"latency_ms":1500}`, context.DeadlineExceeded, true, 1},
+		{"slow after the effect", `{"hang_ms":1500}`, context.DeadlineExceeded, true, 1},
+		{"connection closed without an effect", `{"refuse":true}`, nil, true, 0},
+		{"response lost after the effect", `{"drop_answer_after_effect":1}`, nil, true, 1},
+		{"cut in mid-answer", `{"cut_answer_after_bytes":5}`, upstream.ErrBroken, true, 1},
+		{"larger than allowed", `{"oversized":1}`, upstream.ErrBroken, true, 1},
+		{"malformed", `{"malformed":1}`, nil, false, 1},
+		{"outage", `{"outage":true}`, nil, false, 0},
+		{"status 500", `{"status":500,"status_count":1}`, nil, false, 0},
+	} {
+		for _, key := range []string{"", "k1"} {
+			t.Run(tc.name+"/"+key, func(t *testing.T) {
+				t.Parallel()
+				s := startStandin(t, service.New(service.Config{Keys: []string{engineKey}, HonoursIdempotencyKeys: true}).Handler())
+				c := upstream.NewServices(engineKey, options)
+				s.fault(t, tc.faults)
+				ctx, cancel := context.WithTimeout(t.Context(), timeoutOf(tc.name))
+				defer cancel()
+				resp, err := c.Send(ctx, s.address, upstream.ServiceRequest{
+					Method: http.MethodPost, Path: "/orders", Body: json.RawMessage(`{"business_key":"o"}`), IdempotencyKey: key,
+				})
+				test.Eq(t, tc.failed, err != nil, test.Sprint(err))
+				if tc.want != nil {
+					assertIs(t, tc.want, err)
+				}
+				test.False(t, errors.Is(err, upstream.ErrNotSent), test.Sprint(err))
+				test.True(t, err != nil || json.Valid(resp.Body), test.Sprint(string(resp.Body)))
+				s.fault(t, `{}`)
+				await(t, func() bool { return runs(t, s)["o"] == tc.runs })
+				if key == "" {
+					return
+				}
+				_, found, err := c.Lookup(t.Context(), s.address, key)
+				must.NoError(t, err)
+				test.Eq(t, tc.runs, runs(t, s)["o"])
+				test.Eq(t, tc.runs == 1, found)
+			})
+		}
+	}
+}
+
+func runs(t *testing.T, s standin) map[string]int {
+	t.Helper()
+	var out struct {
+		Runs map[string]int `json:"runs"`
+	}
+	s.control(t, http.MethodGet, "/control/runs", "", &out)
+	return out.Runs
+}
+
+// Guards against a lookup that takes "cannot tell" for "never ran", and against "not sent" for a connection that was made.
+func TestServiceLookup(t *testing.T) {
+	c := upstream.NewServices(engineKey, options)
+	request := upstream.ServiceRequest{Method: http.MethodPost, Path: "/orders", Body: json.RawMessage(`{}`)}
+	_, err := c.Send(t.Context(), closedAddress(t), request)
+	assertIs(t, upstream.ErrNotSent, err)
+	for name, faults := range map[string]string{
+		"outage": `{"outage":true}`, "refuse": `{"refuse":true}`, "malformed": `{"malformed":1}`, "oversized": `{"oversized":1}`,
+		"cut": `{"cut_answer_after_bytes":3}`, "status": `{"status":500,"status_count":1}`,
+	} {
+		s := startStandin(t, service.New(service.Config{HonoursIdempotencyKeys: true}).Handler())
+		request.IdempotencyKey = "k"
+		_, err := c.Send(t.Context(), s.address, request)
+		must.NoError(t, err)
+		s.fault(t, faults)
+		_, _, err = c.Lookup(t.Context(), s.address, "k")
+		test.Error(t, err, test.Sprint(name))
+	}
+	plain := startStandin(t, service.New(service.Config{}).Handler())
+	_, _, err = c.Lookup(t.Context(), plain.address, "k")
+	assertIs(t, upstream.ErrRefused, err)
+}
