Test an existing chat-completions client with a changed base URL

openai-go (test dependency of testbed only) makes conversations with the header Jackdawbay-Program, whole and streamed, and reads errors. A transport in front of the daemon replaces responses by a 503 during or after the answer, which the library repeats by itself: the history must have the turn once and the budget be charged once.

--- /dev/null
+++ b/testbed/callerapi/openai_test.go
@@ -0,0 +1,242 @@
+package callerapi
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/api/caller"
+	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/daemon/ingress"
+)
+
+// library returns the client library with a changed base URL, as an existing caller would use it.
+func (in *installation) library(options ...option.RequestOption) openai.Client {
+	all := append([]option.RequestOption{
+		option.WithBaseURL(in.url + "/v1/"), option.WithAPIKey(tenantKey), option.WithHTTPClient(&http.Client{}),
+	}, options...)
+	return openai.NewClient(all...)
+}
+
+func question(messages ...openai.ChatCompletionMessageParamUnion) openai.ChatCompletionNewParams {
+	return openai.ChatCompletionNewParams{
+		Model: model, Messages: messages, MaxCompletionTokens: openai.Int(30), Temperature: openai.Float(0.5),
+	}
+}
+
+func (in *installation) newProgram(t *testing.T) *client.Program {
+	t.Helper()
+	p, err := in.client().Create(t.Context(), caller.CreateProgram{Model: model, BudgetTokens: 100_000})
+	must.NoError(t, err)
+	return p
+}
+
+func turnsOf(t *testing.T, p *client.Program) []caller.Turn {
+	t.Helper()
+	turns, err := p.History(t.Context())
+	must.NoError(t, err)
+	return turns
+}
+
+// Guards against a conversation of an existing client that is recorded twice, out of order or without its cache, when the
+// client sends its whole history with every request, streamed and whole in turn.
+func TestLibraryConversation(t *testing.T) {
+	in := start(t)
+	p := in.newProgram(t)
+	c := in.library(option.WithHeader(ingress.HeaderProgram, p.ID))
+	var messages []openai.ChatCompletionMessageParamUnion
+	var texts []string
+	for i, text := range []string{"Draft a jersey.", "Make it green.", "Add sizes.", "Confirm."} {
+		messages = append(messages, openai.UserMessage(text))
+		var completion openai.ChatCompletion
+		if i%2 == 0 {
+			got, err := c.Chat.Completions.New(t.Context(), question(messages...))
+			must.NoError(t, err)
+			completion = *got
+		} else {
+			completion = streamed(t, c, question(messages...))
+		}
+		must.SliceLen(t, 1, completion.Choices)
+		message := completion.Choices[0].Message
+		test.Eq(t, "assistant", string(message.Role))
+		test.NotEq(t, "", message.Content)
+		test.NotEq(t, "", completion.Choices[0].FinishReason)
+		test.Eq(t, completion.Usage.TotalTokens, completion.Usage.PromptTokens+completion.Usage.CompletionTokens)
+		test.Eq(t, i > 0, completion.Usage.PromptTokensDetails.CachedTokens > 0)
+		texts = append(texts, message.Content)
+		messages = append(messages, message.ToParam())
+	}
+	turns := turnsOf(t, p)
+	must.SliceLen(t, len(texts), turns)
+	for i, turn := range turns {
+		test.Eq(t, uint64(i+1), turn.Sequence)
+		test.SliceLen(t, 1, turn.Model.Messages, test.Sprint("the history is not part of the turn"))
+		test.Eq(t, texts[i], string(turn.Message.Content))
+	}
+}
+
+// streamed reads a streamed completion and checks its end.
+func streamed(t *testing.T, c openai.Client, params openai.ChatCompletionNewParams) openai.ChatCompletion {
+	t.Helper()
+	params.StreamOptions = openai.ChatCompletionStreamOptionsParam{IncludeUsage: openai.Bool(true)}
+	s := c.Chat.Completions.NewStreaming(t.Context(), params)
+	defer func() { _ = s.Close() }()
+	var acc openai.ChatCompletionAccumulator
+	pieces := 0
+	for s.Next() {
+		test.True(t, acc.AddChunk(s.Current()))
+		pieces++
+	}
+	must.NoError(t, s.Err())
+	test.Greater(t, 2, pieces)
+	return acc.ChatCompletion
+}
+
+// breaker lets requests pass to the daemon and replaces the first responses of chat completions by a 503, as a balancer
+// does that gives up on a daemon which goes on.
+type breaker struct {
+	left  atomic.Int64
+	after bool // The daemon makes the whole answer before the 503; otherwise it is still at work.
+	sent  atomic.Int64
+}
+
+func (b *breaker) RoundTrip(req *http.Request) (*http.Response, error) {
+	b.sent.Add(1)
+	if b.left.Add(-1) < 0 {
+		return http.DefaultTransport.RoundTrip(req)
+	}
+	if !b.after {
+		go b.goOn(req)
+		return unavailable(req), nil
+	}
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return unavailable(req), err
+}
+
+// goOn sends a copy of the request whose response nobody sees.
+func (b *breaker) goOn(req *http.Request) {
+	body, err := req.GetBody()
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	out := req.Clone(ctx)
+	out.Body = body
+	if resp, err := http.DefaultTransport.RoundTrip(out); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
+func unavailable(req *http.Request) *http.Response {
+	// A map of constants always encodes.
+	body, _ := json.Marshal(map[string]any{"error": map[string]string{"message": "try again"}})
+	return &http.Response{
+		StatusCode: http.StatusServiceUnavailable, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Request: req,
+		Header: http.Header{"Content-Type": {"application/json"}, "Retry-After-Ms": {"1"}}, Body: io.NopCloser(bytes.NewReader(body)),
+	}
+}
+
+// Guards against a call that is in the history twice, or charged twice, because the library repeated it by itself.
+func TestLibraryRepeats(t *testing.T) {
+	in := start(t)
+	for _, tc := range []struct {
+		name   string
+		count  int64
+		after  bool
+		stream bool
+	}{
+		{"after the answer, whole", 1, true, false},
+		{"after the answer, streamed", 1, true, true},
+		{"twice after the answer", 2, true, false},
+		{"during the answer, whole", 1, false, false},
+		{"during the answer, streamed", 1, false, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := in.newProgram(t)
+			b := &breaker{after: tc.after}
+			b.left.Store(tc.count)
+			c := in.library(option.WithHeader(ingress.HeaderProgram, p.ID), option.WithHTTPClient(&http.Client{Transport: b}))
+			first := openai.UserMessage("Draft a jersey.")
+			var got openai.ChatCompletion
+			if tc.stream {
+				got = streamed(t, c, question(first))
+			} else {
+				whole, err := c.Chat.Completions.New(t.Context(), question(first))
+				must.NoError(t, err)
+				got = *whole
+			}
+			test.Eq(t, tc.count+1, b.sent.Load())
+			turns := turnsOf(t, p)
+			must.SliceLen(t, 1, turns)
+			test.Eq(t, string(turns[0].Message.Content), got.Choices[0].Message.Content)
+			d, err := p.Describe(t.Context())
+			must.NoError(t, err)
+			test.Eq(t, turns[0].Usage.Total(), d.SpentTokens)
+
+			// The conversation goes on from the one turn.
+			_, err = c.Chat.Completions.New(t.Context(), question(first, got.Choices[0].Message.ToParam(), openai.UserMessage("Go on.")))
+			must.NoError(t, err)
+			test.SliceLen(t, 2, turnsOf(t, p))
+		})
+	}
+}
+
+// Guards against errors that the library cannot read, and against a refused request that changes the history.
+func TestLibraryErrors(t *testing.T) {
+	in := start(t)
+	p := in.newProgram(t)
+	header := option.WithHeader(ingress.HeaderProgram, p.ID)
+	for _, tc := range []struct {
+		name    string
+		options []option.RequestOption
+		params  openai.ChatCompletionNewParams
+		kind    errkind.Kind
+	}{
+		{"wrong key", []option.RequestOption{option.WithAPIKey("wrong")}, question(openai.UserMessage("x")), errkind.Unauthenticated},
+		{"no messages", nil, question(), errkind.InvalidValue},
+		{"unknown program", []option.RequestOption{option.WithHeader(ingress.HeaderProgram, hostileID)}, question(openai.UserMessage("x")), errkind.ProgramNotFound},
+		{"other tenant", []option.RequestOption{option.WithAPIKey(otherKey)}, question(openai.UserMessage("x")), errkind.ProgramNotFound},
+		{"unknown model", nil, openai.ChatCompletionNewParams{Model: "none", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("x")}}, errkind.UnknownModel},
+		{"call key of 201 bytes", []option.RequestOption{option.WithHeader(ingress.HeaderCallKey, string(bytes.Repeat([]byte("k"), 201)))}, question(openai.UserMessage("x")), errkind.InvalidValue},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c := in.library(append([]option.RequestOption{header}, tc.options...)...)
+			_, err := c.Chat.Completions.New(t.Context(), tc.params)
+			assertLibraryError(t, err, tc.kind)
+			s := c.Chat.Completions.NewStreaming(t.Context(), tc.params)
+			for s.Next() {
+				t.Error("a refused request has a chunk")
+			}
+			assertLibraryError(t, s.Err(), tc.kind)
+			test.SliceEmpty(t, turnsOf(t, p))
+		})
+	}
+}
+
+func assertLibraryError(t *testing.T, err error, kind errkind.Kind) {
+	t.Helper()
+	var e *openai.Error
+	must.True(t, errors.As(err, &e), must.Sprint(err))
+	test.Eq(t, errkind.Lookup(kind).Status, e.StatusCode)
+	test.Eq(t, string(kind), e.Code)
+	test.StrHasPrefix(t, errkind.Lookup(kind).Meaning, e.Message)
+}
