--- a/testbed/scenario/scenario.go
+++ b/testbed/scenario/scenario.go
@@ -159,6 +159,15 @@
 		"http":    (*harness).cmdHTTP,
 		"ledger":  (*harness).cmdLedger,
 		"log":     (*harness).cmdLog,
+		"install": (*harness).cmdInstall,
+		"spec":    (*harness).cmdSpec,
+		"restart": (*harness).cmdRestart,
+		"expand":  (*harness).cmdExpand,
+		"load":    (*harness).cmdLoad,
+		"calls":   (*harness).cmdCalls,
+		"mark":    (*harness).cmdMark,
+		"resume":  (*harness).cmdResume,
+		"endload": (*harness).cmdEndload,
 	}
 }
 
@@ -170,16 +179,22 @@
 	processes map[string]*process
 	addresses map[string]string // By name, so that a restart gets the same address.
 	crashed   []string          // Names of processes that ended by themselves.
-	fleet     *fleetState       // Installation of the command fleet.
+	fleet     *fleetState       // Processes of the command fleet.
 	reports   []string          // Reports of the agents.
 	races     []string          // Names of processes whose log shows a data race.
+
+	installation *installationState // Processes of the command install.
+	loads        map[string]*load
 }
 
 func setup(env *testscript.Env) error {
-	h := &harness{workDir: env.WorkDir, processes: map[string]*process{}, addresses: map[string]string{}}
+	h := &harness{workDir: env.WorkDir, processes: map[string]*process{}, addresses: map[string]string{}, loads: map[string]*load{}}
 	env.Values[harnessKey{}] = h
 	env.Setenv("PATH", binDir+string(filepath.ListSeparator)+env.Getenv("PATH"))
 	env.Defer(func() {
+		for _, l := range h.loads {
+			l.cancel()
+		}
 		crashed := h.endAll(env.T())
 		if len(h.races) > 0 {
 			env.T().Fatal("processes with a data race: " + strings.Join(h.races, ", "))
@@ -187,6 +202,11 @@
 		if len(crashed) > 0 {
 			env.T().Fatal("processes ended by themselves: " + strings.Join(crashed, ", "))
 		}
+		for _, p := range h.processes {
+			if err := h.checkLog(p); err != nil {
+				env.T().Fatal(err.Error())
+			}
+		}
 	})
 	return nil
 }
