Test how the isolation of a coordinator begins and ends

Cause: the time bound of the removal by an isolated coordinator was covered by a scenario only. Change: table tests for the bound, for an interruption and for the end. Before and after: no behaviour changes; the tests pass under the race detector.

--- /dev/null
+++ b/core/membership/detector_test.go
@@ -0,0 +1,45 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+)
+
+// Guards against a coordinator that removes members at once although it may be the one that is cut off, and against one
+// that counts an old isolation towards a new one.
+func TestIsolation(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	cases := []struct {
+		name     string
+		observed []time.Duration
+		want     bool // Result of the last observation.
+	}{
+		{"first observation", []time.Duration{0}, false},
+		{"just before the limit", []time.Duration{0, 3 * time.Second, 6 * time.Second, IsolationLimit - time.Millisecond}, false},
+		{"at the limit", []time.Duration{0, 3 * time.Second, 6 * time.Second, IsolationLimit}, true},
+		{"interrupted", []time.Duration{0, 3 * time.Second, 10 * time.Second}, false},
+		{"at the limit after an interruption", []time.Duration{0, 10 * time.Second, 13 * time.Second, 16 * time.Second, 10*time.Second + IsolationLimit}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var i Isolation
+			got := false
+			for _, d := range tc.observed {
+				got = i.Observe(at(d))
+			}
+			test.Eq(t, tc.want, got)
+		})
+	}
+}
+
+func TestIsolationEnds(t *testing.T) {
+	var i Isolation
+	start := time.Unix(1000, 0)
+	test.False(t, i.Active(start))
+	i.Observe(start)
+	test.True(t, i.Active(start.Add(isolationGap)))
+	test.False(t, i.Active(start.Add(isolationGap+time.Millisecond)))
+}
