--- a/testbed/capacity/meter.go
+++ b/testbed/capacity/meter.go
@@ -78,6 +78,7 @@
 
 // Window is what a fleet used in a window.
 type Window struct {
+	Seconds  float64
 	Samples  []Sample
 	Writes   float64 // Platform calls a second.
 	Reads    float64
@@ -140,6 +141,7 @@
 func windowOf(before, after platform.Stats, window time.Duration) Window {
 	rate := func(a, b int64) float64 { return float64(b-a) / window.Seconds() }
 	return Window{
+		Seconds:  window.Seconds(),
 		Writes:   rate(before.Writes, after.Writes),
 		Reads:    rate(before.Reads, after.Reads),
 		Watches:  rate(before.Watches, after.Watches),
--- a/testbed/capacity/run.go
+++ b/testbed/capacity/run.go
@@ -42,6 +42,9 @@
 	{"tokens", (*runner).tokens},
 	{"engines", (*runner).engines},
 	{"tenants", (*runner).tenants},
+	{"history", (*runner).history},
+	{"series", (*runner).series},
+	{"replay", (*runner).replay},
 	{"workload", (*runner).workload},
 	{"control", (*runner).control},
 }
--- a/testbed/capacity/slopes.go
+++ b/testbed/capacity/slopes.go
@@ -67,7 +67,7 @@
 		if err := b.collect(ctx); err != nil {
 			return err
 		}
-		sleep(ctx, settle)
+		sleep(ctx, time.Second)
 		w, err := b.watch(ctx, b.Daemons, func() { sleep(ctx, slopeWindow) })
 		if err != nil {
 			return err
@@ -248,13 +248,17 @@
 	return errors.Join(failed...)
 }
 
+func tenantName(i int) string { return fmt.Sprintf("organisation-%d", i) }
+
+func tenantKey(i int) string { return "key of " + tenantName(i) }
+
 func (b *bed) addTenant(ctx context.Context, i int) error {
-	name := fmt.Sprintf("organisation-%d", i)
+	name := tenantName(i)
 	document, err := json.Marshal(map[string]any{
 		"apiVersion": records.V2,
 		"kind":       records.KindTenant,
 		"metadata":   map[string]any{"name": name, "generation": 1},
-		"spec":       map[string]any{"keyHashes": []string{records.HashKey("key of " + name)}, "weight": 1, "maxPrograms": 100},
+		"spec":       map[string]any{"keyHashes": []string{records.HashKey(tenantKey(i))}, "weight": 1, "maxPrograms": 100},
 	})
 	if err != nil {
 		return err
