List the records again when the coordinator notices a restore of the platform

A watch that waits on a restored platform ended only by its own time limit, so that the newest records were written back up to 20 s later when the platform did not end it.

--- a/daemon/cluster/agent.go
+++ b/daemon/cluster/agent.go
@@ -48,6 +48,7 @@
 
 	onConfigDiffers func(membership.Member) // Called when a peer has another configuration.
 	onMembersGone   func([]string)          // Called with incarnations that left the roster.
+	onRestored      func()                  // Called when the platform was restored from an old backup.
 
 	mu       sync.RWMutex
 	roster   membership.Roster
@@ -89,6 +90,10 @@
 // OnConfigDiffers sets the function that is called when a peer has another configuration. It must be set before Run.
 func (a *Agent) OnConfigDiffers(f func(membership.Member)) { a.onConfigDiffers = f }
 
+// OnRestored sets the function that is called when the platform was restored from an old backup. It must be set before
+// Run.
+func (a *Agent) OnRestored(f func()) { a.onRestored = f }
+
 // Loop returns the owner loop of the present incarnation.
 func (a *Agent) Loop() *owner.Loop {
 	a.mu.RLock()
--- a/daemon/cluster/coordinator.go
+++ b/daemon/cluster/coordinator.go
@@ -436,4 +436,7 @@
 	if err != nil {
 		a.log.Error("roster was not written again", "error", err)
 	}
+	if a.onRestored != nil {
+		a.onRestored()
+	}
 }
--- a/daemon/config/agent.go
+++ b/daemon/config/agent.go
@@ -37,6 +37,7 @@
 	state   *configstate.State
 	changed chan struct{}
 	syncing map[string]bool // Peers that are asked now.
+	relist  chan struct{}
 	lists   atomic.Int64
 }
 
@@ -49,6 +50,7 @@
 		state:   configstate.New(records.FromStored),
 		changed: make(chan struct{}),
 		syncing: map[string]bool{},
+		relist:  make(chan struct{}, 1),
 	}
 }
 
@@ -177,7 +179,10 @@
 		return err
 	}
 	for ctx.Err() == nil && a.cluster.IsCoordinator() {
-		next, events, err := a.store.Watch(ctx, platform.KindConfig, revision, watchWait)
+		next, events, err := a.watchOnce(ctx, revision)
+		if errors.Is(err, errRelist) {
+			return nil
+		}
 		if errors.Is(err, platform.ErrGap) {
 			a.log.Info("watch has a gap; records are listed again")
 			return nil
@@ -195,6 +200,38 @@
 	return nil
 }
 
+// errRelist ends a watch whose records have to be listed again.
+var errRelist = errors.New("records have to be listed again")
+
+// watchOnce makes one watch, which Relist ends early.
+func (a *Agent) watchOnce(ctx context.Context, revision uint64) (uint64, []platform.Event, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		select {
+		case <-a.relist:
+			cancel(errRelist)
+		case <-ended:
+		}
+	}()
+	next, events, err := a.store.Watch(ctx, platform.KindConfig, revision, watchWait)
+	if errors.Is(context.Cause(ctx), errRelist) {
+		return 0, nil, errRelist
+	}
+	return next, events, err
+}
+
+// Relist lists the records again. A watch that waits on a platform that was restored from an old backup may never notice
+// the restore.
+func (a *Agent) Relist() {
+	select {
+	case a.relist <- struct{}{}:
+	default:
+	}
+}
+
 func (a *Agent) applyEvents(ctx context.Context, events []platform.Event) {
 	var values [][]byte
 	for _, e := range events {
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -111,6 +111,7 @@
 	n.config.SetCluster(n.agent)
 	n.agent.OnConfigDiffers(n.config.Sync)
 	n.agent.OnMembersGone(n.membersGone)
+	n.agent.OnRestored(n.config.Relist)
 	n.pool = dispatch.NewPool(dispatch.Config{DataCentre: set.DataCentre, PollInterval: set.PollInterval, Gone: n.gone},
 		n.config.Set, n.term, n.engines, log)
 	members := func() int { return len(n.agent.Roster().Members) }
