--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 
 test: build
 	go test -race -timeout 20m $(PACKAGES)
+	@test ! -s KNOWN-RED.txt || { echo "Known to fail and passed over:"; cat KNOWN-RED.txt; }
 
 demo: build
 	./bin/demo
