Serve callers only with records that have caught up

Cause: a new daemon served callers as soon as it was in the roster, whether or not it had read the records, and took a list that lags as the newest state until its watch had caught up. Change: the first list is followed by the events after its revision, and readiness needs records from the platform or a peer.

--- a/daemon/config/agent.go
+++ b/daemon/config/agent.go
@@ -37,6 +37,7 @@
 	changed chan struct{}
 	syncing map[string]bool // Peers that are asked now.
 	lists   atomic.Int64
+	loaded  atomic.Bool
 }
 
 // NewAgent returns an agent without records. The cluster is set with SetCluster before Run.
@@ -85,6 +86,9 @@
 // Lists returns how often all records were read from the platform.
 func (a *Agent) Lists() int64 { return a.lists.Load() }
 
+// Loaded reports whether the records were read from the platform or from a peer. Before that, every key is unknown.
+func (a *Agent) Loaded() bool { return a.loaded.Load() }
+
 // Changed returns a channel that is closed at the next change.
 func (a *Agent) Changed() <-chan struct{} {
 	a.mu.RLock()
@@ -116,13 +120,16 @@
 	for _, s := range r.Records {
 		values = append(values, s.Value)
 	}
-	a.Offer("peer", values...)
+	if len(a.Offer("peer", values...)) > 0 {
+		a.loaded.Store(true)
+	}
 }
 
 const (
 	syncTimeout   = 2 * time.Second
 	watchWait     = 20 * time.Second
 	retryInterval = 500 * time.Millisecond
+	catchUpWait   = time.Millisecond // The shortest wait; the events that exist are returned at once.
 )
 
 // Sync fetches what a peer has newer. Several calls for one peer at the same time do it once.
@@ -152,12 +159,16 @@
 
 // Run reads the records once, and then watches the platform while this daemon is the coordinator.
 func (a *Agent) Run(ctx context.Context) error {
-	if _, err := a.list(ctx); err != nil {
+	if err := a.load(ctx); err != nil {
 		a.log.Warn("records cannot be read from the platform", "error", err)
 	}
 	for ctx.Err() == nil {
 		if !a.cluster.IsCoordinator() {
 			wait(ctx, retryInterval)
+			if !a.Loaded() {
+				// The next round tries again, or a peer sends the records.
+				_ = a.load(ctx)
+			}
 			continue
 		}
 		if err := a.watch(ctx); err != nil && ctx.Err() == nil {
@@ -169,12 +180,29 @@
 	return ctx.Err()
 }
 
+// load reads the records at the start. A list can lag behind the last write, so the events after it are read as well before
+// the daemon acts on the records.
+func (a *Agent) load(ctx context.Context) error {
+	revision, err := a.list(ctx)
+	if err != nil {
+		return err
+	}
+	_, events, err := a.store.Watch(ctx, platform.KindConfig, revision, catchUpWait)
+	if err != nil && !errors.Is(err, platform.ErrGap) {
+		a.log.Warn("events after the list of records cannot be read", "error", err)
+	}
+	a.applyEvents(ctx, events)
+	a.loaded.Store(true)
+	return nil
+}
+
 // watch lists the records, writes back what the platform lost, and follows the changes.
 func (a *Agent) watch(ctx context.Context) error {
 	revision, err := a.list(ctx)
 	if err != nil {
 		return err
 	}
+	a.loaded.Store(true)
 	for ctx.Err() == nil && a.cluster.IsCoordinator() {
 		next, events, err := a.store.Watch(ctx, platform.KindConfig, revision, watchWait)
 		if errors.Is(err, platform.ErrGap) {
--- a/daemon/node/ops.go
+++ b/daemon/node/ops.go
@@ -9,8 +9,8 @@
 	"github.com/gorilla/mux"
 )
 
-// ready reports whether callers can be served: the daemon is in the roster and does not stop.
-func (n *Node) ready() bool { return n.agent.Joined() && !n.agent.Leaving() }
+// ready reports whether callers can be served: the daemon is in the roster, has the records and does not stop.
+func (n *Node) ready() bool { return n.agent.Joined() && n.config.Loaded() && !n.agent.Leaving() }
 
 func (n *Node) opsHandler() http.Handler {
 	m := mux.NewRouter()
