Send generations only when they differ, and write a status only when it changes

An unreachable member kept the status in its fast interval for good. An error that was passed on between daemons repeated the meaning of its kind. Change: a member with the coordinator's digest leaves the generations out; an unchanged status is written every 2 minutes; the fast interval lasts 10 s; the platform counts as down after failures for 1 s.

--- a/api/errkind/body.go
+++ b/api/errkind/body.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -62,9 +63,11 @@
 	if err := json.Unmarshal(body, &b); err != nil || b.Error.Code == "" {
 		return &Error{Kind: Internal, Detail: "the answer has no error body"}
 	}
+	// The message starts with the meaning of the kind, which BodyOf adds again when the error is passed on.
+	detail := strings.TrimSpace(strings.TrimPrefix(b.Error.Message, Lookup(b.Error.Code).Meaning))
 	return &Error{
 		Kind:       b.Error.Code,
-		Detail:     b.Error.Message,
+		Detail:     detail,
 		NotRun:     b.Error.NotRun,
 		RetryAfter: time.Duration(b.Error.RetryAfterMillis) * time.Millisecond,
 	}
--- a/daemon/node/peerhttp.go
+++ b/daemon/node/peerhttp.go
@@ -54,7 +54,7 @@
 	get := func(path string, h http.HandlerFunc) { m.HandleFunc(path, h).Methods(http.MethodGet) }
 	get(peer.PathProbe, handle(n.answerProbe))
 	get(peer.PathRoster, handle(n.answerRoster))
-	get(peer.PathMembers, handle(n.answerMember))
+	post(peer.PathMembers, handle(n.answerMember))
 	post(peer.PathRoster, handle(n.acceptRoster))
 	post(peer.PathJoin, handle(n.acceptJoin))
 	post(peer.PathLeave, handle(n.acceptLeave))
--- a/daemon/node/router.go
+++ b/daemon/node/router.go
@@ -259,7 +259,7 @@
 // refused: it was not sent, and no later message can make the ingress send it.
 func (r *router) admitLocal(ctx context.Context, l *owner.Loop, req program.AdmitRequest) (a program.Admission, err error) {
 	doErr := l.Do(ctx, func(now time.Time, o *program.Owner) {
-		if !req.Idempotent && o.Journal().Failing() {
+		if !req.Idempotent && l.PlatformDown(now) {
 			err = errkind.New(errkind.StoreUnavailable, "A call that may not be repeated needs the platform.").After(time.Second)
 			return
 		}
--- a/daemon/node/status.go
+++ b/daemon/node/status.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
@@ -50,35 +53,72 @@
 }
 
 const (
-	// statusFast is the interval while a change is on its way to the members, statusSlow the interval otherwise. The status
-	// is large, so that it is not written more often than it changes.
-	statusFast = time.Second
-	statusSlow = 15 * time.Second
+	// statusFast is the interval while a change is on its way to the members, for statusFastTime after it, and statusSlow the
+	// interval otherwise.
+	statusFast     = time.Second
+	statusFastTime = 10 * time.Second
+	statusSlow     = 15 * time.Second
+
+	// statusKeep is how long an unchanged status is not written again. With 4,500 tenants a status has some 300 KB.
+	statusKeep = 2 * time.Minute
 )
 
+// statusWriter is what the coordinator keeps between two rounds.
+type statusWriter struct {
+	version uint64
+	key     string    // Key of the newest round.
+	changed time.Time // When the key last changed.
+	checked time.Time
+	content [32]byte // Hash of the status that was stored last.
+	stored  time.Time
+	settled bool
+}
+
 // runStatus writes the status of the data centre while this daemon is the coordinator.
 func (n *Node) runStatus(ctx context.Context) error {
-	var version uint64
-	var written time.Time
-	settled := false
-	digest := ""
-	return clock.Every(ctx, statusFast, func(time.Time) {
+	w := &statusWriter{}
+	return clock.Every(ctx, statusFast, func(now time.Time) {
 		if !n.agent.IsCoordinator() {
-			version, settled = 0, false
+			*w = statusWriter{}
 			return
 		}
-		key := n.statusKey()
-		if settled && key == digest && time.Since(written) < statusSlow {
-			return
+		if key := n.statusKey(); key != w.key {
+			w.key, w.changed, w.settled, w.stored = key, now, false, time.Time{}
+		}
+		fast := !w.settled && now.Sub(w.changed) < statusFastTime
+		if fast || now.Sub(w.checked) >= statusSlow {
+			n.statusRound(ctx, now, w)
 		}
-		s := n.collectStatus(ctx)
-		next, stored := n.writeStatus(ctx, version, s)
-		version = next
-		// A status that was not stored is written again at the next tick. A new coordinator learns the version by a conflict.
-		written, digest, settled = time.Now(), key, stored && s.settled()
 	})
 }
 
+func (n *Node) statusRound(ctx context.Context, now time.Time, w *statusWriter) {
+	s := n.collectStatus(ctx)
+	content := s.hash()
+	if content == w.content && now.Sub(w.stored) < statusKeep {
+		w.checked, w.settled = now, s.settled()
+		return
+	}
+	next, stored := n.writeStatus(ctx, w.version, s)
+	w.version = next
+	// A status that was not stored is written again at the next tick. A new coordinator learns the version by a conflict.
+	if stored {
+		w.checked, w.settled, w.content, w.stored = now, s.settled(), content, now
+	}
+}
+
+// hash identifies the content of a status apart from its times.
+func (s Status) hash() [32]byte {
+	s.AtMillis = 0
+	s.Conditions = slices.Clone(s.Conditions)
+	for i := range s.Conditions {
+		s.Conditions[i].AtMillis = 0
+	}
+	// The types hold no channels or functions, so encoding cannot fail.
+	raw, _ := json.Marshal(s)
+	return sha256.Sum256(raw)
+}
+
 // statusKey changes when the status probably changed, or when the platform may have lost it: records are listed again after
 // the platform was restored from an old backup.
 func (n *Node) statusKey() string {
@@ -129,18 +169,23 @@
 	for _, m := range n.memberStates(ctx) {
 		s.Members = append(s.Members, MemberStatus{VM: m.VM, Incarnation: m.Incarnation, State: m.State})
 		s.Unknown = append(s.Unknown, m.Unknown...)
-		for key, generation := range m.Generations {
-			rec, ok := s.Records[key]
-			if ok && generation == rec.Generation {
-				rec.InForce++
-				s.Records[key] = rec
-			}
-		}
+		s.countInForce(m, n.config.Digest())
 	}
 	s.Conditions = n.conditions(s)
 	return s
 }
 
+// countInForce counts the records that a member has in force. A member with the coordinator's digest has all of them.
+func (s Status) countInForce(m peer.MemberState, digest string) {
+	for key, rec := range s.Records {
+		generation, ok := m.Generations[key]
+		if (ok && generation == rec.Generation) || (m.Config == digest && m.State == memberServing) {
+			rec.InForce++
+			s.Records[key] = rec
+		}
+	}
+}
+
 // States of a member in a status.
 const (
 	memberServing     = "Serving"
@@ -151,16 +196,17 @@
 func (n *Node) memberStates(ctx context.Context) []peer.MemberState {
 	members := n.agent.Roster().Members
 	states := make([]peer.MemberState, len(members))
+	ask := peer.AskMember{Config: n.config.Digest()}
 	var group sync.WaitGroup
 	for i, m := range members {
 		group.Go(func() {
 			if m.Incarnation == n.agent.Incarnation() {
-				states[i], _ = n.answerMember(ctx, none{})
+				states[i], _ = n.answerMember(ctx, ask)
 				return
 			}
 			ctx, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
-			if err := n.peers.Get(ctx, m.PeerAddress, peer.PathMembers, &states[i]); err != nil {
+			if err := n.peers.Post(ctx, m.PeerAddress, peer.PathMembers, ask, &states[i]); err != nil {
 				states[i] = peer.MemberState{Incarnation: m.Incarnation, VM: m.VM, State: memberUnreachable}
 			}
 		})
@@ -170,12 +216,15 @@
 }
 
 // answerMember reports the state of this daemon to its coordinator.
-func (n *Node) answerMember(ctx context.Context, _ none) (peer.MemberState, error) {
+func (n *Node) answerMember(ctx context.Context, ask peer.AskMember) (peer.MemberState, error) {
 	m := peer.MemberState{
 		Incarnation: n.agent.Incarnation(),
 		VM:          n.set.VM,
 		State:       memberServing,
-		Generations: n.config.Generations(),
+		Config:      n.config.Digest(),
+	}
+	if m.Config != ask.Config {
+		m.Generations = n.config.Generations()
 	}
 	// A loop that is busy reports its unknown outcomes next time.
 	_ = n.agent.Loop().Do(ctx, func(_ time.Time, o *program.Owner) {
--- a/daemon/node/vmlist.go
+++ b/daemon/node/vmlist.go
@@ -13,7 +13,7 @@
 const (
 	// vmListInterval is the interval in which the coordinator reads the platform's list of VMs. One reader for each data
 	// centre keeps the reads proportional to data centres.
-	vmListInterval = time.Second
+	vmListInterval = 1500 * time.Millisecond
 
 	// vmListRepeat is how often an unchanged list is sent to the members again, for those that joined since.
 	vmListRepeat = 10 * time.Second
--- a/daemon/owner/loop.go
+++ b/daemon/owner/loop.go
@@ -35,6 +35,7 @@
 	fenced  chan struct{}
 	done    chan struct{}
 	failing bool
+	since   time.Time // Start of the present failures.
 }
 
 type waiter struct {
@@ -288,10 +289,18 @@
 func (l *Loop) noteFailure(err error) {
 	if !l.failing {
 		l.log.Warn("journal cannot be stored", "error", err)
+		l.since = time.Now()
 	}
 	l.failing = true
 }
 
+// outageAfter is how long creates have to fail before the platform counts as down. A single refusal, for example because
+// the platform limits its writes, is repeated within this time.
+const outageAfter = time.Second
+
+// PlatformDown reports whether the journal could not be stored for a while. It is called on the loop.
+func (l *Loop) PlatformDown(now time.Time) bool { return l.failing && now.Sub(l.since) > outageAfter }
+
 func (l *Loop) noteSuccess() {
 	if l.failing {
 		l.log.Info("journal is stored again")
--- a/daemon/peer/peer.go
+++ b/daemon/peer/peer.go
@@ -82,12 +82,18 @@
 	Shards []membership.Checkpoint `json:"shards"`
 }
 
+// AskMember asks a member for its state. Config is the digest of the coordinator's configuration.
+type AskMember struct {
+	Config string `json:"config"`
+}
+
 // MemberState is what a member reports to its coordinator for the status.
 type MemberState struct {
 	Incarnation string           `json:"incarnation"`
 	VM          string           `json:"vm"`
-	Generations map[string]int64 `json:"generations"`
-	Shards      []int            `json:"shards"` // Shards that it serves.
+	Config      string           `json:"config"`                // Digest of the configuration in force.
+	Generations map[string]int64 `json:"generations,omitempty"` // Left out when the coordinator has the same digest.
+	Shards      []int            `json:"shards"`                // Shards that it serves.
 	Unknown     []UnknownOutcome `json:"unknown,omitempty"`
 	State       string           `json:"state"`
 	// JournalFailing is set while the daemon cannot store its journal.
