Leave a silent dispatcher during an outage

Cause: while the platform is down, a frozen dispatcher stays in the roster and keeps its connections open, so that a call waited for a slot until its deadline. Change: a waiting call probes the dispatcher once a second, shared by all waiting calls; members that do not answer are asked last.

--- a/daemon/cluster/agent.go
+++ b/daemon/cluster/agent.go
@@ -65,6 +65,7 @@
 
 	coordinator coordinatorState
 	remote      directory
+	answers     answerCache
 	wake        chan struct{}
 }
 
@@ -252,6 +253,7 @@
 		return
 	}
 	gone := missingMembers(a.roster, r)
+	a.answers.forget(gone)
 	a.roster, a.version = r, version
 	if a.loop != nil {
 		if _, ok := r.Member(a.loop.Incarnation()); ok {
--- /dev/null
+++ b/daemon/cluster/answers.go
@@ -0,0 +1,77 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jackdawbay.dev/core/membership"
+)
+
+// answerCache keeps the newest probe of each member for one probe interval, so that many waiting calls cost one probe.
+type answerCache struct {
+	mu       sync.Mutex
+	byMember map[string]*answer
+}
+
+type answer struct {
+	mu sync.Mutex // Held while the member is probed.
+	at time.Time
+	ok bool
+}
+
+func (c *answerCache) of(incarnation string) *answer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byMember == nil {
+		c.byMember = map[string]*answer{}
+	}
+	a, ok := c.byMember[incarnation]
+	if !ok {
+		a = &answer{}
+		c.byMember[incarnation] = a
+	}
+	return a
+}
+
+// forget drops members that left the roster.
+func (c *answerCache) forget(gone []membership.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range gone {
+		delete(c.byMember, m.Incarnation)
+	}
+}
+
+// silentFor is how long a member that did not answer is taken to be silent, unless it answers meanwhile.
+const silentFor = 5 * time.Second
+
+// Silent reports whether a member did not answer lately. It asks nothing.
+func (a *Agent) Silent(incarnation string) bool {
+	a.detectMu.Lock()
+	suspected := a.detector.Suspected(incarnation)
+	a.detectMu.Unlock()
+	if suspected {
+		return true
+	}
+	known := a.answers.of(incarnation)
+	if !known.mu.TryLock() {
+		return false
+	}
+	defer known.mu.Unlock()
+	return !known.ok && time.Since(known.at) < silentFor
+}
+
+// Answers reports whether a member answered a probe within the last probe interval.
+func (a *Agent) Answers(ctx context.Context, m membership.Member) bool {
+	known := a.answers.of(m.Incarnation)
+	known.mu.Lock()
+	defer known.mu.Unlock()
+	if time.Since(known.at) < membership.ProbeInterval {
+		return known.ok
+	}
+	// The probe serves all callers, so that it does not end with one of them.
+	known.ok = a.probe(context.WithoutCancel(ctx), m) == membership.ProbeOK
+	known.at = time.Now()
+	return known.ok
+}
--- a/daemon/node/slots.go
+++ b/daemon/node/slots.go
@@ -174,9 +174,27 @@
 	if dataCentre == r.node.set.DataCentre {
 		go r.cancelWithMember(ctx, cancel, m.Incarnation)
 	}
+	go r.cancelWhenSilent(ctx, cancel, m)
 	return r.node.peers.Post(ctx, m.PeerAddress, peer.PathAcquire, a, slot)
 }
 
+// cancelWhenSilent cancels a wait at a dispatcher that does not answer probes any more. While the platform is down, such a
+// daemon cannot be removed from the roster. It ends with the context.
+func (r *router) cancelWhenSilent(ctx context.Context, cancel context.CancelFunc, m membership.Member) {
+	failures := 0
+	for failures < membership.ProbeFailures {
+		if !clock.Sleep(ctx, membership.ProbeInterval) {
+			return
+		}
+		if r.node.agent.Answers(ctx, m) {
+			failures = 0
+		} else {
+			failures++
+		}
+	}
+	cancel()
+}
+
 // dispatcher returns the member that hands out the slots of an engine group in a data centre, without those that failed
 // to answer often enough.
 func (r *router) dispatcher(ctx context.Context, dataCentre, group string, fresh bool, failures map[string]int) (membership.Member, error) {
@@ -184,13 +202,20 @@
 	if err != nil {
 		return membership.Member{}, errkind.Wrap(errkind.OwnerUnavailable, err, "")
 	}
-	var answering membership.Roster
+	var answering, rest membership.Roster
 	for _, m := range roster.Members {
-		if failures[m.Incarnation] < dispatcherTries {
+		switch {
+		case failures[m.Incarnation] >= dispatcherTries:
+		case r.node.agent.Silent(m.Incarnation):
+			rest.Members = append(rest.Members, m)
+		default:
 			answering.Members = append(answering.Members, m)
 		}
 	}
 	m, ok := answering.HashOwner(dispatcherKey(group))
+	if !ok {
+		m, ok = rest.HashOwner(dispatcherKey(group))
+	}
 	if !ok {
 		return m, errkind.New(errkind.OwnerUnavailable, "No daemon of the data centre "+dataCentre+" answers.")
 	}
