Use connections to engines again, poll engines every 2 s, and serve profiles

The client stopped reading a stream at its end mark, so that the connection could not be used again; dialling took 14% of the processor time of a daemon in a profile at 500 calls a second.

--- a/daemon/node/ops.go
+++ b/daemon/node/ops.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"net/http/pprof"
 	"runtime"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -30,6 +31,8 @@
 		n.metrics.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	})
+	m.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	m.PathPrefix("/debug/pprof/").HandlerFunc(pprof.Index)
 	return m
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -33,7 +33,7 @@
 	UpstreamKeyFile string        `help:"File with the key for upstreams." env:"JACKDAWBAY_UPSTREAM_KEY_FILE"`
 	StopTimeout     time.Duration `help:"Time in which a planned stop finishes calls under way." default:"2m" env:"JACKDAWBAY_STOP_TIMEOUT"`
 	DrainDelay      time.Duration `help:"Time in which a stopping daemon still takes calls, so that the balancer notices." default:"2s" env:"JACKDAWBAY_DRAIN_DELAY"`
-	PollInterval    time.Duration `help:"Interval of load reports and cache events from engines." default:"500ms" env:"JACKDAWBAY_POLL_INTERVAL"`
+	PollInterval    time.Duration `help:"Interval of load reports and cache events from engines." default:"2s" env:"JACKDAWBAY_POLL_INTERVAL"`
 	PlatformTimeout time.Duration `help:"Time limit of one platform call." default:"2s" env:"JACKDAWBAY_PLATFORM_TIMEOUT"`
 	PlatformWrites  float64       `help:"Platform writes a second that this daemon may make." default:"50" env:"JACKDAWBAY_PLATFORM_WRITES"`
 	PlatformReads   float64       `help:"Platform reads a second that this daemon may make." default:"200" env:"JACKDAWBAY_PLATFORM_READS"`
--- a/daemon/upstream/engine.go
+++ b/daemon/upstream/engine.go
@@ -159,12 +159,22 @@
 			return a.answer(), err
 		}
 		if done {
+			drain(resp.Body)
 			return a.finish()
 		}
 	}
 	return a.answer(), errors.Wrap(ErrBroken, "stream ended without its end mark")
 }
 
+// maxDrainBytes bounds what is read after the end mark of a stream.
+const maxDrainBytes = 4096
+
+// drain reads a body to its end, so that the connection is used again. Without it every call dials a new one.
+func drain(body io.Reader) {
+	// An error only costs the connection.
+	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
+}
+
 // accumulator builds the answer from chunks.
 type accumulator struct {
 	onText func(string) error
