--- a/testbed/scenario/installation.go
+++ b/testbed/scenario/installation.go
@@ -152,7 +152,11 @@
 
 func (h *harness) startEngine(ts *testscript.TestScript, dataCentre string, number int, flags []string) error {
 	name := fmt.Sprintf("%s_e%d", identifier(dataCentre), number)
-	args := append([]string{name, "engine", "--model=" + installationModel, "--checks-fencing", "--key-file=upstream.key"}, flags...)
+	args := append([]string{name, "engine", "--checks-fencing", "--key-file=upstream.key"}, flags...)
+	// The flag adds up when it is repeated, so the default only applies without one.
+	if !slices.ContainsFunc(flags, func(f string) bool { return strings.HasPrefix(f, "--model=") }) {
+		args = append(args, "--model="+installationModel)
+	}
 	if err := h.cmdStandin(ts, args); err != nil {
 		return err
 	}
