Open the engine groups of a new dispatcher without a call

A daemon opened a group only with its first call. When a dispatcher died and no call followed, its successor did not poll the engines, so the caches of programs that ended afterwards stayed.

--- a/daemon/node/models.go
+++ b/daemon/node/models.go
@@ -29,6 +29,7 @@
 func (n *Node) runModels(ctx context.Context) error {
 	drains := drainSet{}
 	return clock.Every(ctx, modelsInterval, func(time.Time) {
+		n.openGroups()
 		if held, _ := n.agent.CommandLease(); !held {
 			clear(drains)
 			return
@@ -37,6 +38,22 @@
 	})
 }
 
+// openGroups opens the engine groups whose dispatcher this daemon is. A new dispatcher that gets no call would otherwise
+// never compare the engines' caches with the programs that run.
+func (n *Node) openGroups() {
+	groups := map[string]bool{}
+	for _, r := range n.config.Set().All() {
+		if u := r.Upstream; u != nil && u.Type == records.UpstreamEngine && u.DataCentre == n.set.DataCentre {
+			groups[u.Group] = true
+		}
+	}
+	for group := range groups {
+		if m, ok := n.agent.Roster().HashOwner(dispatcherKey(group)); ok && m.Incarnation == n.agent.Incarnation() {
+			n.pool.Load(group)
+		}
+	}
+}
+
 // drainKey is a model version that an engine has.
 type drainKey struct{ engine, model, version string }
 
