--- /dev/null
+++ b/core/program/describe.go
@@ -0,0 +1,91 @@
+package program
+
+import (
+	"sort"
+
+	"jackdawbay.dev/api/caller"
+)
+
+// Describe returns the state of a program.
+func (o *Owner) Describe(tenant, id string) (caller.Program, error) {
+	p, err := o.find(tenant, id)
+	if err != nil {
+		return caller.Program{}, err
+	}
+	return o.describe(p), nil
+}
+
+func (o *Owner) describe(p *state) caller.Program {
+	d := caller.Program{
+		ID:              p.id,
+		Class:           p.created.Class,
+		Model:           p.created.Model,
+		Parent:          p.created.Parent,
+		State:           caller.StateRunning,
+		Sequence:        p.sequence(),
+		DurableSequence: p.durableSequence(o.writer.Durable()),
+		Digest:          p.digest(),
+		BudgetTokens:    p.created.BudgetTokens,
+		SpentTokens:     p.spent,
+		MaxTurns:        p.created.MaxTurns,
+		DataCentre:      o.cfg.DataCentre,
+		Owner:           o.cfg.VM,
+	}
+	if p.ended != "" {
+		d.State, d.EndReason = caller.StateEnded, p.ended
+	}
+	for key, in := range p.intents {
+		if in.unknown && (d.UnknownCallKey == "" || key < d.UnknownCallKey) {
+			d.UnknownCallKey = key
+		}
+	}
+	return d
+}
+
+// History returns the turns of a program from a sequence on.
+func (o *Owner) History(tenant, id string, from uint64) ([]caller.Turn, error) {
+	p, err := o.find(tenant, id)
+	if err != nil {
+		return nil, err
+	}
+	from = max(from, 1)
+	if from > p.sequence() {
+		return nil, nil
+	}
+	return append([]caller.Turn(nil), p.turns[from-1:]...), nil
+}
+
+// InFlight returns the sequence of the call that a program has in flight and the incarnation of the daemon that sends it.
+// The sequence is zero when there is none.
+func (o *Owner) InFlight(tenant, id string) (sequence uint64, ingress string, err error) {
+	p, err := o.find(tenant, id)
+	if err != nil || p.inFlight == nil {
+		return 0, "", err
+	}
+	return p.inFlight.sequence, p.inFlight.ingress, nil
+}
+
+// UnknownCall names a non-idempotent call that may have run.
+type UnknownCall struct {
+	Program string
+	CallKey string
+}
+
+// Unknown lists calls whose outcome is unknown, in order, up to a limit.
+func (o *Owner) Unknown(limit int) []UnknownCall {
+	var list []UnknownCall
+	for id, p := range o.programs {
+		for key, in := range p.intents {
+			if in.unknown {
+				list = append(list, UnknownCall{Program: id, CallKey: key})
+			}
+		}
+	}
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].Program != list[j].Program {
+			return list[i].Program < list[j].Program
+		}
+		return list[i].CallKey < list[j].CallKey
+	})
+	return list[:min(len(list), limit)]
+}
--- /dev/null
+++ b/core/program/resolve.go
@@ -0,0 +1,38 @@
+package program
+
+import (
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/journal"
+)
+
+// Resolve records what an operator found out about a call whose outcome is unknown.
+func (o *Owner) Resolve(id, callKey string, ran bool, reason string) error {
+	if !o.Owns(id) {
+		return errkind.New(errkind.NotOwner, "")
+	}
+	p, ok := o.programs[id]
+	if !ok {
+		return errkind.New(errkind.ProgramNotFound, "")
+	}
+	in, ok := p.intents[callKey]
+	if !ok || !in.unknown {
+		return nil
+	}
+	entry := journal.Entry{Resolved: &journal.Resolved{CallKey: callKey, Ran: ran, Reason: reason}}
+	if _, err := o.append(p, entry); err != nil {
+		return err
+	}
+	p.resolve(callKey, ran, reason)
+	return nil
+}
+
+func (p *state) resolve(callKey string, ran bool, reason string) {
+	delete(p.intents, callKey)
+	if !ran {
+		return
+	}
+	if p.resolved == nil {
+		p.resolved = map[string]resolution{}
+	}
+	p.resolved[callKey] = resolution{ran: ran, reason: reason}
+}
