Join a running answer only for the same body

Cause: a call that arrived while another with the same key ran was joined to its answer by program, sequence and key. With another body it got the answer to the first body. Found while reading the code. Change: the hash of the body is part of the key of a running answer; the owner then refuses the second body.

--- a/daemon/ingress/chat.go
+++ b/daemon/ingress/chat.go
@@ -212,7 +212,7 @@
 
 func (s *Server) answerChat(w http.ResponseWriter, r *http.Request, c *call, req chatRequest) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
-	st, fresh := s.live.open(liveKey{c.tenant, c.program, c.body.Sequence, c.body.CallKey}, cancel)
+	st, fresh := s.live.open(c.liveKey(), cancel)
 	if fresh {
 		s.start(ctx, cancel, c, st)
 	} else {
--- a/daemon/ingress/live.go
+++ b/daemon/ingress/live.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -17,13 +19,22 @@
 // maxAnswerBytes bounds the text of one answer.
 const maxAnswerBytes = 8 << 20
 
-// liveKey names an answer that is being made. The call key is part of it, so that a reader never gets the answer to
-// another call of the same program.
+// liveKey names an answer that is being made. The call key and the body are part of it, so that a reader never gets the
+// answer to another call of the same program, nor to another body under the same key, which the owner refuses.
 type liveKey struct {
 	tenant   string
 	program  string
 	sequence uint64
 	callKey  string
+	body     [sha256.Size]byte
+}
+
+func (c *call) liveKey() liveKey {
+	model := *c.body.Model
+	model.Stream = false
+	// The types hold no channels or functions, so encoding cannot fail.
+	raw, _ := json.Marshal(model)
+	return liveKey{c.tenant, c.program, c.body.Sequence, c.body.CallKey, sha256.Sum256(raw)}
 }
 
 // liveStreams holds the answers that are being made in this daemon.
--- a/daemon/ingress/model.go
+++ b/daemon/ingress/model.go
@@ -21,7 +21,7 @@
 // answerModel runs a model call apart from the caller's connection, so that a caller whose connection broke can resume.
 func (s *Server) answerModel(w http.ResponseWriter, r *http.Request, c *call) {
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(r.Context()), c.deadline)
-	st, fresh := s.live.open(liveKey{c.tenant, c.program, c.body.Sequence, c.body.CallKey}, cancel)
+	st, fresh := s.live.open(c.liveKey(), cancel)
 	if !fresh {
 		cancel()
 		s.deliver(w, r, c, st, 0)
