Ask for the slot while the owner admits the call, and keep the list of records sorted once

Cause: a model call waited for two messages between daemons one after the other before its request left. Change: the receipt holds what the dispatcher needs, so that the ingress asks for the slot during the admission; the list of records is sorted when the set is built.

--- a/api/records/set.go
+++ b/api/records/set.go
@@ -4,6 +4,7 @@
 
 // Set is an indexed snapshot of all records. It is not changed after it is built.
 type Set struct {
+	all         []Record // Ordered by key.
 	byKey       map[string]Record
 	tenantByKey map[string]string
 	limits      map[string]Limit
@@ -32,6 +33,7 @@
 	for _, r := range s.byKey {
 		s.index(r)
 	}
+	s.all = s.sorted()
 	for _, names := range s.engines {
 		sort.Strings(names)
 	}
@@ -55,8 +57,10 @@
 	}
 }
 
-// All returns every record ordered by key.
-func (s *Set) All() []Record {
+// All returns every record ordered by key. The list is shared and must not be changed.
+func (s *Set) All() []Record { return s.all }
+
+func (s *Set) sorted() []Record {
 	list := make([]Record, 0, len(s.byKey))
 	for _, r := range s.byKey {
 		list = append(list, r)
--- a/core/program/detached.go
+++ b/core/program/detached.go
@@ -12,6 +12,10 @@
 	r := a.Before
 	r.Sequence, r.Digest = c.Turn.Sequence, digest
 	r.SpentTokens = a.SpentTokens + c.Turn.Usage.Total()
+	if c.Turn.Kind == caller.CallModel {
+		r.PromptTokens = c.Turn.Usage.Total()
+		r.Engine = c.Engine
+	}
 	return &caller.Result{
 		Turn:            c.Turn,
 		Digest:          digest,
--- a/core/program/program.go
+++ b/core/program/program.go
@@ -181,6 +181,8 @@
 		Sequence:     p.sequence(),
 		Digest:       p.digest(),
 		SpentTokens:  p.spent,
+		PromptTokens: p.prompt,
+		Engine:       p.engine,
 		Base:         p.base,
 		AtMillis:     p.active.UnixMilli(),
 	}
--- a/core/program/receipt.go
+++ b/core/program/receipt.go
@@ -23,8 +23,10 @@
 	Sequence     uint64 `json:"seq"`
 	Digest       string `json:"digest"`
 	SpentTokens  int64  `json:"spent"`
-	Base         uint64 `json:"base"`  // SpentTokens covers the attempts of all owners before this epoch.
-	AtMillis     int64  `json:"at_ms"` // Time of the program's last activity, in Unix milliseconds.
+	Base         uint64 `json:"base"`             // SpentTokens covers the attempts of all owners before this epoch.
+	PromptTokens int64  `json:"prompt,omitempty"` // Tokens of the history in the next prompt, for the dispatcher.
+	Engine       string `json:"engine,omitempty"` // Engine of the newest model call, for the dispatcher.
+	AtMillis     int64  `json:"at_ms"`            // Time of the program's last activity, in Unix milliseconds.
 }
 
 // Signer signs and checks receipts. The first key signs; all keys are accepted, so that keys can be rotated.
--- a/daemon/ingress/model.go
+++ b/daemon/ingress/model.go
@@ -71,22 +71,29 @@
 func (s *Server) tryModel(ctx context.Context, c *call, st *liveStream, failed []string) (*caller.Result, string, error) {
 	attempt := ulid.Make().String()
 	s.boundOutput(c)
+	var early *earlySlot
+	if len(failed) == 0 {
+		early = s.askEarly(ctx, c, attempt)
+	}
 	a, err := s.admit(ctx, c, attempt)
 	if err != nil {
+		s.drop(early)
 		return nil, "", err
 	}
 	if a.Repeat != nil {
+		s.drop(early)
 		st.replay(a.Repeat)
 		return a.Repeat, "", nil
 	}
 	model, ok := s.records().Model(a.Model)
 	if !ok {
+		s.drop(early)
 		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
 		return nil, "", errkind.New(errkind.UnknownModel, "Model: "+a.Model+".")
 	}
 	acquire := s.acquire(c, attempt, a, model.Group, failed)
 	queued := time.Now()
-	slot, err := s.slots.Acquire(ctx, acquire)
+	slot, err := s.slotFor(ctx, early, &acquire)
 	if err != nil {
 		s.reportQuietly(c.completion(attempt, program.OutcomeNotSent))
 		return nil, "", err
