--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	go tool staticcheck $(PACKAGES)
 
 test: build
-	go test -race -timeout 20m $(PACKAGES)
+	go test -race -count=1 -timeout 20m $(PACKAGES)
 	@grep -v '^#' KNOWN-RED.txt | sed 's/^/known to fail and passed over: /' || true
 
 demo: build
