--- a/core/program/model_test.go
+++ b/core/program/model_test.go
@@ -15,10 +15,10 @@
 
 func newWorld(t *rapid.T) *world {
 	w := &world{t: t, now: testStart, objects: map[string][]journal.Segment{}}
-	w.up = upstream{runs: map[string]int{}, tokens: map[string]int64{}, zombie: map[string]int64{}, last: map[string]uint64{}}
+	w.up = upstream{runs: map[string]int{}, tokens: map[string]int64{}, stale: map[string]int64{}, last: map[string]uint64{}}
 	// Small budgets are used up within a run, so that a token that is not counted shows.
 	w.budget = rapid.SampledFrom([]int64{120, 200, 300, 500, 5000}).Draw(t, "budget")
-	w.orders, w.zombies = w.flip("orders"), w.flip("zombies")
+	w.orders, w.staleOwners = w.flip("orders"), w.flip("staleOwners")
 	w.open()
 	for range 2 {
 		w.ingress = append(w.ingress, &ingressNode{w: w, inc: w.id("ingress"), alive: true})
@@ -59,7 +59,7 @@
 func (w *world) fail() {
 	w.t.Log("fail")
 	n := w.current()
-	n.alive = w.zombies && w.flip("the old owner goes on")
+	n.alive = w.staleOwners && w.flip("the old owner goes on")
 	w.seal(n.inc)
 	w.open()
 }
@@ -222,7 +222,7 @@
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
-		w.zombies, w.strict = true, true
+		w.staleOwners, w.strict = true, true
 		runWorld(t, w)
 	})
 }
--- a/core/program/world_test.go
+++ b/core/program/world_test.go
@@ -20,10 +20,10 @@
 
 	budget int64 // Of each program.
 	orders bool  // Callers place orders too.
-	// zombies lets replaced owners go on until they notice. Such an owner and its successor do not know each other's
+	// staleOwners lets replaced owners go on until they notice. Such an owner and its successor do not know each other's
 	// attempts, so the budget then holds without the attempts that an owner admitted after it was replaced, and for these
-	// by themselves. Without zombies, the budget holds for all attempts.
-	zombies bool
+	// by themselves. Without staleOwners, the budget holds for all attempts.
+	staleOwners bool
 
 	strict bool // Counts the attempts of replaced owners together with all others.
 
@@ -71,7 +71,7 @@
 type upstream struct {
 	runs   map[string]int   // By call key.
 	tokens map[string]int64 // By program, without those admitted by replaced owners.
-	zombie map[string]int64 // By program and replaced owner.
+	stale  map[string]int64 // By program and replaced owner.
 	last   map[string]uint64
 }
 
@@ -101,8 +101,8 @@
 
 func (w *world) countTokens(r *callRequest, n int64) {
 	counts, key := w.up.tokens, r.caller.program
-	if r.zombie != "" && !w.strict {
-		counts, key = w.up.zombie, key+r.zombie
+	if r.stale != "" && !w.strict {
+		counts, key = w.up.stale, key+r.stale
 	}
 	counts[key] += n
 	w.check(counts[key] <= w.budget, "program used %d of %d tokens", counts[key], w.budget)
@@ -143,7 +143,7 @@
 	}
 	a, err := n.o.Admit(n.w.now, r.request())
 	if err == nil && n != n.w.current() {
-		r.zombie = n.inc
+		r.stale = n.inc
 	}
 	switch {
 	case err != nil:
@@ -264,7 +264,7 @@
 	sent       bool
 	closed     bool // The ingress has given the attempt up and never sends it.
 	saidNotRun bool
-	zombie     string // Owner that admitted it after it was replaced.
+	stale      string // Owner that admitted it after it was replaced.
 }
 
 func (r *callRequest) request() AdmitRequest {
--- a/daemon/cluster/answers.go
+++ b/daemon/cluster/answers.go
@@ -8,6 +8,9 @@
 	"jackdawbay.dev/core/membership"
 )
 
+// maxAnswers bounds the cache. Members of other data centres are not forgotten one by one, so a full cache begins again.
+const maxAnswers = 4096
+
 // answerCache keeps the newest probe of each member for one probe interval, so that many waiting calls cost one probe.
 type answerCache struct {
 	mu       sync.Mutex
@@ -23,7 +26,7 @@
 func (c *answerCache) of(incarnation string) *answer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.byMember == nil {
+	if c.byMember == nil || len(c.byMember) >= maxAnswers {
 		c.byMember = map[string]*answer{}
 	}
 	a, ok := c.byMember[incarnation]
