--- a/cli/command/command.go
+++ b/cli/command/command.go
@@ -167,7 +167,7 @@
 func Run(ctx context.Context, args []string, stdout, stderr io.Writer, connect func(Globals) (Platform, error)) ExitCode {
 	var cli CLI
 	helped := false
-	parser, err := kong.New(&cli, kong.Name("jackdawbay"), kong.Description("Manages the records of jackdawbay."),
+	parser, err := kong.New(&cli, kong.Name("jackdawbay"), kong.Description("Manages the records of jackdawbay and drives it with a load."),
 		kong.Writers(stdout, stderr), kong.DefaultEnvars("JACKDAWBAY"), kong.Exit(func(int) { helped = true }))
 	if err != nil {
 		return finish(Globals{}, nil, fail(ExitUsage, ReasonBadUsage, "%s", err.Error()), stdout, stderr)
