Use one broadcast, one sleep and one ticket format, and drop unused functions

Four loops sent a message to all other members, two counted data centres, the ingress built by hand the ticket that the dispatcher takes apart, and two test programs had a sleep of their own. peer.Client.Broadcast, records.Set.DataCentres, peer.TicketOf with peer.SplitTicket, and clock.Sleep serve them now. AppendUrgent, the LiveBytes of one shard, and the unread change channel of the configuration agent had no caller left.

--- a/api/records/set.go
+++ b/api/records/set.go
@@ -5,6 +5,7 @@
 // Set is an indexed snapshot of all records. It is not changed after it is built.
 type Set struct {
 	all         []Record // Ordered by key.
+	dataCentres int
 	byKey       map[string]Record
 	tenantByKey map[string]string
 	limits      map[string]Limit
@@ -42,6 +43,8 @@
 
 func (s *Set) index(r Record) {
 	switch {
+	case r.DataCentre != nil:
+		s.dataCentres++
 	case r.Tenant != nil:
 		for _, h := range r.Tenant.KeyHashes {
 			s.tenantByKey[h] = r.Name
@@ -60,6 +63,9 @@
 // All returns every record ordered by key. The list is shared and must not be changed.
 func (s *Set) All() []Record { return s.all }
 
+// DataCentres returns the number of data centres.
+func (s *Set) DataCentres() int { return s.dataCentres }
+
 func (s *Set) sorted() []Record {
 	list := make([]Record, 0, len(s.byKey))
 	for _, r := range s.byKey {
--- a/core/journal/writer.go
+++ b/core/journal/writer.go
@@ -85,15 +85,6 @@
 // Append queues an entry and returns its number. An Intent and a Handover are urgent, because somebody waits for them.
 func (w *Writer) Append(e Entry) (LSN, error) { return w.AppendAll(e) }
 
-// AppendUrgent queues an entry for which a caller waits.
-func (w *Writer) AppendUrgent(e Entry) (LSN, error) {
-	lsn, err := w.AppendAll(e)
-	if err == nil {
-		w.Hurry()
-	}
-	return lsn, err
-}
-
 // AppendAll queues all entries or none, and returns the number of the last one.
 func (w *Writer) AppendAll(entries ...Entry) (LSN, error) {
 	if w.fenced {
--- a/core/program/checkpoint.go
+++ b/core/program/checkpoint.go
@@ -21,20 +21,9 @@
 	return journalBytes > minCheckpointBytes && journalBytes > checkpointGrowth*liveBytes
 }
 
-// LiveBytes returns the estimated size of a checkpoint of a shard.
-func (o *Owner) LiveBytes(shard int) int64 {
-	n := int64(0)
-	for _, p := range o.programs {
-		if p.shard == shard {
-			n += p.bytes + programBytes
-		}
-	}
-	return n
-}
-
-// AllLiveBytes returns the estimated size of checkpoints of all open shards. Unlike LiveBytes it visits no program, so that
-// it can be asked several times a second.
-func (o *Owner) AllLiveBytes() int64 { return o.historyBytes + int64(len(o.programs))*programBytes }
+// LiveBytes returns the estimated size of checkpoints of all open shards. It visits no program, so that it can be asked
+// several times a second.
+func (o *Owner) LiveBytes() int64 { return o.historyBytes + int64(len(o.programs))*programBytes }
 
 // programBytes is the size of a State entry with a few intents.
 const programBytes = 512
--- a/daemon/cluster/change.go
+++ b/daemon/cluster/change.go
@@ -159,20 +159,9 @@
 
 // pushRoster sends a roster to its members and to those that it removes. Probes repair what a push misses.
 func (a *Agent) pushRoster(ctx context.Context, r, before membership.Roster) {
-	sent := map[string]bool{a.Incarnation(): true}
-	var group sync.WaitGroup
-	for _, m := range append(append([]membership.Member(nil), r.Members...), before.Members...) {
-		if sent[m.Incarnation] {
-			continue
-		}
-		sent[m.Incarnation] = true
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, membership.ProbeTimeout)
-			defer cancel()
-			if err := a.peers.Post(ctx, m.PeerAddress, peer.PathRoster, peer.RosterPush{Roster: r}, nil); err != nil {
-				a.log.Debug("roster was not pushed", "member", m.VM, "error", err)
-			}
-		})
-	}
-	group.Wait()
+	members := append(append([]membership.Member(nil), r.Members...), before.Members...)
+	push := peer.RosterPush{Roster: r}
+	a.peers.Broadcast(ctx, a.Incarnation(), members, peer.PathRoster, push, membership.ProbeTimeout, func(m membership.Member, err error) {
+		a.log.Debug("roster was not pushed", "member", m.VM, "error", err)
+	})
 }
--- a/daemon/cluster/checkpoints.go
+++ b/daemon/cluster/checkpoints.go
@@ -72,7 +72,7 @@
 	}
 	// A busy loop is asked again next time.
 	_ = loop.Do(ctx, func(_ time.Time, o *program.Owner) {
-		grown := program.ShouldCheckpoint(o.Journal().AppendedBytes()-c.bytes, o.AllLiveBytes())
+		grown := program.ShouldCheckpoint(o.Journal().AppendedBytes()-c.bytes, o.LiveBytes())
 		if !grown && c.restores == r.Restores {
 			return
 		}
--- a/daemon/config/agent.go
+++ b/daemon/config/agent.go
@@ -35,7 +35,6 @@
 
 	mu      sync.RWMutex
 	state   *configstate.State
-	changed chan struct{}
 	syncing map[string]bool // Peers that are asked now.
 	relist  chan struct{}
 	lists   atomic.Int64
@@ -49,7 +48,6 @@
 		peers:   peers,
 		log:     log,
 		state:   configstate.New(records.FromStored),
-		changed: make(chan struct{}),
 		syncing: map[string]bool{},
 		relist:  make(chan struct{}, 1),
 	}
@@ -92,21 +90,10 @@
 // Loaded reports whether the records were read from the platform or from a peer. Before that, every key is unknown.
 func (a *Agent) Loaded() bool { return a.loaded.Load() }
 
-// Changed returns a channel that is closed at the next change.
-func (a *Agent) Changed() <-chan struct{} {
-	a.mu.RLock()
-	defer a.mu.RUnlock()
-	return a.changed
-}
-
 // Offer applies stored records that are newer than those in force and returns their keys.
 func (a *Agent) Offer(source string, values ...[]byte) []string {
 	a.mu.Lock()
 	applied, faults := a.state.Offer(values...)
-	if len(applied) > 0 {
-		close(a.changed)
-		a.changed = make(chan struct{})
-	}
 	a.mu.Unlock()
 	for _, f := range faults {
 		a.log.Error("record was not applied", "source", source, "error", f)
@@ -316,20 +303,10 @@
 // push sends records to every member. Probes repair what a push misses.
 func (a *Agent) push(ctx context.Context, keys []string) {
 	message := peer.Records{Records: a.records(keys)}
-	var group sync.WaitGroup
-	for _, m := range a.cluster.Roster().Members {
-		if m.Incarnation == a.cluster.Incarnation() {
-			continue
-		}
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, syncTimeout)
-			defer cancel()
-			if err := a.peers.Post(ctx, m.PeerAddress, peer.PathRecords, message, nil); err != nil {
-				a.log.Debug("records were not pushed", "member", m.VM, "error", err)
-			}
-		})
-	}
-	group.Wait()
+	members := a.cluster.Roster().Members
+	a.peers.Broadcast(ctx, a.cluster.Incarnation(), members, peer.PathRecords, message, syncTimeout, func(m membership.Member, err error) {
+		a.log.Debug("records were not pushed", "member", m.VM, "error", err)
+	})
 }
 
 func (a *Agent) records(keys []string) []configstate.Stored {
--- a/daemon/dispatch/pool.go
+++ b/daemon/dispatch/pool.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"net"
-	"strings"
 	"sync"
 	"time"
 
@@ -166,19 +165,6 @@
 	}
 }
 
-// TicketOf returns the id of a ticket, which names the incarnation that asks.
-func TicketOf(incarnation, attempt string) string { return incarnation + "/" + attempt }
-
-func ingressOf(ticket string) string {
-	incarnation, _, _ := strings.Cut(ticket, "/")
-	return incarnation
-}
-
-func attemptOf(ticket string) string {
-	_, attempt, _ := strings.Cut(ticket, "/")
-	return attempt
-}
-
 // Stats describes a group for the metrics.
 type Stats struct {
 	Group   string
--- a/daemon/dispatch/slots.go
+++ b/daemon/dispatch/slots.go
@@ -143,13 +143,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for ticket, slot := range g.granted {
-		if ingressOf(ticket) != incarnation {
+		ingress, attempt := peer.SplitTicket(ticket)
+		if ingress != incarnation {
 			continue
 		}
 		delete(g.granted, ticket)
 		g.d.Release(now, ticket, caller.Usage{})
 		if e, ok := g.engines[slot.engine]; ok {
-			go g.cancel(e.address, attemptOf(ticket))
+			go g.cancel(e.address, attempt)
 		}
 	}
 	g.pump(now)
--- a/daemon/grants/keeper.go
+++ b/daemon/grants/keeper.go
@@ -59,13 +59,7 @@
 	if len(b.Shares) > 0 {
 		return int64(float64(b.TokensPerDay) * b.Shares[k.dataCentre]), true
 	}
-	centres := 0
-	for _, r := range k.records().All() {
-		if r.DataCentre != nil {
-			centres++
-		}
-	}
-	return b.TokensPerDay / int64(max(centres, 1)), true
+	return b.TokensPerDay / int64(max(k.records().DataCentres(), 1)), true
 }
 
 // Reserve sets tokens of a tenant aside for an attempt. Reserving again for the same attempt changes nothing. A refusal is
--- a/daemon/ingress/model.go
+++ b/daemon/ingress/model.go
@@ -149,7 +149,7 @@
 
 func (s *Server) acquire(c *call, attempt string, a program.Admission, group string, failed []string) peer.Acquire {
 	return peer.Acquire{
-		Ticket:         s.streams.Incarnation() + "/" + attempt,
+		Ticket:         peer.TicketOf(s.streams.Incarnation(), attempt),
 		Group:          group,
 		Program:        c.program,
 		Parent:         a.Parent,
--- a/daemon/node/maintain.go
+++ b/daemon/node/maintain.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"jackdawbay.dev/api/records"
 	"jackdawbay.dev/core/journal"
+	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/owner"
@@ -40,13 +40,7 @@
 // paceJournal shares the platform's writes among all daemons. The daemons of other data centres are estimated from the
 // own one.
 func (n *Node) paceJournal(ctx context.Context) {
-	centres := 0
-	for _, r := range n.config.Set().All() {
-		if r.DataCentre != nil {
-			centres++
-		}
-	}
-	daemons := max(centres, 1) * max(len(n.agent.Roster().Members), 1)
+	daemons := max(n.config.Set().DataCentres(), 1) * max(len(n.agent.Roster().Members), 1)
 	rate := journal.RateFor(daemons, n.set.FleetWrites)
 	// The next round repeats what is refused here.
 	_ = n.agent.Loop().Do(ctx, func(_ time.Time, o *program.Owner) { o.Journal().SetRate(rate) })
@@ -104,18 +98,14 @@
 		ids = append(ids, e.Program)
 		n.pool.ProgramEnded(e.Program)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	var group sync.WaitGroup
-	for _, m := range n.agent.Roster().Members {
-		if m.Incarnation == n.agent.Incarnation() {
-			continue
-		}
-		group.Go(func() {
-			if err := n.peers.Post(ctx, m.PeerAddress, peer.PathReleaseCaches, peer.ReleaseCaches{Programs: ids}, nil); err != nil {
-				n.log.Debug("ended programs were not announced", "member", m.VM, "error", err)
-			}
-		})
-	}
-	group.Wait()
+	message := peer.ReleaseCaches{Programs: ids}
+	n.broadcast(context.Background(), peer.PathReleaseCaches, message, "ended programs were not announced")
+}
+
+// broadcast sends a message to the other members of the data centre.
+func (n *Node) broadcast(ctx context.Context, path string, message any, failure string) {
+	members := n.agent.Roster().Members
+	n.peers.Broadcast(ctx, n.agent.Incarnation(), members, path, message, releaseTimeout, func(m membership.Member, err error) {
+		n.log.Debug(failure, "member", m.VM, "error", err)
+	})
 }
--- a/daemon/node/vmlist.go
+++ b/daemon/node/vmlist.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"sync"
 	"time"
 
 	"jackdawbay.dev/daemon/clock"
@@ -65,18 +64,5 @@
 		message.Addresses = append(message.Addresses, a)
 	}
 	n.pool.SetLeaving(message.Addresses)
-	var group sync.WaitGroup
-	for _, m := range n.agent.Roster().Members {
-		if m.Incarnation == n.agent.Incarnation() {
-			continue
-		}
-		group.Go(func() {
-			ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
-			defer cancel()
-			if err := n.peers.Post(ctx, m.PeerAddress, peer.PathLeaving, message, nil); err != nil {
-				n.log.Debug("leaving VMs were not announced", "member", m.VM, "error", err)
-			}
-		})
-	}
-	group.Wait()
+	n.broadcast(ctx, peer.PathLeaving, message, "leaving VMs were not announced")
 }
--- a/testbed/agent/check.go
+++ b/testbed/agent/check.go
@@ -14,6 +14,7 @@
 
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/daemon/clock"
 )
 
 // CheckConfig describes the final check.
@@ -248,7 +249,7 @@
 		tryCtx, cancel := context.WithTimeout(ctx, 2*time.Second)
 		value, err := read(tryCtx)
 		cancel()
-		if err == nil || !client.Repeatable(err) || !pause(ctx, retryInterval) {
+		if err == nil || !client.Repeatable(err) || !clock.Sleep(ctx, retryInterval) {
 			return value, err
 		}
 	}
@@ -262,7 +263,7 @@
 		if err == nil && len(held) == 0 {
 			return
 		}
-		if time.Now().After(deadline) || !pause(ctx, retryInterval) {
+		if time.Now().After(deadline) || !clock.Sleep(ctx, retryInterval) {
 			c.violation("engines hold cache of ended programs after %s: %s (%v)", c.cfg.CacheTimeout, strings.Join(held, ", "), err)
 			return
 		}
--- a/testbed/agent/order.go
+++ b/testbed/agent/order.go
@@ -10,6 +10,7 @@
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/testbed/standin/engine"
 	"jackdawbay.dev/testbed/standin/service"
 )
@@ -32,7 +33,7 @@
 		}
 		o.refused(err)
 		s.Error = string(errkind.From(err).Kind)
-		if !client.Repeatable(err) && !busy(err) || time.Now().After(giveUp) || !pause(ctx, retryAfter(err)) {
+		if !client.Repeatable(err) && !busy(err) || time.Now().After(giveUp) || !clock.Sleep(ctx, retryAfter(err)) {
 			break
 		}
 	}
--- a/testbed/agent/run.go
+++ b/testbed/agent/run.go
@@ -18,6 +18,7 @@
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/daemon/clock"
 )
 
 // Kinds of steps.
@@ -231,7 +232,7 @@
 		} else if !client.Repeatable(err) {
 			return err
 		}
-		if !pause(ctx, retryInterval) {
+		if !clock.Sleep(ctx, retryInterval) {
 			return errors.Wrap(ctx.Err(), "no program was created")
 		}
 	}
@@ -264,7 +265,7 @@
 			r.printf("ended turns=%d", len(r.report.Turns))
 			return nil
 		}
-		if !client.Repeatable(err) || !pause(ctx, retryInterval) {
+		if !client.Repeatable(err) || !clock.Sleep(ctx, retryInterval) {
 			return err
 		}
 	}
@@ -281,7 +282,7 @@
 	if r.cfg.Pause > 0 {
 		d := time.Duration(r.rng.Int64N(int64(r.cfg.Pause)))
 		s.PauseMillis = d.Milliseconds()
-		if !pause(ctx, d) {
+		if !clock.Sleep(ctx, d) {
 			return ctx.Err()
 		}
 	}
@@ -329,7 +330,7 @@
 			r.printf("step=%d kind=gate opened", n)
 			return nil
 		}
-		if !pause(ctx, 5*time.Millisecond) {
+		if !clock.Sleep(ctx, 5*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
@@ -343,17 +344,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // try bounds one request of a call and counts it.
 func (r *runner) try(ctx context.Context, s *Step, f func(context.Context) (caller.Result, error)) (caller.Result, error) {
 	s.Tries++
--- a/testbed/capacity/bed.go
+++ b/testbed/capacity/bed.go
@@ -14,6 +14,7 @@
 
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/transport"
 	"jackdawbay.dev/testbed/fleet"
@@ -163,7 +164,7 @@
 		if err == nil || !client.Repeatable(err) {
 			return err
 		}
-		if !sleep(ctx, interval) {
+		if !clock.Sleep(ctx, interval) {
 			return err
 		}
 	}
@@ -174,17 +175,5 @@
 	return err
 }
 
-// sleep waits and reports whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // settle is the time after the start of a fleet in which rosters and status come to rest.
 const settle = 2 * time.Second
--- a/testbed/capacity/changes.go
+++ b/testbed/capacity/changes.go
@@ -14,6 +14,7 @@
 
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/testbed/fleet"
 )
@@ -108,7 +109,7 @@
 					times[i] = millis(time.Since(start))
 					return
 				}
-				if !sleep(ctx, probeInterval) {
+				if !clock.Sleep(ctx, probeInterval) {
 					failed[i] = errors.Newf("configuration is not in force in %s in time", d.VM)
 					return
 				}
@@ -170,7 +171,7 @@
 		if err == nil && d.DurableSequence >= p.Sequence {
 			return d, nil
 		}
-		if !sleep(ctx, callInterval) {
+		if !clock.Sleep(ctx, callInterval) {
 			return d, errors.Newf("program %s did not become durable", p.ID)
 		}
 	}
@@ -187,7 +188,7 @@
 		if !client.Repeatable(err) {
 			return millis(time.Since(start)), true
 		}
-		if !sleep(ctx, callInterval) {
+		if !clock.Sleep(ctx, callInterval) {
 			return millis(time.Since(start)), true
 		}
 	}
@@ -330,7 +331,7 @@
 				if final {
 					refused[i]++
 				}
-				sleep(ctx, callInterval)
+				clock.Sleep(ctx, callInterval)
 			}
 		})
 	}
--- a/testbed/capacity/control.go
+++ b/testbed/capacity/control.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/daemon/clock"
 )
 
 // controlWindow is one period of the status, which is written every 15 s at rest, so that each window holds one.
@@ -62,8 +64,8 @@
 		return err
 	}
 	defer b.close()
-	sleep(ctx, settle)
-	w, err := b.watch(ctx, b.Daemons, func() { sleep(ctx, controlWindow) })
+	clock.Sleep(ctx, settle)
+	w, err := b.watch(ctx, b.Daemons, func() { clock.Sleep(ctx, controlWindow) })
 	if err != nil {
 		return err
 	}
--- a/testbed/capacity/journal.go
+++ b/testbed/capacity/journal.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/daemon/clock"
 )
 
 const (
@@ -52,7 +53,7 @@
 		return err
 	}
 	lend := newPool(programs)
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	b.work(ctx, lend, "warm", journalWarmUp)
 	var orders, turns *pacedResult
 	w, err := b.watch(ctx, b.Daemons, func() { orders, turns = b.work(ctx, lend, "call", journalWindow) })
--- a/testbed/capacity/latency.go
+++ b/testbed/capacity/latency.go
@@ -17,6 +17,7 @@
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/testbed/fleet"
 )
 
@@ -72,7 +73,7 @@
 		return err
 	}
 	defer b.close()
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	t := r.table("latency", "streamed model calls of 16 tokens; ms from the time at which a call was due to the end of its answer",
 		"round", "path", "calls/s", "p50", "p95", "p99", "answered", "refused")
 	added50, added95 := []float64{}, []float64{}
--- a/testbed/capacity/pace.go
+++ b/testbed/capacity/pace.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"jackdawbay.dev/daemon/clock"
 )
 
 // pacedResult is what an open-loop load saw.
@@ -22,7 +24,7 @@
 	var group sync.WaitGroup
 	for i := 0; ; i++ {
 		due := start.Add(time.Duration(i) * interval)
-		if due.Sub(start) >= duration || !sleep(ctx, time.Until(due)) {
+		if due.Sub(start) >= duration || !clock.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		group.Go(func() {
--- a/testbed/capacity/replay.go
+++ b/testbed/capacity/replay.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/testbed/fleet"
 )
 
@@ -21,7 +22,7 @@
 		return err
 	}
 	defer b.close()
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	t := r.table("replay", "8 daemons; takeover after SIGKILL of a member that journaled 200 turns a second for a time",
 		"seconds", "turns", "segments", "takeover ms", "platform reads")
 	var segments, times []float64
--- a/testbed/capacity/slopes.go
+++ b/testbed/capacity/slopes.go
@@ -13,6 +13,7 @@
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
 	"jackdawbay.dev/api/records"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/testbed/fleet"
 )
 
@@ -52,7 +53,7 @@
 		return err
 	}
 	defer b.close()
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	t := r.table("programs", "programs at rest with one turn each, on 2 daemons; sums over the daemons",
 		"programs", "live heap MB", "RSS MB", "CPU %", "created and called a second")
 	var x, live, resident, cpu []float64
@@ -67,8 +68,8 @@
 		if err := b.collect(ctx); err != nil {
 			return err
 		}
-		sleep(ctx, time.Second)
-		w, err := b.watch(ctx, b.Daemons, func() { sleep(ctx, slopeWindow) })
+		clock.Sleep(ctx, time.Second)
+		w, err := b.watch(ctx, b.Daemons, func() { clock.Sleep(ctx, slopeWindow) })
 		if err != nil {
 			return err
 		}
@@ -115,7 +116,7 @@
 		return err
 	}
 	defer b.close()
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	t := r.table("tokens", "streamed model calls at 40 a second on 4 daemons; sums over the daemons",
 		"tokens a call", "tokens/s", "CPU %", "socket B/s", "refused")
 	var x, cpu, socket []float64
@@ -189,8 +190,8 @@
 	if _, err := stream(ctx, newPool(programs), 0, 1); err != nil {
 		return Window{}, err
 	}
-	sleep(ctx, settle)
-	return b.watch(ctx, b.Daemons, func() { sleep(ctx, slopeWindow) })
+	clock.Sleep(ctx, settle)
+	return b.watch(ctx, b.Daemons, func() { clock.Sleep(ctx, slopeWindow) })
 }
 
 const tenantDaemons = 4
@@ -211,8 +212,8 @@
 			return err
 		}
 		total = n
-		sleep(ctx, settle)
-		w, err := b.watch(ctx, b.Daemons, func() { sleep(ctx, controlWindow) })
+		clock.Sleep(ctx, settle)
+		w, err := b.watch(ctx, b.Daemons, func() { clock.Sleep(ctx, controlWindow) })
 		if err != nil {
 			return err
 		}
--- a/testbed/capacity/state.go
+++ b/testbed/capacity/state.go
@@ -11,6 +11,7 @@
 
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/testbed/fleet"
 )
 
@@ -104,7 +105,7 @@
 		if err := b.addTenants(ctx, total, n); err != nil {
 			return err
 		}
-		sleep(ctx, settle)
+		clock.Sleep(ctx, settle)
 		if err := b.callAs(ctx, total, n); err != nil {
 			return err
 		}
--- a/testbed/capacity/workload.go
+++ b/testbed/capacity/workload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jackdawbay.dev/cli/load"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/testbed/fleet"
 )
 
@@ -15,7 +16,7 @@
 		return err
 	}
 	defer b.close()
-	sleep(ctx, settle)
+	clock.Sleep(ctx, settle)
 	var urls []string
 	for _, d := range b.Daemons {
 		urls = append(urls, d.CallerURL)
