--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -76,6 +76,14 @@
 	InvalidRecord          Kind = "invalid_record"
 	RecordNotFound         Kind = "record_not_found"
 	CallerGone             Kind = "caller_gone"
+	NoConfiguration        Kind = "no_configuration"
+	RouteNotFound          Kind = "route_not_found"
+	NoReadyUpstream        Kind = "no_ready_upstream"
+	Overloaded             Kind = "overloaded"
+	HistoryUnavailable     Kind = "history_unavailable"
+	TurnNotFound           Kind = "turn_not_found"
+	ResponseLost           Kind = "response_lost"
+	RouteTimeout           Kind = "route_timeout"
 	Internal               Kind = "internal"
 )
 
@@ -132,6 +140,14 @@
 	InvalidRecord:          {http.StatusUnprocessableEntity, NotRunTrue, RetryNever, "The record breaks a rule of its schema."},
 	RecordNotFound:         {http.StatusNotFound, NotRunTrue, RetryNever, "The record does not exist."},
 	CallerGone:             {statusClientClosedRequest, NotRunUnknown, RetrySame, "The caller closed its connection."},
+	NoConfiguration:        {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "The daemon does not know the configuration yet."},
+	RouteNotFound:          {http.StatusNotFound, NotRunTrue, RetryNever, "No route of the configuration matches the request."},
+	NoReadyUpstream:        {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "No upstream of the route accepted the request."},
+	Overloaded:             {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "The request cannot be served before its deadline."},
+	HistoryUnavailable:     {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "Too few replicas of the history can be reached now."},
+	TurnNotFound:           {http.StatusNotFound, NotRunTrue, RetryNever, "The turn that the request continues does not exist."},
+	ResponseLost:           {http.StatusBadGateway, NotRunUnknown, RetrySame, "The response of the upstream was lost; the request may have run."},
+	RouteTimeout:           {http.StatusGatewayTimeout, NotRunUnknown, RetrySame, "The upstream did not answer within the time of the route."},
 	Internal:               {http.StatusInternalServerError, NotRunUnknown, RetrySame, "The daemon has a fault."},
 }
 
--- /dev/null
+++ b/core/replica/view.go
@@ -0,0 +1,224 @@
+// Package replica holds the decisions of the replicas that keep turns and token counts on the VMs with a disk: the view
+// that says who they are, the quorums, the changes of the view, and the merge of what several replicas know.
+package replica
+
+import (
+	"sort"
+	"time"
+)
+
+// Member is one replica: a VM and the disk that it had when it joined. A VM whose disk was lost is another member.
+type Member struct {
+	VM         string `json:"vm"`
+	Disk       string `json:"disk"` // Identity of the data directory, drawn when it was created.
+	Address    string `json:"address"`
+	DataCentre string `json:"data_centre"`
+}
+
+// Key identifies a member.
+func (m Member) Key() string { return m.VM + "/" + m.Disk }
+
+// View says which replicas hold the data. The last set takes the writes. Earlier sets are read as well until every member
+// of the last set has copied what they hold.
+type View struct {
+	Version  uint64     `json:"version"`
+	Tolerate int        `json:"tolerate"` // VMs with a disk that may be lost at the same time.
+	Sets     [][]Member `json:"sets"`
+	Copied   []string   `json:"copied"` // Keys of the members of the last set that have copied all earlier sets.
+}
+
+// Current returns the set that takes the writes.
+func (v View) Current() []Member {
+	if len(v.Sets) == 0 {
+		return nil
+	}
+	return v.Sets[len(v.Sets)-1]
+}
+
+// Settled reports whether no earlier set has to be read.
+func (v View) Settled() bool { return len(v.Sets) <= 1 }
+
+// Contains reports whether a set holds a member.
+func Contains(set []Member, key string) bool {
+	for _, m := range set {
+		if m.Key() == key {
+			return true
+		}
+	}
+	return false
+}
+
+// WriteQuorum is the number of members of a set that must hold a write: more than half, so that two writes meet in one
+// member, and more than may be lost at once.
+func WriteQuorum(set []Member, tolerate int) int {
+	return min(len(set), max(tolerate+1, len(set)/2+1))
+}
+
+// ReadQuorum is the number of members of a set that together know every completed write.
+func ReadQuorum(set []Member, tolerate int) int {
+	return len(set) - WriteQuorum(set, tolerate) + 1
+}
+
+// Knows reports whether the members that answered know every completed write of all sets of the view.
+func (v View) Knows(answered map[string]bool) bool {
+	for _, set := range v.Sets {
+		if count(set, answered) < ReadQuorum(set, v.Tolerate) {
+			return false
+		}
+	}
+	return len(v.Sets) > 0
+}
+
+// Holds reports whether the members that stored a write are enough to acknowledge it.
+func (v View) Holds(stored map[string]bool) bool {
+	current := v.Current()
+	return len(current) > 0 && count(current, stored) >= WriteQuorum(current, v.Tolerate)
+}
+
+func count(set []Member, keys map[string]bool) int {
+	n := 0
+	for _, m := range set {
+		if keys[m.Key()] {
+			n++
+		}
+	}
+	return n
+}
+
+// WantedMembers is the size of a set that loses a minority at most when as many VMs as tolerated are lost.
+func WantedMembers(tolerate int) int { return 2*tolerate + 1 }
+
+// Fleet is what a replica knows of the VMs with a disk when it considers a change of the view.
+type Fleet struct {
+	Registered []Member // One entry for each VM, with its present disk.
+	SilentFor  func(vm string) time.Duration
+	Retiring   map[string]bool // VMs that are to be emptied.
+}
+
+// ReplaceAfter is the silence after which a member is replaced when another VM can take its place. It is longer than a
+// restart of a process, and shorter than the time in which a successor has to count as caught up.
+const ReplaceAfter = 2500 * time.Millisecond
+
+// Propose returns the next view, if a change is due. The caller writes it under the condition that the view that it read
+// is still in force.
+func Propose(v View, f Fleet) (View, bool) {
+	if v.Version == 0 {
+		return propose(View{Tolerate: v.Tolerate}, f, nil)
+	}
+	return propose(v, f, v.Current())
+}
+
+func propose(v View, f Fleet, current []Member) (View, bool) {
+	present := map[string]Member{}
+	for _, m := range f.Registered {
+		present[m.VM] = m
+	}
+	next := make([]Member, 0, len(current)+1)
+	changed := false
+	var lost []Member
+	for _, m := range current {
+		now, known := present[m.VM]
+		switch {
+		case known && now.Disk != m.Disk:
+			next = append(next, now)
+			changed = true
+		case f.Retiring[m.VM] || f.SilentFor(m.VM) > ReplaceAfter:
+			lost = append(lost, m)
+		case known && now.Address != m.Address:
+			next = append(next, now)
+			changed = true
+		default:
+			next = append(next, m)
+		}
+	}
+	spare := candidates(f, current)
+	for _, m := range lost {
+		if s, ok := take(&spare, next); ok {
+			next = append(next, s)
+			changed = true
+			continue
+		}
+		if f.Retiring[m.VM] && len(next) > 0 {
+			changed = true
+			continue
+		}
+		next = append(next, m)
+	}
+	for len(next) < WantedMembers(v.Tolerate) {
+		s, ok := take(&spare, next)
+		if !ok {
+			break
+		}
+		next = append(next, s)
+		changed = true
+	}
+	if !changed {
+		return v, false
+	}
+	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
+	sets := append(append([][]Member{}, v.Sets...), next)
+	return View{Version: v.Version + 1, Tolerate: v.Tolerate, Sets: sets}, true
+}
+
+// candidates are the registered VMs that answer, are not to be emptied and are in no place of the current set.
+func candidates(f Fleet, current []Member) []Member {
+	var out []Member
+	for _, m := range f.Registered {
+		inUse := false
+		for _, c := range current {
+			inUse = inUse || c.VM == m.VM
+		}
+		if !inUse && !f.Retiring[m.VM] && f.SilentFor(m.VM) < ReplaceAfter {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].VM < out[j].VM })
+	return out
+}
+
+// take removes the candidate whose data centre has the fewest members.
+func take(spare *[]Member, set []Member) (Member, bool) {
+	best, bestCount := -1, 0
+	for i, s := range *spare {
+		n := 0
+		for _, m := range set {
+			if m.DataCentre == s.DataCentre {
+				n++
+			}
+		}
+		if best < 0 || n < bestCount {
+			best, bestCount = i, n
+		}
+	}
+	if best < 0 {
+		return Member{}, false
+	}
+	m := (*spare)[best]
+	*spare = append((*spare)[:best:best], (*spare)[best+1:]...)
+	return m, true
+}
+
+// MarkCopied returns the view after a member of the last set has copied every earlier set. When all have, the earlier
+// sets are dropped.
+func MarkCopied(v View, key string) (View, bool) {
+	if v.Settled() || !Contains(v.Current(), key) {
+		return v, false
+	}
+	for _, k := range v.Copied {
+		if k == key {
+			return v, false
+		}
+	}
+	next := v
+	next.Version = v.Version + 1
+	next.Copied = append(append([]string{}, v.Copied...), key)
+	done := map[string]bool{}
+	for _, k := range next.Copied {
+		done[k] = true
+	}
+	if count(v.Current(), done) == len(v.Current()) {
+		next.Sets = [][]Member{v.Current()}
+		next.Copied = nil
+	}
+	return next, true
+}
--- /dev/null
+++ b/core/route/repeat.go
@@ -0,0 +1,51 @@
+package route
+
+// Outcome is what is known about a request after it was given to an upstream.
+type Outcome string
+
+// Outcomes of one send.
+const (
+	NotSent     Outcome = "not_sent"     // No byte of the request left this daemon.
+	Rejected    Outcome = "rejected"     // The upstream stated that it did not run the request.
+	Complete    Outcome = "complete"     // A whole response arrived.
+	Lost        Outcome = "lost"         // The response was lost before its status; the request may have run.
+	Spoiled     Outcome = "spoiled"      // The response was no response, or was cut before any of it reached the caller.
+	Interrupted Outcome = "interrupted"  // The response was cut after a part of it had reached the caller.
+	UpstreamErr Outcome = "upstream_err" // The upstream answered with a failure of its own after running the request.
+)
+
+// Action is what happens next with a request.
+type Action string
+
+// Actions after a send.
+const (
+	Deliver   Action = "deliver"    // Pass the response on.
+	SendAgain Action = "send_again" // Send the request to an upstream once more.
+	Resume    Action = "resume"     // Continue the stream after its last event.
+	RefuseRun Action = "refuse"     // Answer that the request has not run.
+	FailRun   Action = "fail"       // Answer with a status that promises nothing.
+)
+
+// Next returns what happens after a send. May says that time, the route's bound of upstreams and a ready upstream allow
+// one more send.
+func Next(r *Route, o Outcome, may bool) Action {
+	switch o {
+	case Complete, UpstreamErr:
+		return Deliver
+	case NotSent, Rejected:
+		if may {
+			return SendAgain
+		}
+		return RefuseRun
+	case Interrupted:
+		if may && r.Kind == Stream && r.Resumable {
+			return Resume
+		}
+		return FailRun
+	default:
+		if may && r.Repeatable() {
+			return SendAgain
+		}
+		return FailRun
+	}
+}
--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -1,4 +1,5 @@
-// Command jackdawbayd is the daemon that runs on every ingress VM.
+// Command jackdawbayd is the daemon. It runs in one of three roles: the product's own interface for programs, the gateway for
+// the routes of a platform's operator, and the replica on VMs with a disk.
 package main
 
 import (
@@ -21,20 +22,38 @@
 	exitSettings = 2
 )
 
+// commands are the roles of the daemon. Without a command it serves the product's own interface.
+type commands struct {
+	Serve   settings.Flags `cmd:"" default:"withargs" help:"Serve the interface for programs (default)."`
+	Gateway roleFlags      `cmd:"" help:"Serve the routes of the operator's configuration."`
+	Replica roleFlags      `cmd:"" help:"Keep turns and token counts on this VM's disk."`
+}
+
+// roleFlags are the settings of a role on the platform; the others stand in the platform's settings file.
+type roleFlags struct {
+	LogLevel   string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
+	CacheBytes int64  `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
+}
+
 func main() {
-	var flags settings.Flags
-	parser := kong.Must(&flags,
+	var cmd commands
+	parser := kong.Must(&cmd,
 		kong.Name("jackdawbayd"),
 		kong.Description("Schedules agent programs for the callers that reach this VM."),
 	)
-	if _, err := parser.Parse(os.Args[1:]); err != nil {
-		fmt.Fprintln(os.Stderr, "jackdawbayd:", err)
-		os.Exit(exitSettings)
+	parsed, err := parser.Parse(os.Args[1:])
+	if err != nil {
+		failSettings(err)
+	}
+	switch parsed.Command() {
+	case "gateway":
+		os.Exit(runRole("gateway", cmd.Gateway, runGateway))
+	case "replica":
+		os.Exit(runRole("replica", cmd.Replica, runReplica))
 	}
-	set, level, err := flags.Check()
+	set, level, err := cmd.Serve.Check()
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "jackdawbayd:", err)
-		os.Exit(exitSettings)
+		failSettings(err)
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors}))
 	if err := run(set, log); err != nil {
@@ -43,6 +62,11 @@
 	}
 }
 
+func failSettings(err error) {
+	fmt.Fprintln(os.Stderr, "jackdawbayd:", err)
+	os.Exit(exitSettings)
+}
+
 func run(set node.Settings, log *slog.Logger) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
--- /dev/null
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
+
+	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/replica"
+	"jackdawbay.dev/daemon/transport"
+	"jackdawbay.dev/platform"
+)
+
+func runReplica(root context.Context, p *process) error {
+	if p.site.DataDir == "" {
+		return errors.New("settings file: dataDir: want a directory on a VM that keeps turns")
+	}
+	l, err := listen(p.site.ReplicaListen)
+	if err != nil {
+		return err
+	}
+	ops, err := listen(p.site.OpsListen)
+	if err != nil {
+		return err
+	}
+	server, err := replica.New(replica.DirFS{Dir: p.site.DataDir}, p.log, p.metrics)
+	if err != nil {
+		return err
+	}
+	members := &replica.Membership{
+		Self:        core.Member{VM: p.site.VM, Disk: server.Disk(), Address: p.site.ReplicaListen, DataCentre: p.site.DataCentre},
+		Tolerate:    func() int { return int(p.tolerate.Load()) },
+		Server:      server,
+		Store:       p.store,
+		Retirements: platform.Retirements{Store: p.store},
+		Client:      transport.NewClient(transport.Options{DialTimeout: peerDialTimeout}),
+		Log:         p.log,
+	}
+	members.Prepare()
+	p.tree.Add(duty{"writer", server.RunWriter})
+	p.tree.Add(duty{"watchers", members.RunWatchers})
+	p.tree.Add(duty{"membership", members.Run})
+	p.tree.Add(serve("replica", &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}, l))
+	metricsHandler := mux.NewRouter()
+	metricsHandler.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.WritePrometheus(w) })
+	p.tree.Add(serve("metrics", &http.Server{Handler: metricsHandler, ReadHeaderTimeout: headerTimeout}, ops))
+	p.tree.ServeBackground(root)
+
+	term, cancel := terminated()
+	defer cancel()
+	<-term.Done()
+	return nil
+}
--- /dev/null
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/thejerf/suture/v4"
+
+	"jackdawbay.dev/daemon/logging"
+	store "jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/site"
+	"jackdawbay.dev/daemon/transport"
+	"jackdawbay.dev/platform"
+)
+
+const (
+	// memoryShare is the part of the memory bound at which the collector works harder.
+	memoryShare = 0.7
+	// storeTimeout bounds one call to the store. Its answers take milliseconds; a silent connection is given up.
+	storeTimeout = 800 * time.Millisecond
+	// peerDialTimeout bounds connecting to a replica.
+	peerDialTimeout = 400 * time.Millisecond
+	// reloadInterval is the time between two looks at the settings file, which may change without a signal.
+	reloadInterval = 2 * time.Second
+	// collectPercent is the growth of the heap between two collections.
+	collectPercent = 60
+)
+
+// process is what both roles need.
+type process struct {
+	site     site.Settings
+	flags    roleFlags
+	log      *slog.Logger
+	metrics  *metrics.Set
+	store    *store.Client
+	tree     *suture.Supervisor
+	tolerate atomic.Int64 // Follows the settings file.
+}
+
+// duty is one supervised goroutine.
+type duty struct {
+	name string
+	run  func(ctx context.Context) error
+}
+
+// Serve implements suture.Service.
+func (d duty) Serve(ctx context.Context) error { return d.run(ctx) }
+
+// String names the duty in the supervisor's messages.
+func (d duty) String() string { return d.name }
+
+// runRole reads the settings, runs a role until SIGTERM, and returns the exit code.
+func runRole(name string, flags roleFlags, start func(ctx context.Context, p *process) error) int {
+	writer := logging.NewWriter(os.Stdout)
+	defer writer.Drain()
+	level := slog.LevelInfo
+	if err := level.UnmarshalText([]byte(flags.LogLevel)); err != nil {
+		failSettings(errors.Newf("log-level: want debug, info, warn or error, have %q", flags.LogLevel))
+	}
+	set, err := platform.LoadSettings(platform.BootPath())
+	if err != nil {
+		failSettings(err)
+	}
+	log := slog.New(logging.NewHandler(writer, level)).With("role", name, "vm", set.VM)
+	if set.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(set.MemoryBytes)))
+	}
+	debug.SetGCPercent(collectPercent)
+	p := &process{site: set, flags: flags, log: log, metrics: metrics.NewSet()}
+	p.tolerate.Store(int64(set.Tolerate))
+	p.store = store.NewClient(store.Config{
+		BaseURL:         "http://" + set.StoreAddress,
+		Transport:       transport.Options{DialTimeout: storeTimeout},
+		Timeout:         storeTimeout,
+		WritesPerSecond: set.StoreWrites,
+		ReadsPerSecond:  set.StoreReads,
+		Codec:           platform.StoreCodec{},
+	})
+	p.tree = suture.New(name, suture.Spec{EventHook: func(e suture.Event) {
+		if e.Type() != suture.EventTypeResume {
+			log.Error("duty ended", "event", e.String())
+		}
+	}})
+	root, stopAll := context.WithCancel(context.Background())
+	defer stopAll()
+	logDone := make(chan struct{})
+	go func() {
+		defer close(logDone)
+		_ = writer.Run(root) // Ends with the context.
+	}()
+	p.tree.Add(duty{"settings", p.followSettings})
+	log.Info("start", "data_centre", set.DataCentre, "region", set.Region, "memory_bytes", set.MemoryBytes, "tolerate", set.Tolerate)
+	err = start(root, p)
+	if err != nil {
+		log.Error("role failed", "error", err)
+	}
+	log.Info("stop")
+	stopAll()
+	<-logDone
+	if err != nil {
+		return exitFailed
+	}
+	return 0
+}
+
+// terminated returns a context that ends with SIGTERM or an interrupt.
+func terminated() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+}
+
+// followSettings reads the settings file again after SIGHUP and when it has changed.
+func (p *process) followSettings(ctx context.Context) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	last, err := os.ReadFile(platform.BootPath())
+	if err != nil {
+		p.log.Warn("settings file cannot be read", "error", err)
+	}
+	for {
+		reason := "changed"
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-hup:
+			reason = "signal"
+		case <-tick.C:
+		}
+		raw, err := os.ReadFile(platform.BootPath())
+		if err != nil {
+			p.log.Warn("settings file cannot be read", "error", err)
+			continue
+		}
+		if bytes.Equal(raw, last) && reason != "signal" {
+			continue
+		}
+		last = raw
+		set, err := platform.DecodeSettings(raw)
+		if err != nil {
+			p.log.Error("settings file refused, the settings before stay in force", "error", err)
+			continue
+		}
+		p.tolerate.Store(int64(set.Tolerate))
+		p.log.Info("settings reloaded", "reason", reason, "tolerate", set.Tolerate)
+	}
+}
+
+// listen opens a listener.
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, errors.Wrapf(err, "listen at %s", address)
+}
+
+// serve runs an HTTP server as a duty.
+func serve(name string, server *http.Server, l net.Listener) duty {
+	return duty{name, func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // The process is ending.
+		defer stop()
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			return err
+		}
+		return suture.ErrDoNotRestart
+	}}
+}
--- /dev/null
+++ b/daemon/forward/exchange.go
@@ -0,0 +1,176 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Request is one request as it goes to an upstream.
+type Request struct {
+	Method string
+	Target string // Path and query, unchanged.
+	Host   string
+	Header http.Header
+	Body   []byte
+	// Own reports whether a response belongs to this request.
+	Own func(h http.Header) bool
+}
+
+// Bounds of an exchange.
+const (
+	// staleResponses is the number of responses to earlier requests that are skipped on one connection.
+	staleResponses = 3
+	// smallBody is written before the response is read; a larger one beside it, as an upstream may answer before it has
+	// read everything.
+	smallBody = 8 << 10
+	// staleBodyBytes bounds the body of a response that is skipped.
+	staleBodyBytes = 1 << 20
+	// writeWait is how long the end of a large body is awaited once the response is complete.
+	writeWait = 20 * time.Millisecond
+)
+
+// ErrNoResponse means that bytes arrived that are no response.
+var ErrNoResponse = errors.New("bytes of the upstream are no response")
+
+// ErrLost means that the connection ended before a response began. The request may have run.
+var ErrLost = errors.New("connection ended before a response")
+
+// Response is a response under way. Close must be called.
+type Response struct {
+	*http.Response
+	Framed bool // The end of the body is marked by its length or by chunks, not by the end of the connection.
+
+	conn    *Conn
+	pool    *Pool
+	stop    func() bool
+	written chan error
+	stale   bool
+}
+
+// Send writes a request and reads the head of its response. The context ends the exchange at any point, including the read
+// of the body. The error is ErrNotSent, ErrLost, ErrNoResponse, or that of the context.
+func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
+	fail := func(err error) (*Response, error) {
+		stop()
+		_ = c.Close() // The error that ended the exchange is reported instead.
+		if ctx.Err() != nil && !errors.Is(err, ErrNotSent) {
+			return nil, errors.Mark(errors.Wrap(ctx.Err(), "exchange ended"), ErrLost)
+		}
+		return nil, err
+	}
+	if ctx.Err() != nil {
+		return fail(errors.Mark(ctx.Err(), ErrNotSent))
+	}
+	resp := &Response{conn: c, pool: p, stop: stop}
+	head := head(r)
+	if len(r.Body) <= smallBody {
+		if n, err := c.Write(append(head, r.Body...)); err != nil {
+			if n == 0 && !c.Reused {
+				return fail(errors.Mark(errors.Wrap(err, "write"), ErrNotSent))
+			}
+			return fail(errors.Mark(errors.Wrap(err, "write"), ErrLost))
+		}
+	} else {
+		resp.written = make(chan error, 1)
+		go func() {
+			buffers := net.Buffers{head, r.Body}
+			_, err := buffers.WriteTo(c.Conn)
+			resp.written <- err
+		}()
+	}
+	for range staleResponses {
+		h, err := readHead(c.br, r.Method)
+		if err != nil {
+			return fail(err)
+		}
+		if r.Own(h.Header) {
+			resp.Response = h
+			resp.Framed = h.ContentLength >= 0 || len(h.TransferEncoding) > 0
+			return resp, nil
+		}
+		resp.stale = true
+		if _, err := io.Copy(io.Discard, io.LimitReader(h.Body, staleBodyBytes)); err != nil {
+			return fail(errors.Mark(errors.Wrap(err, "skip the response to another request"), ErrLost))
+		}
+	}
+	return fail(errors.Mark(errors.New("only responses to other requests arrived"), ErrLost))
+}
+
+func head(r Request) []byte {
+	b := make([]byte, 0, 1024)
+	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			b = append(append(append(append(b, name...), ": "...), v...), "\r\n"...)
+		}
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b = fmt.Appendf(b, "Content-Length: %d\r\n", len(r.Body))
+	}
+	return append(b, "\r\n"...)
+}
+
+func readHead(br *bufio.Reader, method string) (*http.Response, error) {
+	for {
+		if _, err := br.Peek(1); err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "read"), ErrLost)
+		}
+		h, err := http.ReadResponse(br, &http.Request{Method: method})
+		if err != nil {
+			var network net.Error
+			if errors.As(err, &network) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+				return nil, errors.Mark(errors.Wrap(err, "read the head"), ErrLost)
+			}
+			return nil, errors.Mark(errors.Wrap(err, "read the head"), ErrNoResponse)
+		}
+		if h.StatusCode >= 200 {
+			return h, nil
+		}
+	}
+}
+
+// Close ends the exchange. Whole says that the body was read to its end; then the connection is kept, if nothing speaks
+// against it.
+func (r *Response) Close(whole bool) {
+	keep := whole && r.Framed && !r.stale && !r.Response.Close && r.conn.br.Buffered() == 0
+	if !r.stop() {
+		keep = false // The context has ended the exchange.
+	}
+	if keep && r.written != nil {
+		select {
+		case err := <-r.written:
+			keep = err == nil
+		case <-time.After(writeWait):
+			keep = false
+		}
+	}
+	if !keep {
+		_ = r.conn.Close() // The outcome of the request is known.
+		return
+	}
+	r.pool.put(r.conn, keepAliveTimeout(r.Header))
+}
+
+// keepAliveTimeout returns the idle time that an upstream states, or zero.
+func keepAliveTimeout(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && s > 0 {
+			return time.Duration(s) * time.Second
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/daemon/gateway/call.go
@@ -0,0 +1,422 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/placement"
+	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/forward"
+)
+
+// Bounds of a call.
+const (
+	maxRejections  = 6                       // Upstreams that may refuse a request before the caller is refused.
+	maxSends       = 8                       // Sends of one request, those that did not reach an upstream included.
+	beginTimeout   = 1200 * time.Millisecond // Time for the replicas to answer at the start of a turn.
+	keepTimeout    = 2500 * time.Millisecond // Time for the replicas to store a turn.
+	minLeft        = 5 * time.Millisecond    // With less time left a request is not sent.
+	maxAnswerBytes = 16 << 20                // Largest response that is not a stream.
+	busyPause      = 60 * time.Millisecond   // Time for which an upstream that refused a request is avoided.
+)
+
+// call is one request of a caller on its way.
+type call struct {
+	g       *Gateway
+	w       http.ResponseWriter
+	r       *http.Request
+	arrived time.Time
+
+	meta     Meta
+	route    *route.Route
+	version  uint64
+	service  string
+	body     []byte // What the upstream gets.
+	input    []byte // What the caller sent.
+	deadline time.Time
+	ctx      context.Context
+	charged  bool
+	perEvent int64
+
+	avoid     map[string]bool
+	sent      map[string]bool // Upstreams that may have run the request.
+	sends     int
+	rejected  int
+	choice    placement.Choice
+	firstByte time.Duration
+
+	stream   streamState
+	headSent bool
+	status   int
+	outcome  string
+	finished bool
+}
+
+func (c *call) serve() {
+	defer c.finish()
+	meta, err := c.g.cfg.Codec.DecodeRequest(c.r.Header)
+	if err != nil {
+		c.refuse(errkind.BadHeader, err.Error(), 0)
+		return
+	}
+	c.meta = meta
+	table := c.g.cfg.Catalog.Table()
+	if table == nil {
+		c.refuse(errkind.NoConfiguration, "", retryConfiguration)
+		return
+	}
+	c.version = table.Config.Version
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = table.Lookup(c.r.Host, path)
+	if c.route == nil {
+		c.refuse(errkind.RouteNotFound, "", 0)
+		return
+	}
+	if !c.readBody(table.Config.Limits.BodyBytes) {
+		return
+	}
+	left := c.route.Timeout
+	if c.meta.Deadline > 0 && (left <= 0 || c.meta.Deadline < left) {
+		left = c.meta.Deadline
+	}
+	c.deadline = c.arrived.Add(left)
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.service = c.route.Service(c.meta.RequestID)
+	c.perEvent = max(table.Config.Services[c.service].TokensPerEvent, 1)
+	c.avoid, c.sent = map[string]bool{}, map[string]bool{}
+	if !c.beginTurn() {
+		return
+	}
+	c.dispatch()
+}
+
+func (c *call) readBody(limit int64) bool {
+	if limit <= 0 {
+		limit = maxAnswerBytes
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.refuse(errkind.BodyTooLarge, "", 0)
+		return false
+	case err != nil:
+		c.abort("body_not_received")
+	}
+	c.body, c.input = body, body
+	return true
+}
+
+// beginTurn charges the turn to its program and puts the history before the new input. It reports whether the turn may
+// be sent.
+func (c *call) beginTurn() bool {
+	hasBudget := c.route.Kind == route.Stream && c.meta.Budget >= 0 && c.meta.Program != ""
+	continues := c.route.KeepTurns && c.meta.Previous != ""
+	if !hasBudget && !continues {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, beginTimeout)
+	defer cancel()
+	var charge *core.Charge
+	if hasBudget {
+		charge = &core.Charge{Turn: c.meta.RequestID, Tokens: c.meta.MaxTokens}
+		c.charged = true
+	}
+	from := ""
+	if continues {
+		from = c.meta.Previous
+	}
+	open, err := c.g.cfg.Replicas.Begin(ctx, c.meta.Program, charge, from, c.route.Retention, c.g.turns.get)
+	if err != nil {
+		if c.r.Context().Err() != nil {
+			c.abort("caller_gone")
+		}
+		c.refuse(errkind.HistoryUnavailable, "", retryHistory)
+		return false
+	}
+	if hasBudget && !open.Ledger.Admits(c.meta.RequestID, c.meta.MaxTokens, c.meta.Budget) {
+		c.g.cfg.Log.Info("budget does not hold the turn", "request", c.meta.RequestID, "program", c.meta.Program,
+			"spent", open.Ledger.Spent(c.meta.RequestID), "worst", c.meta.MaxTokens, "budget", c.meta.Budget, "charges", len(open.Ledger))
+		c.refuse(errkind.ProgramBudgetExhausted, "", 0)
+		return false
+	}
+	if open.Missing {
+		c.refuse(errkind.TurnNotFound, "", 0)
+		return false
+	}
+	if len(open.Chain) > 0 {
+		var whole []byte
+		for i := len(open.Chain) - 1; i >= 0; i-- {
+			t := open.Chain[i]
+			whole = append(append(whole, t.Input...), t.Output...)
+			c.g.turns.put(t)
+		}
+		c.body = append(whole, c.input...)
+	}
+	return true
+}
+
+// settle lowers the charge of a turn to what reached the caller, which is nothing where it was not sent.
+func (c *call) settle() {
+	if !c.charged {
+		return
+	}
+	c.charged = false
+	c.g.enqueueSettlement(settlement{
+		program: c.meta.Program,
+		charge:  core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.perEvent, Settled: true},
+		retain:  c.route.Retention,
+	})
+}
+
+// may reports whether another send is within the bounds of time, sends and upstreams.
+func (c *call) may() bool {
+	return c.sends < maxSends && c.rejected < maxRejections && c.ctx.Err() == nil && time.Until(c.deadline) > minLeft
+}
+
+// mayRunElsewhere reports whether the route allows one more upstream to run the request.
+func (c *call) mayRunElsewhere() bool {
+	return len(c.sent) < max(c.route.MaxUpstream, 1)
+}
+
+// dispatch sends the request until it has an answer.
+func (c *call) dispatch() {
+	for {
+		if c.r.Context().Err() != nil {
+			c.abort("caller_gone")
+		}
+		upstream, ok := c.pick()
+		if !ok {
+			c.noUpstream()
+			return
+		}
+		outcome := c.send(upstream)
+		next := route.Next(c.route, outcome, c.may() && (c.mayRunElsewhere() || outcome == route.NotSent || outcome == route.Rejected || c.sameUpstream(outcome)))
+		c.logSend(upstream, outcome, next)
+		switch next {
+		case route.Deliver:
+			return
+		case route.SendAgain, route.Resume:
+			continue
+		case route.RefuseRun:
+			c.noUpstream()
+			return
+		default:
+			c.failed()
+			return
+		}
+	}
+}
+
+// sameUpstream reports whether the request can go on at the upstream that had it, which needs no further upstream.
+func (c *call) sameUpstream(o route.Outcome) bool {
+	return o == route.Interrupted || o == route.Spoiled || o == route.Lost
+}
+
+// pick chooses the upstream for the next send. A request that may have run and may run nowhere else goes back to the same
+// upstream.
+func (c *call) pick() (placement.Upstream, bool) {
+	c.sends++
+	if len(c.sent) > 0 && !c.mayRunElsewhere() {
+		last := c.choice.Upstream
+		if !c.avoid[last.ID] && c.g.groups.again(c.service, last.ID, c.meta.Prompt) {
+			return last, true
+		}
+		if !c.route.Resumable {
+			return placement.Upstream{}, false
+		}
+	}
+	choice, ok := c.g.groups.choose(c.service, placement.Request{
+		Parts: c.meta.Prompt,
+		Avoid: c.avoid,
+		Spot:  float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024,
+	})
+	if ok {
+		c.choice = choice
+	}
+	return choice.Upstream, ok
+}
+
+// send gives the request to an upstream and passes a response on.
+func (c *call) send(u placement.Upstream) route.Outcome {
+	start := time.Now()
+	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address)
+	if err != nil {
+		c.avoid[u.ID] = true
+		c.g.groups.ended(c.service, u.ID, c.r.Context().Err() == nil, 0)
+		return route.NotSent
+	}
+	c.g.groups.timed(u.ID, conn.DialTime)
+	lastEvent := c.meta.LastEventID
+	if c.stream.lastID != "" {
+		lastEvent = c.stream.lastID
+	}
+	header := c.g.cfg.Codec.EncodeRequest(c.r.Header, Outgoing{Left: time.Until(c.deadline), Instance: u.ID, LastEventID: lastEvent})
+	resp, err := c.g.cfg.Pool.Send(c.ctx, conn, forward.Request{
+		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.body,
+		Own: func(h http.Header) bool {
+			id := c.g.cfg.Codec.DecodeReply(h).RequestID
+			return id == "" || id == c.meta.RequestID
+		},
+	})
+	if err != nil {
+		return c.sendFailed(u, err)
+	}
+	reply := c.g.cfg.Codec.DecodeReply(resp.Header)
+	if reply.HasLoad {
+		c.g.groups.reported(c.service, u.ID, reply.Load)
+	}
+	if reply.NotExecuted || resp.StatusCode == http.StatusMisdirectedRequest {
+		return c.upstreamRejected(u, resp)
+	}
+	c.sent[u.ID] = true
+	c.firstByte = time.Since(start)
+	outcome := c.receive(resp, reply)
+	failed := outcome != route.Complete && c.ctx.Err() == nil
+	c.g.groups.ended(c.service, u.ID, failed, time.Since(start))
+	return outcome
+}
+
+func (c *call) sendFailed(u placement.Upstream, err error) route.Outcome {
+	c.g.groups.ended(c.service, u.ID, c.ctx.Err() == nil, 0)
+	switch {
+	case errors.Is(err, forward.ErrNotSent):
+		c.avoid[u.ID] = true
+		return route.NotSent
+	case errors.Is(err, forward.ErrNoResponse):
+		c.sent[u.ID] = true
+		return route.Spoiled
+	default:
+		c.sent[u.ID] = true
+		return route.Lost
+	}
+}
+
+func (c *call) upstreamRejected(u placement.Upstream, resp *forward.Response) route.Outcome {
+	c.rejected++
+	c.avoid[u.ID] = true
+	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
+	resp.Close(err == nil)
+	c.g.groups.ended(c.service, u.ID, false, 0)
+	c.g.groups.avoid(c.service, u.ID, busyPause)
+	return route.Rejected
+}
+
+// receive reads the response and passes it on if it counts.
+func (c *call) receive(resp *forward.Response, reply Reply) route.Outcome {
+	if resp.Header.Get("Content-Encoding") != "" {
+		resp.Close(false)
+		return route.Spoiled
+	}
+	success := resp.StatusCode/100 == 2
+	if success && !reply.Signed {
+		resp.Close(false)
+		return route.Spoiled
+	}
+	if success && c.route.Kind == route.Stream {
+		return c.receiveStream(resp)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	resp.Close(err == nil)
+	if err != nil {
+		if c.ctx.Err() != nil {
+			return route.Lost
+		}
+		return route.Spoiled
+	}
+	if promisesNotRun(resp.StatusCode) {
+		return route.Lost // The upstream does not state that it did not run the request, so the status cannot be passed on.
+	}
+	if !success && c.route.Repeatable() && c.may() && c.mayRunElsewhere() && resp.StatusCode >= http.StatusInternalServerError {
+		return route.Lost
+	}
+	if c.headSent {
+		return route.Interrupted
+	}
+	h := c.w.Header()
+	for name, values := range c.g.cfg.Codec.EncodeReply(resp.Header, true) {
+		h[name] = values
+	}
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	c.status, c.outcome = resp.StatusCode, "complete"
+	c.headSent = true
+	c.w.WriteHeader(resp.StatusCode)
+	if _, err := c.w.Write(body); err != nil {
+		c.abort("caller_gone")
+	}
+	if !success {
+		return route.UpstreamErr
+	}
+	return route.Complete
+}
+
+// promisesNotRun reports whether callers take a status as the promise that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// noUpstream answers a request that no upstream has taken.
+func (c *call) noUpstream() {
+	if len(c.sent) > 0 {
+		c.failed()
+		return
+	}
+	c.refuse(errkind.NoReadyUpstream, "", retryUpstream)
+}
+
+// failed answers a request that may have run and has no response.
+func (c *call) failed() {
+	if c.r.Context().Err() != nil {
+		c.abort("caller_gone")
+	}
+	if c.headSent {
+		c.abort("stream_broken")
+	}
+	if c.ctx.Err() != nil || time.Until(c.deadline) <= minLeft {
+		c.refuse(errkind.RouteTimeout, "", 0)
+		return
+	}
+	c.refuse(errkind.ResponseLost, "", 0)
+}
+
+func (c *call) logSend(u placement.Upstream, o route.Outcome, next route.Action) {
+	if o == route.Complete {
+		return
+	}
+	c.g.cfg.Log.Info("send", "request", c.meta.RequestID, "upstream", u.ID, "outcome", o, "next", next, "sends", c.sends,
+		"events", c.stream.events, "left", time.Until(c.deadline))
+}
+
+// finish settles the charge and writes the line of the request.
+func (c *call) finish() {
+	if c.finished {
+		return
+	}
+	c.finished = true
+	c.settle()
+	took := time.Since(c.arrived)
+	c.g.stats.observe(c.route, c.outcome, took)
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.version,
+		"upstream", c.choice.Upstream.ID, "running", int(c.choice.Running), "report_age", c.choice.ReportAge.Round(time.Millisecond),
+		"missing", c.choice.Missing, "sends", c.sends, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
+		"first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
+}
--- /dev/null
+++ b/daemon/gateway/gateway.go
@@ -0,0 +1,135 @@
+// Package gateway serves the routes of the operator's configuration: it takes requests of callers, chooses an upstream for
+// each, and passes the response on. Turns of programs take their token budget and their history from the replicas.
+//
+// The handler is a plain http.Handler and not a gorilla/mux router: routes come from the configuration, and a router that
+// cleans paths would answer with redirects.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jackdawbay.dev/core/placement"
+	"jackdawbay.dev/daemon/catalog"
+	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/quorum"
+)
+
+// Meta is what the headers of a request say.
+type Meta struct {
+	RequestID   string        // Names one attempt of a caller.
+	Program     string        // Empty for a request outside a program.
+	Session     string        // Line of turns within the program.
+	Deadline    time.Duration // Time that the caller will wait; zero where it does not say.
+	Finish      time.Duration // Time until the program should be finished; zero where it does not say.
+	Budget      int64         // Tokens that all turns of the program may generate; negative where it does not say.
+	MaxTokens   int64         // Most tokens that the turn generates.
+	Prompt      []placement.Part
+	Previous    string // Turn that this one continues; empty at the start of a chain.
+	LastEventID string // Event after which the caller wants the stream to continue.
+}
+
+// Outgoing is what the system adds to a request for an upstream.
+type Outgoing struct {
+	Left        time.Duration // Time that is left for the request.
+	Instance    string        // Only this upstream may run it.
+	LastEventID string        // Event after which the stream continues; empty from the start.
+}
+
+// Reply is what the headers of a response say.
+type Reply struct {
+	RequestID   string
+	Signed      bool // It bears the signature of an upstream.
+	NotExecuted bool // The upstream states that it did not run the request.
+	Instance    string
+	Load        placement.Load
+	HasLoad     bool
+}
+
+// Codec reads and writes the headers of callers and upstreams.
+type Codec interface {
+	DecodeRequest(h http.Header) (Meta, error)
+	EncodeRequest(from http.Header, o Outgoing) http.Header
+	DecodeReply(h http.Header) Reply
+	EncodeReply(from http.Header, signed bool) http.Header
+	EncodeRetryAfter(h http.Header, after time.Duration)
+}
+
+// Config describes a Gateway.
+type Config struct {
+	DataCentre string
+	Region     string
+	RegionOf   func(dataCentre string) string
+	Codec      Codec
+	Catalog    *catalog.Catalog
+	Replicas   *quorum.Client
+	Pool       *forward.Pool
+	Log        *slog.Logger
+	Metrics    *metrics.Set
+	CacheBytes int64 // Bound of the turns that are kept in memory.
+}
+
+// Gateway is the handler for callers. It is safe for concurrent use.
+type Gateway struct {
+	cfg      Config
+	stopping atomic.Bool
+	underway atomic.Int64
+	lastSeen atomic.Int64 // Time of the last request in Unix nanoseconds.
+	groups   *groups
+	turns    *turnCache
+	settle   chan settlement
+	stats    *stats
+}
+
+// New returns a gateway.
+func New(cfg Config) *Gateway {
+	g := &Gateway{
+		cfg:    cfg,
+		groups: newGroups(cfg),
+		turns:  newTurnCache(cfg.CacheBytes),
+		settle: make(chan settlement, settleRing),
+		stats:  newStats(cfg.Metrics),
+	}
+	g.lastSeen.Store(time.Now().UnixNano())
+	return g
+}
+
+// OnUpstreams takes a new list of upstreams.
+func (g *Gateway) OnUpstreams(u *catalog.Upstreams) { g.groups.update(u) }
+
+// Ready reports whether the daemon can serve requests.
+func (g *Gateway) Ready() bool {
+	return !g.stopping.Load() && g.cfg.Catalog.Table() != nil
+}
+
+// Stop makes the daemon unready and tells callers to close their connections.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// Quiet reports whether no request is under way and none has arrived for a time.
+func (g *Gateway) Quiet(now time.Time, since time.Duration) bool {
+	return g.underway.Load() == 0 && now.Sub(time.Unix(0, g.lastSeen.Load())) > since
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	g.underway.Add(1)
+	g.lastSeen.Store(arrived.UnixNano())
+	defer func() {
+		g.lastSeen.Store(time.Now().UnixNano())
+		g.underway.Add(-1)
+	}()
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := &call{g: g, w: w, r: r, arrived: arrived}
+	c.serve()
+}
+
+// Run settles charges in the background until the context ends.
+func (g *Gateway) Run(ctx context.Context) error { return g.runSettle(ctx) }
--- /dev/null
+++ b/daemon/platform/codec.go
@@ -0,0 +1,126 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// Verb is one kind of call to the object API.
+type Verb string
+
+// Verbs of the object API.
+const (
+	VerbGet       Verb = "get"
+	VerbPut       Verb = "put" // Creates where the condition is version zero.
+	VerbPutStatus Verb = "put_status"
+	VerbDelete    Verb = "delete"
+	VerbList      Verb = "list"
+	VerbWatch     Verb = "watch"
+	VerbVMs       Verb = "vms"
+)
+
+// Call is one call to the object API, independent of its format.
+type Call struct {
+	Verb      Verb
+	Kind      string
+	Name      string
+	IfVersion uint64
+	Value     json.RawMessage
+	Prefix    string
+	After     string
+	Limit     int
+	Since     uint64
+	Wait      time.Duration
+}
+
+// Codec is the format of an object API: how a call is written and how the body of its answer is read.
+type Codec interface {
+	Encode(c Call) (method, pathAndQuery string, body []byte)
+	Object(kind string, body []byte) (Object, error)
+	Conflict(kind string, body []byte) (*Object, error) // Nil where the object does not exist.
+	Version(body []byte) (uint64, error)                // Version of the object after a write.
+	Page(kind string, body []byte) (Page, error)
+	Events(kind string, body []byte) (revision uint64, events []Event, err error)
+}
+
+// nativeCodec is the format of the project's own object API, which the stand-ins speak.
+type nativeCodec struct{}
+
+func objectPath(kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
+}
+
+func (nativeCodec) Encode(c Call) (method, path string, body []byte) {
+	switch c.Verb {
+	case VerbPut, VerbPutStatus:
+		return http.MethodPut, objectPath(c.Kind, c.Name),
+			fmt.Appendf(nil, `{"if_version":%d,"value":%s}`, c.IfVersion, c.Value)
+	case VerbDelete:
+		return http.MethodDelete, objectPath(c.Kind, c.Name) + "?if_version=" + strconv.FormatUint(c.IfVersion, 10), nil
+	case VerbList:
+		query := url.Values{}
+		if c.Prefix != "" {
+			query.Set("prefix", c.Prefix)
+		}
+		if c.After != "" {
+			query.Set("after", c.After)
+		}
+		if c.Limit > 0 {
+			query.Set("limit", strconv.Itoa(c.Limit))
+		}
+		return http.MethodGet, "/v1/objects/" + url.PathEscape(c.Kind) + "?" + query.Encode(), nil
+	case VerbWatch:
+		path := fmt.Sprintf("/v1/watch/%s?since=%d&wait_ms=%d", url.PathEscape(c.Kind), c.Since, c.Wait.Milliseconds())
+		return http.MethodGet, path, nil
+	case VerbVMs:
+		return http.MethodGet, "/v1/vms", nil
+	default:
+		return http.MethodGet, objectPath(c.Kind, c.Name), nil
+	}
+}
+
+func (nativeCodec) Object(_ string, body []byte) (Object, error) {
+	var o Object
+	err := json.Unmarshal(body, &o)
+	return o, err
+}
+
+func (nativeCodec) Conflict(_ string, body []byte) (*Object, error) {
+	var answer struct {
+		Current *Object `json:"current"`
+	}
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, err
+	}
+	if answer.Current != nil && answer.Current.Name == "" {
+		return nil, nil
+	}
+	return answer.Current, nil
+}
+
+func (nativeCodec) Version(body []byte) (uint64, error) {
+	var answer struct {
+		Version uint64 `json:"version"`
+	}
+	err := json.Unmarshal(body, &answer)
+	return answer.Version, err
+}
+
+func (nativeCodec) Page(_ string, body []byte) (Page, error) {
+	var p Page
+	err := json.Unmarshal(body, &p)
+	return p, err
+}
+
+func (nativeCodec) Events(_ string, body []byte) (uint64, []Event, error) {
+	var answer struct {
+		Revision uint64  `json:"revision"`
+		Events   []Event `json:"events"`
+	}
+	err := json.Unmarshal(body, &answer)
+	return answer.Revision, answer.Events, err
+}
--- /dev/null
+++ b/daemon/platform/follow.go
@@ -0,0 +1,127 @@
+package platform
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/daemon/clock"
+)
+
+// Handler receives every object of a kind, by name, after the first list and after each change.
+type Handler func(objects map[string]Object)
+
+// FollowOptions describe how a kind is followed.
+type FollowOptions struct {
+	Wait   time.Duration // Longest time of one watch.
+	Log    *slog.Logger
+	OnRead func(at time.Time) // Called after each answer of the store; may be nil.
+	OnLost func(at time.Time) // Called after each call that failed; may be nil.
+}
+
+// Pauses after a failed call.
+const (
+	followPauseMin = 50 * time.Millisecond
+	followPauseMax = 500 * time.Millisecond // A returning store is noticed within this time.
+)
+
+// Follow keeps a copy of all objects of a kind until the context ends. A gap in the history or an answer that cannot be
+// used makes it list again.
+func Follow(ctx context.Context, s Store, kind string, o FollowOptions, h Handler) {
+	f := &follower{store: s, kind: kind, options: o, handler: h, pause: followPauseMin}
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil && ctx.Err() == nil {
+			f.failed(ctx, err)
+		}
+	}
+}
+
+type follower struct {
+	store    Store
+	kind     string
+	options  FollowOptions
+	handler  Handler
+	objects  map[string]Object
+	revision uint64 // Zero asks for a list.
+	pause    time.Duration
+	lost     bool
+}
+
+func (f *follower) step(ctx context.Context) error {
+	if f.revision == 0 {
+		return f.list(ctx)
+	}
+	revision, events, err := f.store.Watch(ctx, f.kind, f.revision, f.options.Wait)
+	if errors.Is(err, ErrGap) {
+		f.options.Log.Info("history of the store is gone, listing again", "kind", f.kind, "revision", f.revision)
+		f.revision = 0
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	f.read(revision)
+	changed := false
+	for _, e := range events {
+		if old, ok := f.objects[e.Object.Name]; ok && e.Object.Version < old.Version {
+			continue
+		}
+		changed = true
+		if e.Type == EventDelete {
+			delete(f.objects, e.Object.Name)
+			continue
+		}
+		f.objects[e.Object.Name] = e.Object
+	}
+	if changed {
+		f.handler(f.objects)
+	}
+	return nil
+}
+
+func (f *follower) list(ctx context.Context) error {
+	revision, items, err := ListAll(ctx, f.store, f.kind, "")
+	if err != nil {
+		return err
+	}
+	f.objects = make(map[string]Object, len(items))
+	for _, o := range items {
+		f.objects[o.Name] = o
+	}
+	f.read(revision)
+	f.handler(f.objects)
+	return nil
+}
+
+func (f *follower) read(revision uint64) {
+	if f.lost {
+		f.options.Log.Info("store answers again", "kind", f.kind, "revision", revision)
+	}
+	f.lost, f.pause = false, followPauseMin
+	if revision > f.revision {
+		f.revision = revision
+	}
+	if f.options.OnRead != nil {
+		f.options.OnRead(time.Now())
+	}
+}
+
+func (f *follower) failed(ctx context.Context, err error) {
+	if !f.lost {
+		f.lost = true
+		f.options.Log.Warn("store does not answer", "kind", f.kind, "revision", f.revision, "error", err)
+	}
+	if f.options.OnLost != nil {
+		f.options.OnLost(time.Now())
+	}
+	clock.Sleep(ctx, f.pause)
+	f.pause = min(f.pause*2, followPauseMax)
+}
+
+// Types of events.
+const (
+	EventPut    = "put"
+	EventDelete = "delete"
+)
--- a/daemon/platform/platform.go
+++ b/daemon/platform/platform.go
@@ -8,8 +8,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"net/url"
-	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +47,7 @@
 	Name    string          `json:"name"`
 	Version uint64          `json:"version"`
 	Value   json.RawMessage `json:"value"`
+	Status  json.RawMessage `json:"-"` // Written by another writer than the value, where the platform tells them apart.
 }
 
 // Event is one change that a watch reports.
@@ -92,6 +91,7 @@
 	WritesPerSecond float64       // Client-side limit.
 	ReadsPerSecond  float64
 	ReadRetries     int
+	Codec           Codec // Nil takes the codec of the project's own object API.
 }
 
 // Stats counts calls to the platform.
@@ -102,6 +102,7 @@
 // Client speaks the object API over HTTP. It is safe for concurrent use.
 type Client struct {
 	cfg    Config
+	codec  Codec
 	http   *http.Client
 	writes *rate.Limiter
 	reads  *rate.Limiter
@@ -112,8 +113,13 @@
 
 // NewClient returns a client.
 func NewClient(cfg Config) *Client {
+	codec := cfg.Codec
+	if codec == nil {
+		codec = nativeCodec{}
+	}
 	return &Client{
 		cfg:    cfg,
+		codec:  codec,
 		http:   transport.NewClient(cfg.Transport),
 		writes: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), int(cfg.WritesPerSecond)+1),
 		reads:  rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), int(cfg.ReadsPerSecond)+1),
@@ -131,7 +137,12 @@
 		return response{}, errors.Mark(err, ErrRejected)
 	}
 	req.ContentLength = int64(len(body))
-	req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	if c.cfg.Key != "" {
+		req.Header.Set("Authorization", "Bearer "+c.cfg.Key)
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return response{}, markTransport(err)
@@ -153,20 +164,21 @@
 	return errors.Mark(err, ErrUnknown)
 }
 
-// decode turns a response into a value or an error.
-func (r response) decode(into any) error {
+// check turns the status of a response into an error. Nil means that the body holds a result.
+func (r response) check(codec Codec, kind string) error {
 	switch {
-	case r.status == http.StatusOK:
-		if err := json.Unmarshal(r.body, into); err != nil {
-			return errors.Mark(errors.Wrap(err, "decode answer"), ErrUnknown)
-		}
+	case r.status == http.StatusOK || r.status == http.StatusCreated:
 		return nil
 	case r.status == http.StatusNotFound:
 		return ErrNotFound
 	case r.status == http.StatusGone:
 		return ErrGap
 	case r.status == http.StatusConflict:
-		return r.conflict()
+		current, err := codec.Conflict(kind, r.body)
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "decode conflict"), ErrUnknown)
+		}
+		return &ConflictError{Current: current}
 	case r.status == http.StatusTooManyRequests:
 		return errors.Mark(errors.Wrapf(ErrUnavailable, "status %d", r.status), ErrRateLimited)
 	case r.status == http.StatusServiceUnavailable:
@@ -178,20 +190,8 @@
 	}
 }
 
-func (r response) conflict() error {
-	var body struct {
-		Current *Object `json:"current"`
-	}
-	if err := json.Unmarshal(r.body, &body); err != nil {
-		return errors.Mark(errors.Wrap(err, "decode conflict"), ErrUnknown)
-	}
-	if body.Current != nil && body.Current.Name == "" {
-		body.Current = nil
-	}
-	return &ConflictError{Current: body.Current}
-}
-
-func (c *Client) read(ctx context.Context, path string, into any) error {
+// read makes a call that has no effect, and repeats it within the budget. Decode fills the result from the body.
+func (c *Client) read(ctx context.Context, call Call, decode func(body []byte) error) error {
 	attempt := func() (struct{}, error) {
 		if err := c.reads.Wait(ctx); err != nil {
 			return struct{}{}, backoff.Permanent(errors.Mark(err, ErrUnavailable))
@@ -199,10 +199,7 @@
 		c.Stats.Reads.Add(1)
 		ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 		defer cancel()
-		resp, err := c.do(ctx, http.MethodGet, path, nil)
-		if err == nil {
-			err = resp.decode(into)
-		}
+		err := c.roundTrip(ctx, call, decode)
 		if err != nil && !errors.IsAny(err, ErrUnavailable, ErrUnknown) {
 			return struct{}{}, backoff.Permanent(err)
 		}
@@ -216,6 +213,21 @@
 	return err
 }
 
+func (c *Client) roundTrip(ctx context.Context, call Call, decode func(body []byte) error) error {
+	method, path, body := c.codec.Encode(call)
+	resp, err := c.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	if err := resp.check(c.codec, call.Kind); err != nil {
+		return err
+	}
+	if err := decode(resp.body); err != nil {
+		return errors.Mark(errors.Wrap(err, "decode answer"), ErrUnknown)
+	}
+	return nil
+}
+
 func readBackOff() backoff.BackOff {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = 20 * time.Millisecond
@@ -223,74 +235,65 @@
 	return b
 }
 
-func objectPath(kind, name string) string {
-	return "/v1/objects/" + url.PathEscape(kind) + "/" + url.PathEscape(name)
-}
-
 // Get reads an object, or ErrNotFound.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	var o Object
-	err := c.read(ctx, objectPath(kind, name), &o)
+	err := c.read(ctx, Call{Verb: VerbGet, Kind: kind, Name: name}, func(body []byte) (err error) {
+		o, err = c.codec.Object(kind, body)
+		return err
+	})
 	return o, err
 }
 
 // Put writes an object under the condition that its version is ifVersion, where zero creates it. It returns the new version.
 // A *ConflictError holds the present object; ErrUnknown means that the write may have happened.
 func (c *Client) Put(ctx context.Context, kind, name string, ifVersion uint64, value any) (uint64, error) {
+	return c.put(ctx, VerbPut, kind, name, ifVersion, value)
+}
+
+// PutStatus replaces the status of an object that another writer specifies. Errors are those of Put.
+func (c *Client) PutStatus(ctx context.Context, kind, name string, ifVersion uint64, value any) (uint64, error) {
+	return c.put(ctx, VerbPutStatus, kind, name, ifVersion, value)
+}
+
+func (c *Client) put(ctx context.Context, verb Verb, kind, name string, ifVersion uint64, value any) (uint64, error) {
 	raw, err := json.Marshal(value)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode object")
 	}
-	body, err := json.Marshal(struct {
-		IfVersion uint64          `json:"if_version"`
-		Value     json.RawMessage `json:"value"`
-	}{ifVersion, raw})
-	if err != nil {
-		return 0, errors.Wrap(err, "encode request")
-	}
-	var out struct {
-		Version uint64 `json:"version"`
-	}
-	err = c.write(ctx, http.MethodPut, objectPath(kind, name), body, &out)
-	return out.Version, err
+	var version uint64
+	err = c.write(ctx, Call{Verb: verb, Kind: kind, Name: name, IfVersion: ifVersion, Value: raw}, func(body []byte) (err error) {
+		version, err = c.codec.Version(body)
+		return err
+	})
+	return version, err
 }
 
 // Delete removes an object under a version condition, where zero sets none.
 func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
-	path := objectPath(kind, name) + "?if_version=" + strconv.FormatUint(ifVersion, 10)
-	var out struct{}
-	return c.write(ctx, http.MethodDelete, path, nil, &out)
+	call := Call{Verb: VerbDelete, Kind: kind, Name: name, IfVersion: ifVersion}
+	return c.write(ctx, call, func([]byte) error { return nil })
 }
 
-func (c *Client) write(ctx context.Context, method, path string, body []byte, into any) error {
+func (c *Client) write(ctx context.Context, call Call, decode func(body []byte) error) error {
 	if err := c.writes.Wait(ctx); err != nil {
 		return errors.Mark(err, ErrUnavailable)
 	}
 	c.Stats.Writes.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
 	defer cancel()
-	resp, err := c.do(ctx, method, path, body)
-	if err != nil {
-		return err
-	}
-	return resp.decode(into)
+	return c.roundTrip(ctx, call, decode)
 }
 
 // List returns a page of the objects of a kind whose names start with prefix and follow after. A limit of zero leaves the
 // size of the page to the platform.
 func (c *Client) List(ctx context.Context, kind, prefix, after string, limit int) (Page, error) {
-	query := url.Values{}
-	if prefix != "" {
-		query.Set("prefix", prefix)
-	}
-	if after != "" {
-		query.Set("after", after)
-	}
-	if limit > 0 {
-		query.Set("limit", strconv.Itoa(limit))
-	}
 	var p Page
-	err := c.read(ctx, "/v1/objects/"+url.PathEscape(kind)+"?"+query.Encode(), &p)
+	call := Call{Verb: VerbList, Kind: kind, Prefix: prefix, After: after, Limit: limit}
+	err := c.read(ctx, call, func(body []byte) (err error) {
+		p, err = c.codec.Page(kind, body)
+		return err
+	})
 	return p, err
 }
 
@@ -321,19 +324,14 @@
 	c.Stats.Watches.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, wait+c.cfg.Timeout)
 	defer cancel()
-	path := fmt.Sprintf("/v1/watch/%s?since=%d&wait_ms=%d", url.PathEscape(kind), since, wait.Milliseconds())
-	resp, err := c.do(ctx, http.MethodGet, path, nil)
-	if err != nil {
-		return 0, nil, err
-	}
-	var out struct {
-		Revision uint64  `json:"revision"`
-		Events   []Event `json:"events"`
-	}
-	if err := resp.decode(&out); err != nil {
-		return 0, nil, err
-	}
-	return out.Revision, out.Events, nil
+	var revision uint64
+	var events []Event
+	call := Call{Verb: VerbWatch, Kind: kind, Since: since, Wait: wait}
+	err := c.roundTrip(ctx, call, func(body []byte) (err error) {
+		revision, events, err = c.codec.Events(kind, body)
+		return err
+	})
+	return revision, events, err
 }
 
 // VMs returns the platform's list of VMs.
@@ -341,7 +339,7 @@
 	var out struct {
 		VMs []VM `json:"vms"`
 	}
-	err := c.read(ctx, "/v1/vms", &out)
+	err := c.read(ctx, Call{Verb: VerbVMs}, func(body []byte) error { return json.Unmarshal(body, &out) })
 	return out.VMs, err
 }
 
--- /dev/null
+++ b/daemon/quorum/client.go
@@ -0,0 +1,514 @@
+// Package quorum is the client of the replicas. An operation counts only when the members that answered are a quorum of the
+// view in force.
+package quorum
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+
+	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/replica"
+)
+
+// ErrNoQuorum means that too few replicas answered. A write may have been stored by some of them.
+var ErrNoQuorum = errors.New("too few replicas answered")
+
+// Bounds of the client.
+const (
+	laneQueue    = 512 // Operations that wait for one replica.
+	laneSenders  = 3   // Requests to one replica at the same time.
+	maxBatchOps  = 64
+	batchTimeout = 700 * time.Millisecond // Well above a slow sync and a round trip between regions.
+	hedgeMin     = 30 * time.Millisecond  // Wait before the remaining replicas are asked as well.
+	hedgeFactor  = 4                      // Multiples of a replica's usual time to answer before others are asked.
+	suspectFor   = 1500 * time.Millisecond
+	viewRetries  = 4
+	viewWait     = 25 * time.Second // Longest time of one watch for the view.
+)
+
+// Config describes a Client.
+type Config struct {
+	DataCentre string
+	Region     string
+	RegionOf   func(dataCentre string) string
+	Client     *http.Client
+	Log        *slog.Logger
+	Metrics    *metrics.Set
+}
+
+// Client talks to the replicas. It is safe for concurrent use.
+type Client struct {
+	cfg   Config
+	mu    sync.Mutex
+	view  core.View
+	lanes map[string]*lane
+	ctx   context.Context
+
+	opSeconds *metrics.Histogram
+	noQuorum  *metrics.Counter
+}
+
+// New returns a client. Its senders end with the context.
+func New(ctx context.Context, cfg Config) *Client {
+	return &Client{
+		cfg:       cfg,
+		lanes:     map[string]*lane{},
+		ctx:       ctx,
+		opSeconds: cfg.Metrics.NewHistogram("jackdawbay_quorum_operation_seconds"),
+		noQuorum:  cfg.Metrics.NewCounter("jackdawbay_quorum_failed_total"),
+	}
+}
+
+// FollowView keeps the view up to date from the platform's store until the context ends.
+func (c *Client) FollowView(ctx context.Context, store platform.Store) error {
+	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Wait: viewWait, Log: c.cfg.Log}, func(objects map[string]platform.Object) {
+		o, ok := objects[replica.ViewName]
+		if !ok {
+			return
+		}
+		var v core.View
+		if err := json.Unmarshal(o.Value, &v); err != nil {
+			c.cfg.Log.Error("view cannot be decoded", "revision", o.Version, "error", err)
+			return
+		}
+		c.adopt(v, "store")
+	})
+	return ctx.Err()
+}
+
+func (c *Client) adopt(v core.View, source string) {
+	c.mu.Lock()
+	newer := v.Version > c.view.Version
+	if newer {
+		c.view = v
+	}
+	c.mu.Unlock()
+	if newer {
+		c.cfg.Log.Info("view in force", "view", v.Version, "sets", len(v.Sets), "members", len(v.Current()), "source", source)
+	}
+}
+
+// View returns the view in force here.
+func (c *Client) View() core.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view
+}
+
+// answer is what one member said to one operation group.
+type answer struct {
+	member  core.Member
+	results []replica.Result
+	view    *core.View // The member uses another view.
+	err     error
+}
+
+// run sends operations to a quorum of the view and calls enough after each answer, with all answers so far. It ends when
+// enough reports true, or with ErrNoQuorum.
+func (c *Client) run(ctx context.Context, ops []replica.Op, enough func(v core.View, got map[string][]replica.Result) bool) error {
+	start := time.Now()
+	defer c.opSeconds.UpdateDuration(start)
+	for range viewRetries {
+		v := c.View()
+		if v.Version == 0 {
+			break
+		}
+		done, again := c.runView(ctx, v, ops, enough)
+		if done {
+			return nil
+		}
+		if !again || ctx.Err() != nil {
+			break
+		}
+	}
+	c.noQuorum.Inc()
+	return ErrNoQuorum
+}
+
+func (c *Client) runView(ctx context.Context, v core.View, ops []replica.Op, enough func(core.View, map[string][]replica.Result) bool) (done, again bool) {
+	members := c.order(v)
+	answers := make(chan answer, 2*len(members))
+	got := map[string][]replica.Result{}
+	behind := map[string]bool{}
+	sent := 0
+	pending := 0
+	send := func(n int) {
+		for ; sent < n && sent < len(members); sent++ {
+			c.lane(members[sent]).submit(&job{ops: ops, version: v.Version, member: members[sent], answers: answers})
+			pending++
+		}
+	}
+	first := firstWave(v, members)
+	send(first)
+	hedge := time.NewTimer(c.hedgeDelay(members[:first]))
+	defer hedge.Stop()
+	for pending > 0 {
+		select {
+		case <-ctx.Done():
+			return false, false
+		case <-hedge.C:
+			send(len(members))
+		case a := <-answers:
+			pending--
+			switch {
+			case a.err != nil:
+				send(len(members))
+			case a.view != nil && a.view.Version > v.Version:
+				c.adopt(*a.view, a.member.VM)
+				return false, true
+			case a.view != nil && behind[a.member.Key()]:
+				send(len(members)) // It has the view and still refuses: its disk does not take it.
+			case a.view != nil:
+				behind[a.member.Key()] = true
+				c.lane(a.member).sendView(v)
+				c.lane(a.member).submit(&job{ops: ops, version: v.Version, member: a.member, answers: answers})
+				pending++
+			default:
+				got[a.member.Key()] = a.results
+				if enough(v, got) {
+					return true, false
+				}
+			}
+		}
+	}
+	return false, c.View().Version > v.Version
+}
+
+// order sorts the members of all sets: those that answer before silent ones, then by distance.
+func (c *Client) order(v core.View) []core.Member {
+	seen := map[string]bool{}
+	var members []core.Member
+	for i := len(v.Sets) - 1; i >= 0; i-- {
+		for _, m := range v.Sets[i] {
+			if !seen[m.Key()] {
+				seen[m.Key()] = true
+				members = append(members, m)
+			}
+		}
+	}
+	now := time.Now()
+	rank := make(map[string]int, len(members))
+	for _, m := range members {
+		r := 0
+		if c.lane(m).suspect(now) {
+			r += 10
+		}
+		if !core.Contains(v.Current(), m.Key()) {
+			r += 5
+		}
+		if m.DataCentre != c.cfg.DataCentre {
+			r++
+		}
+		if c.cfg.RegionOf(m.DataCentre) != c.cfg.Region {
+			r++
+		}
+		rank[m.Key()] = r
+	}
+	sort.SliceStable(members, func(i, j int) bool { return rank[members[i].Key()] < rank[members[j].Key()] })
+	return members
+}
+
+// firstWave is the smallest number of members, in order, that can hold a write and know all earlier ones.
+func firstWave(v core.View, members []core.Member) int {
+	got := map[string]bool{}
+	for i, m := range members {
+		got[m.Key()] = true
+		if v.Holds(got) && v.Knows(got) {
+			return i + 1
+		}
+	}
+	return len(members)
+}
+
+func (c *Client) hedgeDelay(members []core.Member) time.Duration {
+	longest := hedgeMin
+	for _, m := range members {
+		longest = max(longest, hedgeFactor*c.lane(m).usual())
+	}
+	return min(longest, batchTimeout/2)
+}
+
+func (c *Client) lane(m core.Member) *lane {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l, ok := c.lanes[m.Key()]
+	if !ok {
+		l = newLane(c, m)
+		c.lanes[m.Key()] = l
+	}
+	return l
+}
+
+// Begin charges the worst case of a turn to its program and, where from is set, reads the chain that the turn continues.
+// It returns all charges of the program that completed before, and the chain, newest turn first. Known reports which turns
+// the caller has, so that they need not be found.
+func (c *Client) Begin(ctx context.Context, program string, charge *core.Charge, from string, retain time.Duration, known func(id string) (replica.Turn, bool)) (Opening, error) {
+	var ops []replica.Op
+	if charge != nil {
+		ops = append(ops, replica.Op{Kind: replica.OpCharge, Program: program, Charge: *charge, RetainMS: retain.Milliseconds()})
+	}
+	open := &Opening{Ledger: core.Ledger{}}
+	ask, complete := open.follow(from, known)
+	if !complete {
+		ops = append(ops, replica.Op{Kind: replica.OpChain, From: ask})
+	}
+	if len(ops) == 0 {
+		return *open, nil
+	}
+	var found map[string]replica.Turn
+	err := c.run(ctx, ops, func(v core.View, got map[string][]replica.Result) bool {
+		stored, answered := map[string]bool{}, map[string]bool{}
+		found = map[string]replica.Turn{}
+		for key, results := range got {
+			for i, r := range results {
+				if r.Failed {
+					continue
+				}
+				if ops[i].Kind == replica.OpCharge {
+					stored[key] = true
+					for _, known := range r.Charges {
+						open.Ledger.Add(known)
+					}
+					continue
+				}
+				answered[key] = true
+				for _, t := range r.Turns {
+					found[t.ID] = t
+				}
+			}
+		}
+		if charge != nil && (!v.Holds(stored) || !v.Knows(stored)) {
+			return false
+		}
+		if complete {
+			return true
+		}
+		_, whole := open.follow(from, lookup(known, found))
+		return whole || v.Knows(answered)
+	})
+	if err != nil {
+		return Opening{}, err
+	}
+	if !complete {
+		_, whole := open.follow(from, lookup(known, found))
+		open.Missing = !whole
+	}
+	return *open, nil
+}
+
+func lookup(known func(string) (replica.Turn, bool), found map[string]replica.Turn) func(string) (replica.Turn, bool) {
+	return func(id string) (replica.Turn, bool) {
+		if t, ok := found[id]; ok {
+			return t, true
+		}
+		return known(id)
+	}
+}
+
+// Opening is what the replicas know when a turn begins.
+type Opening struct {
+	Ledger  core.Ledger
+	Chain   []replica.Turn // Newest first.
+	Missing bool           // A turn of the chain certainly does not exist.
+}
+
+// follow collects the chain as far as it is known and returns the first turn that is not.
+func (o *Opening) follow(from string, known func(id string) (replica.Turn, bool)) (missing string, complete bool) {
+	o.Chain = nil
+	for id := from; id != ""; {
+		t, ok := known(id)
+		if !ok {
+			return id, false
+		}
+		o.Chain = append(o.Chain, t)
+		id = t.Previous
+	}
+	return "", true
+}
+
+// Keep stores a complete turn and settles its charge. Nil means that a quorum has it on disk.
+func (c *Client) Keep(ctx context.Context, t *replica.Turn, program string, charge *core.Charge, retain time.Duration) error {
+	op := replica.Op{Kind: replica.OpKeep, Turn: t, RetainMS: retain.Milliseconds()}
+	if charge != nil {
+		op.Program, op.Charge = program, *charge
+	}
+	return c.run(ctx, []replica.Op{op}, func(v core.View, got map[string][]replica.Result) bool {
+		stored := map[string]bool{}
+		for key, results := range got {
+			stored[key] = len(results) == 1 && !results[0].Failed
+		}
+		return v.Holds(stored)
+	})
+}
+
+// lane is the ordered path to one replica.
+type lane struct {
+	client *Client
+	member core.Member
+	jobs   chan *job
+
+	mu           sync.Mutex
+	suspectUntil time.Time
+	usualTime    time.Duration
+	view         core.View // Sent with the next batch.
+}
+
+type job struct {
+	ops     []replica.Op
+	version uint64
+	member  core.Member
+	answers chan answer
+}
+
+func newLane(c *Client, m core.Member) *lane {
+	l := &lane{client: c, member: m, jobs: make(chan *job, laneQueue)}
+	for range laneSenders {
+		go l.send()
+	}
+	return l
+}
+
+func (l *lane) submit(j *job) {
+	select {
+	case l.jobs <- j:
+	default:
+		j.answers <- answer{member: l.member, err: errors.New("too many operations wait for the replica")}
+	}
+}
+
+func (l *lane) suspect(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Before(l.suspectUntil)
+}
+
+func (l *lane) usual() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.usualTime
+}
+
+func (l *lane) sendView(v core.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.view = v
+}
+
+func (l *lane) send() {
+	for {
+		var first *job
+		select {
+		case <-l.client.ctx.Done():
+			return
+		case first = <-l.jobs:
+		}
+		jobs := []*job{first}
+		ops := len(first.ops)
+	fill:
+		for ops < maxBatchOps {
+			select {
+			case j := <-l.jobs:
+				jobs = append(jobs, j)
+				ops += len(j.ops)
+			default:
+				break fill
+			}
+		}
+		l.deliver(jobs)
+	}
+}
+
+// deliver sends the jobs of one view together, and the jobs of another view after them.
+func (l *lane) deliver(jobs []*job) {
+	for len(jobs) > 0 {
+		version := jobs[0].version
+		var same, rest []*job
+		for _, j := range jobs {
+			if j.version == version {
+				same = append(same, j)
+			} else {
+				rest = append(rest, j)
+			}
+		}
+		l.exchange(version, same)
+		jobs = rest
+	}
+}
+
+func (l *lane) exchange(version uint64, jobs []*job) {
+	b := replica.Batch{Version: version, Disk: l.member.Disk}
+	for _, j := range jobs {
+		b.Ops = append(b.Ops, j.ops...)
+	}
+	l.mu.Lock()
+	if l.view.Version == version {
+		b.View = l.view
+	}
+	l.mu.Unlock()
+	start := time.Now()
+	got, err := l.post(b)
+	took := time.Since(start)
+	if err == nil && got.View == nil && len(got.Results) != len(b.Ops) {
+		err = errors.Newf("replica answered %d of %d operations", len(got.Results), len(b.Ops))
+	}
+	l.note(took, err)
+	i := 0
+	for _, j := range jobs {
+		a := answer{member: l.member, view: got.View, err: err}
+		if err == nil && got.View == nil {
+			a.results = got.Results[i : i+len(j.ops)]
+			i += len(j.ops)
+		}
+		j.answers <- a
+	}
+}
+
+func (l *lane) note(took time.Duration, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.suspectUntil = time.Time{}
+		l.usualTime += (took - l.usualTime) / 8
+		return
+	}
+	if l.suspectUntil.IsZero() {
+		l.client.cfg.Log.Warn("replica does not answer", "vm", l.member.VM, "took", took, "error", err)
+	}
+	l.suspectUntil = time.Now().Add(suspectFor)
+}
+
+func (l *lane) post(b replica.Batch) (replica.BatchAnswer, error) {
+	ctx, cancel := context.WithTimeout(l.client.ctx, batchTimeout)
+	defer cancel()
+	raw, err := json.Marshal(b)
+	if err != nil {
+		return replica.BatchAnswer{}, errors.Wrap(err, "encode a batch")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.member.Address+replica.PathBatch, bytes.NewReader(raw))
+	if err != nil {
+		return replica.BatchAnswer{}, errors.Wrap(err, "build a request")
+	}
+	resp, err := l.client.cfg.Client.Do(req)
+	if err != nil {
+		return replica.BatchAnswer{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return replica.BatchAnswer{}, errors.Newf("status %d", resp.StatusCode)
+	}
+	var out replica.BatchAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
+		return replica.BatchAnswer{}, errors.Wrap(err, "decode an answer")
+	}
+	return out, nil
+}
--- /dev/null
+++ b/daemon/replica/membership.go
@@ -0,0 +1,543 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/clock"
+	"jackdawbay.dev/daemon/platform"
+)
+
+// Objects of the replicas in the platform's store.
+const (
+	RegistrationKind = "jackdawbay-replicas"
+	ViewKind         = "jackdawbay-views"
+	ViewName         = "main"
+)
+
+// Times of the membership.
+const (
+	membershipInterval = 500 * time.Millisecond
+	probeTimeout       = 400 * time.Millisecond  // Well above a round trip between regions.
+	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
+	copyTimeout        = 2 * time.Second
+	watchWait          = 8 * time.Second
+)
+
+// Retirement is the operator's request to empty a VM.
+type Retirement struct {
+	VM      string
+	Version uint64
+	Running bool // Reported as under way.
+	Done    bool // Reported as done.
+}
+
+// RetirementStore reads the requests to empty a VM and reports their state.
+type RetirementStore interface {
+	RetirementKind() string
+	DecodeRetirement(o platform.Object) Retirement
+	ReportRetirement(ctx context.Context, r Retirement, done bool) (version uint64, err error)
+}
+
+// Membership registers a replica, watches the others, changes the view and copies what the replica lacks.
+type Membership struct {
+	Self        replica.Member
+	Tolerate    func() int // VMs with a disk that may be lost at the same time.
+	Server      *Server
+	Store       platform.Store
+	Retirements RetirementStore
+	Client      *http.Client
+	Log         *slog.Logger
+
+	mu         sync.Mutex
+	registered map[string]replica.Member
+	retiring   map[string]Retirement
+	lastAnswer map[string]time.Time // By VM.
+	view       replica.View
+	viewRev    uint64
+	copiedFor  uint64 // Version of the view whose earlier sets were copied.
+	started    time.Time
+	changed    chan struct{}
+}
+
+// Prepare sets up the maps of a Membership. It must be called once before the runs.
+func (m *Membership) Prepare() {
+	m.registered = map[string]replica.Member{}
+	m.retiring = map[string]Retirement{}
+	m.lastAnswer = map[string]time.Time{}
+	m.view = m.Server.View()
+	m.started = time.Now()
+	m.changed = make(chan struct{}, 1)
+}
+
+func (m *Membership) wake() {
+	select {
+	case m.changed <- struct{}{}:
+	default:
+	}
+}
+
+// RunWatchers follows the three kinds of objects. It returns when the context ends.
+func (m *Membership) RunWatchers(ctx context.Context) error {
+	var wg sync.WaitGroup
+	follow := func(kind string, h platform.Handler) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Wait: watchWait, Log: m.Log}, h)
+		}()
+	}
+	follow(RegistrationKind, m.onRegistrations)
+	follow(ViewKind, m.onView)
+	follow(m.Retirements.RetirementKind(), m.onRetirements)
+	wg.Wait()
+	return ctx.Err()
+}
+
+func (m *Membership) onRegistrations(objects map[string]platform.Object) {
+	next := map[string]replica.Member{}
+	for name, o := range objects {
+		var r replica.Member
+		if err := json.Unmarshal(o.Value, &r); err != nil || r.VM != name {
+			m.Log.Warn("registration of a replica cannot be decoded", "name", name, "error", err)
+			continue
+		}
+		next[name] = r
+	}
+	m.mu.Lock()
+	for name := range next {
+		if _, known := m.registered[name]; !known {
+			m.lastAnswer[name] = time.Now()
+		}
+	}
+	m.registered = next
+	m.mu.Unlock()
+	m.wake()
+}
+
+func (m *Membership) onView(objects map[string]platform.Object) {
+	o, ok := objects[ViewName]
+	if !ok {
+		return
+	}
+	var v replica.View
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		m.Log.Error("view cannot be decoded", "error", err, "revision", o.Version)
+		return
+	}
+	m.mu.Lock()
+	if v.Version >= m.view.Version {
+		m.view, m.viewRev = v, o.Version
+	}
+	m.mu.Unlock()
+	m.wake()
+}
+
+func (m *Membership) onRetirements(objects map[string]platform.Object) {
+	next := make(map[string]Retirement, len(objects))
+	for name, o := range objects {
+		next[name] = m.Retirements.DecodeRetirement(o)
+	}
+	m.mu.Lock()
+	m.retiring = next
+	m.mu.Unlock()
+	m.wake()
+}
+
+// Run registers the replica and keeps the view in step with the fleet.
+func (m *Membership) Run(ctx context.Context) error {
+	tick := time.NewTicker(membershipInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		case <-m.changed:
+		}
+		m.register(ctx)
+		m.follow(ctx)
+		m.propose(ctx)
+		m.retire(ctx)
+	}
+}
+
+// register writes this replica's registration when the store has none or another one.
+func (m *Membership) register(ctx context.Context) {
+	m.mu.Lock()
+	present, known := m.registered[m.Self.VM]
+	m.mu.Unlock()
+	if known && present == m.Self {
+		return
+	}
+	var version uint64
+	o, err := m.Store.Get(ctx, RegistrationKind, m.Self.VM)
+	switch {
+	case err == nil:
+		version = o.Version
+		var stored replica.Member
+		if json.Unmarshal(o.Value, &stored) == nil && stored == m.Self {
+			m.mu.Lock()
+			m.registered[m.Self.VM] = m.Self
+			m.mu.Unlock()
+			return
+		}
+	case !errors.Is(err, platform.ErrNotFound):
+		m.Log.Warn("registration cannot be read", "error", err)
+		clock.Sleep(ctx, membershipInterval)
+		return
+	}
+	if _, err := m.Store.Put(ctx, RegistrationKind, m.Self.VM, version, m.Self); err != nil {
+		m.Log.Warn("replica is not registered", "error", err)
+		return
+	}
+	m.mu.Lock()
+	m.registered[m.Self.VM] = m.Self
+	m.mu.Unlock()
+	m.Log.Info("replica registered", "disk", m.Self.Disk, "address", m.Self.Address)
+}
+
+// follow adopts the newest view, and copies the earlier sets when this replica belongs to the last one.
+func (m *Membership) follow(ctx context.Context) {
+	m.mu.Lock()
+	v := m.view
+	m.mu.Unlock()
+	if newer := m.Server.View(); newer.Version > v.Version {
+		v = newer
+	}
+	if v.Version == 0 {
+		return
+	}
+	if !m.Server.adopt(ctx, v) {
+		return
+	}
+	if v.Settled() || !replica.Contains(v.Current(), m.Self.Key()) || m.marked(v) {
+		return
+	}
+	if m.copiedFor != setsKey(v) {
+		start := time.Now()
+		if err := m.copyEarlierSets(ctx, v); err != nil {
+			m.Log.Warn("copy of the earlier sets failed", "view", v.Version, "error", err)
+			return
+		}
+		m.copiedFor = setsKey(v)
+		m.Log.Info("earlier sets copied", "view", v.Version, "took", time.Since(start))
+	}
+	m.change(ctx, "copied", func(v replica.View) (replica.View, bool) {
+		if setsKey(v) != m.copiedFor {
+			return v, false
+		}
+		return replica.MarkCopied(v, m.Self.Key())
+	})
+}
+
+// setsKey names the sets of a view: its version without the marks of members that have copied.
+func setsKey(v replica.View) uint64 { return v.Version - uint64(len(v.Copied)) }
+
+func (m *Membership) marked(v replica.View) bool {
+	for _, k := range v.Copied {
+		if k == m.Self.Key() {
+			return true
+		}
+	}
+	return false
+}
+
+// propose changes the view when the fleet asks for it.
+func (m *Membership) propose(ctx context.Context) {
+	m.probe(ctx)
+	m.mu.Lock()
+	fresh := m.view.Version == 0
+	waiting := fresh && len(m.registered) < replica.WantedMembers(m.Tolerate()) && time.Since(m.started) < firstViewDelay
+	m.mu.Unlock()
+	if waiting || fresh && time.Since(m.started) < membershipInterval {
+		return
+	}
+	m.change(ctx, "proposed", func(v replica.View) (replica.View, bool) {
+		v.Tolerate = m.Tolerate()
+		return replica.Propose(v, m.fleet())
+	})
+}
+
+func (m *Membership) fleet() replica.Fleet {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f := replica.Fleet{Retiring: map[string]bool{}}
+	for _, r := range m.registered {
+		f.Registered = append(f.Registered, r)
+	}
+	for vm := range m.retiring {
+		f.Retiring[vm] = true
+	}
+	last := make(map[string]time.Time, len(m.lastAnswer))
+	for vm, at := range m.lastAnswer {
+		last[vm] = at
+	}
+	self, now := m.Self.VM, time.Now()
+	f.SilentFor = func(vm string) time.Duration {
+		if vm == self {
+			return 0
+		}
+		return now.Sub(last[vm])
+	}
+	return f
+}
+
+// change writes a changed view under the condition that nobody else has.
+func (m *Membership) change(ctx context.Context, reason string, next func(replica.View) (replica.View, bool)) {
+	m.mu.Lock()
+	v, rev := m.view, m.viewRev
+	m.mu.Unlock()
+	proposed, ok := next(v)
+	if !ok {
+		return
+	}
+	version, err := m.Store.Put(ctx, ViewKind, ViewName, rev, proposed)
+	if conflict, is := platform.AsConflict(err); is {
+		if conflict.Current != nil {
+			m.onView(map[string]platform.Object{ViewName: *conflict.Current})
+		}
+		return
+	}
+	if err != nil {
+		m.Log.Warn("view is not written", "reason", reason, "view", proposed.Version, "error", err)
+		return
+	}
+	m.mu.Lock()
+	if proposed.Version >= m.view.Version {
+		m.view, m.viewRev = proposed, version
+	}
+	m.mu.Unlock()
+	m.Log.Info("view written", "reason", reason, "view", proposed.Version, "sets", len(proposed.Sets), "members", len(proposed.Current()))
+	m.wake()
+}
+
+// probe notes which replicas answer.
+func (m *Membership) probe(ctx context.Context) {
+	m.mu.Lock()
+	targets := map[string]string{}
+	for vm, r := range m.registered {
+		if vm != m.Self.VM {
+			targets[vm] = r.Address
+		}
+	}
+	m.mu.Unlock()
+	var wg sync.WaitGroup
+	for vm, address := range targets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+			defer cancel()
+			if err := m.get(ctx, address, PathProbe); err != nil {
+				return
+			}
+			m.mu.Lock()
+			m.lastAnswer[vm] = time.Now()
+			m.mu.Unlock()
+		}()
+	}
+	wg.Wait()
+}
+
+// retire reports the state of the requests to empty a VM.
+func (m *Membership) retire(ctx context.Context) {
+	m.mu.Lock()
+	r, wanted := m.retiring[m.Self.VM]
+	v := m.view
+	m.mu.Unlock()
+	if !wanted || r.Done || v.Version == 0 {
+		return
+	}
+	inUse := false
+	for _, set := range v.Sets {
+		for _, member := range set {
+			inUse = inUse || member.VM == m.Self.VM
+		}
+	}
+	if inUse && r.Running {
+		return
+	}
+	version, err := m.Retirements.ReportRetirement(ctx, r, !inUse)
+	if err != nil {
+		m.Log.Warn("retirement is not reported", "done", !inUse, "error", err)
+		return
+	}
+	r.Running, r.Done, r.Version = inUse, !inUse, version
+	m.mu.Lock()
+	m.retiring[m.Self.VM] = r
+	m.mu.Unlock()
+	m.Log.Info("retirement reported", "vm", r.VM, "done", r.Done, "view", v.Version)
+}
+
+// copyEarlierSets reads a read quorum of each earlier set and stores what this replica lacks.
+func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View) error {
+	answered := map[string]bool{m.Self.Key(): true}
+	holders := map[string][]replica.Member{}
+	asked := map[string]bool{}
+	for _, set := range v.Sets[:len(v.Sets)-1] {
+		for _, member := range set {
+			key := member.Key()
+			if key == m.Self.Key() || asked[key] {
+				continue
+			}
+			asked[key] = true
+			inv, err := m.fetchInventory(ctx, member, v)
+			if err != nil {
+				m.Log.Warn("inventory cannot be read", "vm", member.VM, "error", err)
+				continue
+			}
+			answered[key] = true
+			if err := m.storeLedgers(ctx, inv.Programs); err != nil {
+				return err
+			}
+			for _, id := range inv.Turns {
+				holders[id] = append(holders[id], member)
+			}
+		}
+	}
+	for _, set := range v.Sets[:len(v.Sets)-1] {
+		n := 0
+		for _, member := range set {
+			if answered[member.Key()] {
+				n++
+			}
+		}
+		if n < replica.ReadQuorum(set, v.Tolerate) {
+			return errors.Newf("%d of %d replicas of an earlier set answered", n, len(set))
+		}
+	}
+	return m.copyTurns(ctx, v, holders)
+}
+
+// copyTurns fetches the turns that this replica lacks, from its own data centre where one there has them.
+func (m *Membership) copyTurns(ctx context.Context, v replica.View, holders map[string][]replica.Member) error {
+	wanted := map[string][]string{}
+	members := map[string]replica.Member{}
+	for id, from := range holders {
+		if _, have, err := m.Server.state.turn(id); err != nil {
+			return err
+		} else if have {
+			continue
+		}
+		source := from[0]
+		for _, f := range from {
+			if f.DataCentre == m.Self.DataCentre {
+				source = f
+			}
+		}
+		wanted[source.Key()] = append(wanted[source.Key()], id)
+		members[source.Key()] = source
+	}
+	for key, ids := range wanted {
+		for len(ids) > 0 {
+			n := min(len(ids), maxTurnsPerCopy)
+			var answer CopyAnswer
+			req := CopyRequest{View: v, Disk: members[key].Disk, IDs: ids[:n]}
+			if err := m.post(ctx, members[key].Address, PathTurns, req, &answer); err != nil {
+				return err
+			}
+			if answer.View != nil {
+				return errors.Newf("replica %s refuses view %d", key, v.Version)
+			}
+			if err := m.storeTurns(ctx, answer.Turns); err != nil {
+				return err
+			}
+			ids = ids[n:]
+		}
+	}
+	return nil
+}
+
+func (m *Membership) fetchInventory(ctx context.Context, member replica.Member, v replica.View) (Inventory, error) {
+	var answer CopyAnswer
+	if err := m.post(ctx, member.Address, PathInventory, CopyRequest{View: v, Disk: member.Disk}, &answer); err != nil {
+		return Inventory{}, err
+	}
+	if answer.Inventory == nil {
+		return Inventory{}, errors.Newf("replica %s refuses view %d", member.Key(), v.Version)
+	}
+	return *answer.Inventory, nil
+}
+
+func (m *Membership) storeLedgers(ctx context.Context, programs []ProgramLedger) error {
+	var ops []Op
+	for _, p := range programs {
+		for _, c := range p.Charges {
+			ops = append(ops, Op{Kind: OpCharge, Program: p.Program, Charge: c, RetainMS: p.LeftMS - expirySlack.Milliseconds()})
+		}
+	}
+	return m.store(ctx, ops)
+}
+
+func (m *Membership) storeTurns(ctx context.Context, turns []KeptTurn) error {
+	var ops []Op
+	for _, t := range turns {
+		ops = append(ops, Op{Kind: OpKeep, Turn: &t.Turn, RetainMS: t.LeftMS - expirySlack.Milliseconds()})
+	}
+	return m.store(ctx, ops)
+}
+
+// copyGroup bounds the operations that a copy hands to the disk at once.
+const copyGroup = 500
+
+func (m *Membership) store(ctx context.Context, ops []Op) error {
+	for len(ops) > 0 {
+		n := min(len(ops), copyGroup)
+		results, ok := m.Server.perform(ctx, ops[:n])
+		if !ok {
+			return errors.New("too many writes wait")
+		}
+		for _, r := range results {
+			if r.Failed {
+				return errors.New("disk refused a copied entry")
+			}
+		}
+		ops = ops[n:]
+	}
+	return nil
+}
+
+func (m *Membership) get(ctx context.Context, address, path string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return errors.Wrap(err, "build a request")
+	}
+	resp, err := m.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	_, _ = io.Copy(io.Discard, resp.Body) // An empty body; a failure shows in the next use of the connection.
+	return resp.Body.Close()
+}
+
+func (m *Membership) post(ctx context.Context, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode a request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrap(err, "build a request")
+	}
+	resp, err := m.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("status %d", resp.StatusCode)
+	}
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "decode an answer")
+}
--- /dev/null
+++ b/daemon/replica/server.go
@@ -0,0 +1,327 @@
+package replica
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/gorilla/mux"
+
+	"jackdawbay.dev/core/replica"
+)
+
+// Bounds of the replica's work.
+const (
+	writeRing       = 1024            // Batches that wait for the disk; a full ring answers 503.
+	maxGroup        = 256             // Batches that share one sync.
+	maxRequestBytes = 16 << 20        // Largest body of a request.
+	expireInterval  = 5 * time.Second // Time between two sweeps of what is past its retention.
+	maxTurnsPerCopy = 200             // Turns in one answer to a copy request.
+)
+
+// Server is one replica.
+type Server struct {
+	state  *state
+	log    *slog.Logger
+	writes chan *writeJob
+
+	batches     *metrics.Counter
+	refused     *metrics.Counter
+	writeErrors *metrics.Counter
+	syncSeconds *metrics.Histogram
+}
+
+type writeJob struct {
+	ops     []Op
+	view    *replica.View // Set for the adoption of a view.
+	results []Result
+	done    chan struct{}
+}
+
+// New opens the log in a file system and builds the index.
+func New(fs FileSystem, log *slog.Logger, set *metrics.Set) (*Server, error) {
+	st, err := openState(fs)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		state:       st,
+		log:         log,
+		writes:      make(chan *writeJob, writeRing),
+		batches:     set.NewCounter("jackdawbay_replica_batches_total"),
+		refused:     set.NewCounter("jackdawbay_replica_refused_total"),
+		writeErrors: set.NewCounter("jackdawbay_replica_write_errors_total"),
+		syncSeconds: set.NewHistogram("jackdawbay_replica_sync_seconds"),
+	}
+	log.Info("replica opened", "disk", st.log.Identity, "turns", len(st.turns), "programs", len(st.programs), "view", st.view.Version)
+	return s, nil
+}
+
+// Disk returns the identity of the data directory.
+func (s *Server) Disk() string { return s.state.log.Identity }
+
+// View returns the newest view that this replica has adopted.
+func (s *Server) View() replica.View { return s.state.currentView() }
+
+// Handler serves the replica listener.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc(PathBatch, s.handleBatch).Methods(http.MethodPost)
+	r.HandleFunc(PathInventory, s.handleInventory).Methods(http.MethodPost)
+	r.HandleFunc(PathTurns, s.handleTurns).Methods(http.MethodPost)
+	r.HandleFunc(PathProbe, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	return r
+}
+
+// RunWriter makes batches durable, many with one sync.
+func (s *Server) RunWriter(ctx context.Context) error {
+	sweep := time.NewTicker(expireInterval)
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case now := <-sweep.C:
+			s.sweep(now)
+		case job := <-s.writes:
+			group := []*writeJob{job}
+		fill:
+			for len(group) < maxGroup {
+				select {
+				case j := <-s.writes:
+					group = append(group, j)
+				default:
+					break fill
+				}
+			}
+			s.writeGroup(group)
+		}
+	}
+}
+
+func (s *Server) sweep(now time.Time) {
+	rewrite, drop := s.state.expire(now)
+	if !drop {
+		return
+	}
+	if err := s.state.append(rewrite); err != nil {
+		s.writeErrors.Inc()
+		s.log.Error("cannot rewrite ledgers before a segment is removed", "error", err)
+		return
+	}
+	if err := s.state.log.DropOldest(); err != nil {
+		s.log.Error("cannot remove a segment", "error", err)
+	}
+}
+
+func (s *Server) writeGroup(group []*writeJob) {
+	now := time.Now()
+	var entries []entry
+	for _, job := range group {
+		if job.view != nil {
+			entries = append(entries, entry{At: now, View: job.view})
+		}
+		job.results = make([]Result, len(job.ops))
+		for i, op := range job.ops {
+			entries = append(entries, s.prepare(now, op, &job.results[i])...)
+		}
+	}
+	start := time.Now()
+	err := s.state.append(entries)
+	s.syncSeconds.UpdateDuration(start)
+	for _, job := range group {
+		if err != nil {
+			for i, op := range job.ops {
+				if op.Kind != OpChain {
+					job.results[i] = Result{Failed: true}
+				}
+			}
+			if job.view != nil {
+				job.view = nil
+			}
+		}
+		close(job.done)
+	}
+	if err != nil {
+		s.writeErrors.Inc()
+		s.log.Error("disk refused a write", "error", err, "entries", len(entries))
+	}
+}
+
+// prepare returns the entries of an operation and fills its result, which holds only after the entries are durable.
+func (s *Server) prepare(now time.Time, op Op, result *Result) []entry {
+	retain := time.Duration(op.RetainMS) * time.Millisecond
+	switch op.Kind {
+	case OpCharge, OpKeep:
+		var out []entry
+		if op.Program != "" {
+			s.state.noteCharge(op.Program, op.Charge)
+			result.Charges = s.state.charges(op.Program)
+			out = append(out, entry{At: now, Retain: retain, Ledger: &ledgerEntry{
+				Program: op.Program, Charges: []replica.Charge{op.Charge},
+			}})
+		}
+		if op.Turn != nil {
+			out = append(out, entry{At: now, Retain: retain, Turn: op.Turn})
+		}
+		return out
+	default:
+		result.Failed = true
+		return nil
+	}
+}
+
+// adopt makes a newer view durable. It reports whether the sender's view is in force here.
+func (s *Server) adopt(ctx context.Context, v replica.View) bool {
+	if s.state.currentView().Version >= v.Version {
+		return s.state.currentView().Version == v.Version
+	}
+	job := &writeJob{view: &v, done: make(chan struct{})}
+	if !s.submit(ctx, job) || job.view == nil {
+		return false
+	}
+	s.log.Info("view adopted", "view", v.Version, "sets", len(v.Sets), "members", len(v.Current()))
+	return s.state.currentView().Version == v.Version
+}
+
+func (s *Server) submit(ctx context.Context, job *writeJob) bool {
+	select {
+	case s.writes <- job:
+	default:
+		return false
+	}
+	select {
+	case <-job.done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (s *Server) handleBatch(w http.ResponseWriter, r *http.Request) {
+	s.batches.Inc()
+	var b Batch
+	if !s.decode(w, r, &b) {
+		return
+	}
+	if b.Disk != s.Disk() {
+		s.refuse(w, http.StatusMisdirectedRequest, "other disk", "wanted", b.Disk)
+		return
+	}
+	if b.View.Version > s.state.currentView().Version {
+		s.adopt(r.Context(), b.View)
+	}
+	if v := s.state.currentView(); v.Version != b.Version {
+		s.refused.Inc()
+		reply(w, BatchAnswer{View: &v})
+		return
+	}
+	results, ok := s.perform(r.Context(), b.Ops)
+	if !ok {
+		s.refuse(w, http.StatusServiceUnavailable, "too many writes wait", "waiting", len(s.writes))
+		return
+	}
+	reply(w, BatchAnswer{Results: results})
+}
+
+// perform runs reads at once and writes through the ring. The order of a batch does not matter to its sender.
+func (s *Server) perform(ctx context.Context, ops []Op) ([]Result, bool) {
+	results := make([]Result, len(ops))
+	job := &writeJob{done: make(chan struct{})}
+	var places []int
+	for i, op := range ops {
+		if op.Kind != OpChain {
+			job.ops = append(job.ops, op)
+			places = append(places, i)
+			continue
+		}
+		turns, missing, err := s.state.chain(op.From)
+		if err != nil {
+			s.log.Error("cannot read a chain", "turn", op.From, "error", err)
+			results[i] = Result{Failed: true}
+			continue
+		}
+		results[i] = Result{Turns: turns, Missing: missing}
+	}
+	if len(job.ops) > 0 {
+		if !s.submit(ctx, job) {
+			return nil, false
+		}
+		for k, i := range places {
+			results[i] = job.results[k]
+		}
+	}
+	return results, true
+}
+
+func (s *Server) handleInventory(w http.ResponseWriter, r *http.Request) {
+	var req CopyRequest
+	if !s.decode(w, r, &req) || !s.admitCopy(w, r, req) {
+		return
+	}
+	inv := s.state.inventory()
+	reply(w, CopyAnswer{Inventory: &inv})
+}
+
+func (s *Server) handleTurns(w http.ResponseWriter, r *http.Request) {
+	var req CopyRequest
+	if !s.decode(w, r, &req) || !s.admitCopy(w, r, req) {
+		return
+	}
+	var answer CopyAnswer
+	for _, id := range req.IDs[:min(len(req.IDs), maxTurnsPerCopy)] {
+		t, ok, err := s.state.turn(id)
+		if err != nil {
+			s.log.Error("cannot read a turn for a copy", "turn", id, "error", err)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if ok {
+			answer.Turns = append(answer.Turns, t)
+		}
+	}
+	reply(w, answer)
+}
+
+// admitCopy adopts the view of the copying replica first, so that no write of an earlier view is completed through this
+// replica after it has been read.
+func (s *Server) admitCopy(w http.ResponseWriter, r *http.Request, req CopyRequest) bool {
+	if req.Disk != s.Disk() {
+		s.refuse(w, http.StatusMisdirectedRequest, "other disk", "wanted", req.Disk)
+		return false
+	}
+	if !s.adopt(r.Context(), req.View) {
+		v := s.state.currentView()
+		s.refused.Inc()
+		reply(w, CopyAnswer{View: &v})
+		return false
+	}
+	return true
+}
+
+func (s *Server) refuse(w http.ResponseWriter, status int, reason string, args ...any) {
+	s.refused.Inc()
+	s.log.Warn("request refused", append([]any{"reason", reason}, args...)...)
+	w.WriteHeader(status)
+}
+
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into); err != nil {
+		s.refuse(w, http.StatusBadRequest, "body cannot be decoded", "error", err)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(raw) // The sender repeats what it gets no answer to.
+}
