--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -71,7 +71,7 @@
 func stopGateway(p *process, g *gateway.Gateway, server *http.Server) error {
 	start := time.Now()
 	deadline := start.Add(max(p.site.StopTimeout-stopMargin, unreadyTime))
-	g.Stop()
+	g.Stop(deadline)
 	p.log.Info("stopping", "stop_timeout", p.site.StopTimeout)
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
--- a/daemon/gateway/answer.go
+++ b/daemon/gateway/answer.go
@@ -17,6 +17,7 @@
 	retryConfiguration = 500 * time.Millisecond
 	retryHistory       = 300 * time.Millisecond
 	retryUpstream      = 250 * time.Millisecond
+	retryStopping      = 20 * time.Millisecond // Another daemon can take the request at once.
 )
 
 // refuse sends the answer of an error kind.
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -89,6 +89,10 @@
 		left = c.meta.Deadline
 	}
 	c.deadline = c.arrived.Add(left)
+	if c.g.outlasts(c.deadline) {
+		c.refuse(errkind.ShuttingDown, "", retryStopping)
+		return
+	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -77,7 +77,7 @@
 // Gateway is the handler for callers. It is safe for concurrent use.
 type Gateway struct {
 	cfg      Config
-	stopping atomic.Bool
+	stopBy   atomic.Pointer[time.Time] // Set once the daemon is to stop: when it must have answered everything.
 	underway atomic.Int64
 	lastSeen atomic.Int64 // Time of the last request in Unix nanoseconds.
 	groups   *groups
@@ -104,11 +104,18 @@
 
 // Ready reports whether the daemon can serve requests.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.cfg.Catalog.Table() != nil
+	return g.stopBy.Load() == nil && g.cfg.Catalog.Table() != nil
 }
 
-// Stop makes the daemon unready and tells callers to close their connections.
-func (g *Gateway) Stop() { g.stopping.Store(true) }
+// Stop makes the daemon unready and tells callers to close their connections. By a time everything must be answered, so a
+// request that its route allows to last longer is refused.
+func (g *Gateway) Stop(by time.Time) { g.stopBy.Store(&by) }
+
+// outlasts reports whether a request that may last until a deadline would be cut by the stop of the daemon.
+func (g *Gateway) outlasts(deadline time.Time) bool {
+	by := g.stopBy.Load()
+	return by != nil && deadline.After(*by)
+}
 
 // Quiet reports whether no request is under way and none has arrived for a time.
 func (g *Gateway) Quiet(now time.Time, since time.Duration) bool {
@@ -124,7 +131,7 @@
 		g.lastSeen.Store(time.Now().UnixNano())
 		g.underway.Add(-1)
 	}()
-	if g.stopping.Load() {
+	if g.stopBy.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
 	c := &call{g: g, w: w, r: r, arrived: arrived}
