Ask for the rest of a chain where one replica's part of it ends, and take only answering VMs into a set

A VM that has never answered a probe counted as alive for 2.5 s after a restart of the observer. Marks of copied sets no longer make replicas refuse writers: the epoch changes only with the sets.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -46,7 +46,9 @@
 }
 
 func fleet(registered []Member, silent map[string]time.Duration, retiring ...string) Fleet {
-	f := Fleet{Registered: registered, Retiring: map[string]bool{}, SilentFor: func(vm string) time.Duration { return silent[vm] }}
+	f := Fleet{Registered: registered, Retiring: map[string]bool{},
+		SilentFor: func(vm string) time.Duration { return silent[vm] },
+		Answers:   func(vm string) bool { return silent[vm] < AnswersWithin }}
 	for _, vm := range retiring {
 		f.Retiring[vm] = true
 	}
@@ -70,17 +72,18 @@
 		f    Fleet
 		want string // Members of the last set; empty for no change.
 	}{
-		"first view":                      {View{Tolerate: 1}, fleet(set("a", "b", "c"), nil), "ad bd cd "},
-		"first view takes what is wanted": {View{Tolerate: 1}, fleet(set("a", "b", "c", "d"), nil), "ad bd cd "},
-		"calm":                            {settled, fleet(set("a", "b", "c"), nil), ""},
-		"added VM stays a spare":          {settled, fleet(set("a", "b", "c", "d"), nil), ""},
-		"silent without a spare":          {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": long}), ""},
-		"silent with a spare":             {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long}), "ad bd dd "},
-		"silent spare is not taken":       {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": long}), ""},
-		"restart is shorter":              {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": time.Second}), ""},
-		"wiped disk":                      {settled, fleet([]Member{member("a", "new"), member("b", "d"), member("c", "d")}, nil), "anew bd cd "},
-		"retiring without a spare":        {settled, fleet(set("a", "b", "c"), nil, "b"), "ad cd "},
-		"retiring with a spare":           {settled, fleet(set("a", "b", "c", "d"), nil, "b"), "ad cd dd "},
+		"first view":                             {View{Tolerate: 1}, fleet(set("a", "b", "c"), nil), "ad bd cd "},
+		"first view takes what is wanted":        {View{Tolerate: 1}, fleet(set("a", "b", "c", "d"), nil), "ad bd cd "},
+		"calm":                                   {settled, fleet(set("a", "b", "c"), nil), ""},
+		"added VM stays a spare":                 {settled, fleet(set("a", "b", "c", "d"), nil), ""},
+		"silent without a spare":                 {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": long}), ""},
+		"silent with a spare":                    {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long}), "ad bd dd "},
+		"spare that never answered is not taken": {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": AnswersWithin}), ""},
+		"silent spare is not taken":              {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": long}), ""},
+		"restart is shorter":                     {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": time.Second}), ""},
+		"wiped disk":                             {settled, fleet([]Member{member("a", "new"), member("b", "d"), member("c", "d")}, nil), "anew bd cd "},
+		"retiring without a spare":               {settled, fleet(set("a", "b", "c"), nil, "b"), "ad cd "},
+		"retiring with a spare":                  {settled, fleet(set("a", "b", "c", "d"), nil, "b"), "ad cd dd "},
 		"retired VM does not come back": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}},
 			fleet(set("a", "b", "c"), nil, "b"), ""},
 		"missing member is filled": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}}, fleet(set("a", "c", "e"), nil), "ad cd ed "},
@@ -95,6 +98,7 @@
 			}
 			test.EqOp(t, c.want, names(next.Current()))
 			test.EqOp(t, c.view.Version+1, next.Version)
+			test.EqOp(t, c.view.Epoch+1, next.Epoch)
 			test.EqOp(t, len(c.view.Sets)+1, len(next.Sets), test.Sprint("earlier sets are kept until they are copied"))
 		})
 	}
@@ -113,6 +117,7 @@
 	v, ok = MarkCopied(v, "c/d")
 	must.True(t, ok)
 	test.True(t, v.Settled())
+	test.EqOp(t, 0, v.Epoch, test.Sprint("marks do not make replicas refuse writers"))
 	test.EqOp(t, "ad cd ", names(v.Current()))
 }
 
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -22,6 +22,7 @@
 // of the last set has copied what they hold.
 type View struct {
 	Version  uint64     `json:"version"`
+	Epoch    uint64     `json:"epoch"`    // Changes with the sets. Replicas refuse writes of another epoch.
 	Tolerate int        `json:"tolerate"` // VMs with a disk that may be lost at the same time.
 	Sets     [][]Member `json:"sets"`
 	Copied   []string   `json:"copied"` // Keys of the members of the last set that have copied all earlier sets.
@@ -90,11 +91,15 @@
 
 // Fleet is what a replica knows of the VMs with a disk when it considers a change of the view.
 type Fleet struct {
-	Registered []Member // One entry for each VM, with its present disk.
-	SilentFor  func(vm string) time.Duration
-	Retiring   map[string]bool // VMs that are to be emptied.
+	Registered []Member                      // One entry for each VM, with its present disk.
+	SilentFor  func(vm string) time.Duration // Time since a VM answered, or since the observer started.
+	Answers    func(vm string) bool          // The VM has answered lately.
+	Retiring   map[string]bool               // VMs that are to be emptied.
 }
 
+// AnswersWithin is the time within which a VM must have answered to be taken into a set.
+const AnswersWithin = 1500 * time.Millisecond
+
 // ReplaceAfter is the silence after which a member is replaced when another VM can take its place. It is longer than a
 // restart of a process, and shorter than the time in which a successor has to count as caught up.
 const ReplaceAfter = 2500 * time.Millisecond
@@ -157,7 +162,7 @@
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
 	sets := append(append([][]Member{}, v.Sets...), next)
-	return View{Version: v.Version + 1, Tolerate: v.Tolerate, Sets: sets}, true
+	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets}, true
 }
 
 // candidates are the registered VMs that answer, are not to be emptied and are in no place of the current set.
@@ -168,7 +173,7 @@
 		for _, c := range current {
 			inUse = inUse || c.VM == m.VM
 		}
-		if !inUse && !f.Retiring[m.VM] && f.SilentFor(m.VM) < ReplaceAfter {
+		if !inUse && !f.Retiring[m.VM] && f.Answers(m.VM) {
 			out = append(out, m)
 		}
 	}
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -144,7 +144,7 @@
 	pending := 0
 	send := func(n int) {
 		for ; sent < n && sent < len(members); sent++ {
-			c.lane(members[sent]).submit(&job{ops: ops, version: v.Version, member: members[sent], answers: answers})
+			c.lane(members[sent]).submit(&job{ops: ops, epoch: v.Epoch, member: members[sent], answers: answers})
 			pending++
 		}
 	}
@@ -171,7 +171,7 @@
 			case a.view != nil:
 				behind[a.member.Key()] = true
 				c.lane(a.member).sendView(v)
-				c.lane(a.member).submit(&job{ops: ops, version: v.Version, member: a.member, answers: answers})
+				c.lane(a.member).submit(&job{ops: ops, epoch: v.Epoch, member: a.member, answers: answers})
 				pending++
 			default:
 				got[a.member.Key()] = a.results
@@ -181,7 +181,7 @@
 			}
 		}
 	}
-	return false, c.View().Version > v.Version
+	return false, c.View().Epoch > v.Epoch
 }
 
 // order sorts the members of all sets: those that answer before silent ones, then by distance.
@@ -258,52 +258,66 @@
 		ops = append(ops, replica.Op{Kind: replica.OpCharge, Program: program, Charge: *charge, RetainMS: retain.Milliseconds()})
 	}
 	open := &Opening{Ledger: core.Ledger{}}
-	ask, complete := open.follow(from, known)
-	if !complete {
-		ops = append(ops, replica.Op{Kind: replica.OpChain, From: ask})
-	}
-	if len(ops) == 0 {
-		return *open, nil
+	found := map[string]replica.Turn{}
+	missing, whole := open.follow(from, known)
+	if !whole {
+		ops = append(ops, replica.Op{Kind: replica.OpChain, From: missing})
+	}
+	for len(ops) > 0 {
+		err := c.run(ctx, ops, func(v core.View, got map[string][]replica.Result) bool {
+			return open.answered(v, got, ops, found, func() bool {
+				_, whole := open.follow(from, lookup(known, found))
+				return whole
+			})
+		})
+		if err != nil {
+			return Opening{}, err
+		}
+		asked := missing
+		missing, whole = open.follow(from, lookup(known, found))
+		if whole {
+			break
+		}
+		if missing == asked {
+			open.Missing = true
+			break
+		}
+		// No replica needs to hold the whole chain: each turn is on a quorum of its own. The rest is asked for from where
+		// the known part ends.
+		ops = []replica.Op{{Kind: replica.OpChain, From: missing}}
 	}
-	var found map[string]replica.Turn
-	err := c.run(ctx, ops, func(v core.View, got map[string][]replica.Result) bool {
-		stored, answered := map[string]bool{}, map[string]bool{}
-		found = map[string]replica.Turn{}
+	return *open, nil
+}
+
+// answered enters the answers of the replicas and reports whether they are enough.
+func (o *Opening) answered(v core.View, got map[string][]replica.Result, ops []replica.Op, found map[string]replica.Turn, whole func() bool) bool {
+	charged, asked := false, false
+	stored, answered := map[string]bool{}, map[string]bool{}
+	for i, op := range ops {
+		charged = charged || op.Kind == replica.OpCharge
+		asked = asked || op.Kind == replica.OpChain
 		for key, results := range got {
-			for i, r := range results {
-				if r.Failed {
-					continue
-				}
-				if ops[i].Kind == replica.OpCharge {
-					stored[key] = true
-					for _, known := range r.Charges {
-						open.Ledger.Add(known)
-					}
-					continue
-				}
-				answered[key] = true
-				for _, t := range r.Turns {
-					found[t.ID] = t
+			r := results[i]
+			if r.Failed {
+				continue
+			}
+			if op.Kind == replica.OpCharge {
+				stored[key] = true
+				for _, c := range r.Charges {
+					o.Ledger.Add(c)
 				}
+				continue
+			}
+			answered[key] = true
+			for _, t := range r.Turns {
+				found[t.ID] = t
 			}
 		}
-		if charge != nil && (!v.Holds(stored) || !v.Knows(stored)) {
-			return false
-		}
-		if complete {
-			return true
-		}
-		_, whole := open.follow(from, lookup(known, found))
-		return whole || v.Knows(answered)
-	})
-	if err != nil {
-		return Opening{}, err
 	}
-	if !complete {
-		_, whole := open.follow(from, lookup(known, found))
-		open.Missing = !whole
+	if charged && (!v.Holds(stored) || !v.Knows(stored)) {
+		return false
 	}
-	return *open, nil
+	return !asked || whole() || v.Knows(answered)
 }
 
 func lookup(known func(string) (replica.Turn, bool), found map[string]replica.Turn) func(string) (replica.Turn, bool) {
@@ -365,7 +379,7 @@
 
 type job struct {
 	ops     []replica.Op
-	version uint64
+	epoch   uint64
 	member  core.Member
 	answers chan answer
 }
@@ -428,30 +442,30 @@
 	}
 }
 
-// deliver sends the jobs of one view together, and the jobs of another view after them.
+// deliver sends the jobs of one epoch together, and the jobs of another epoch after them.
 func (l *lane) deliver(jobs []*job) {
 	for len(jobs) > 0 {
-		version := jobs[0].version
+		epoch := jobs[0].epoch
 		var same, rest []*job
 		for _, j := range jobs {
-			if j.version == version {
+			if j.epoch == epoch {
 				same = append(same, j)
 			} else {
 				rest = append(rest, j)
 			}
 		}
-		l.exchange(version, same)
+		l.exchange(epoch, same)
 		jobs = rest
 	}
 }
 
-func (l *lane) exchange(version uint64, jobs []*job) {
-	b := replica.Batch{Version: version, Disk: l.member.Disk}
+func (l *lane) exchange(epoch uint64, jobs []*job) {
+	b := replica.Batch{Epoch: epoch, Disk: l.member.Disk}
 	for _, j := range jobs {
 		b.Ops = append(b.Ops, j.ops...)
 	}
 	l.mu.Lock()
-	if l.view.Version == version {
+	if l.view.Epoch == epoch {
 		b.View = l.view
 	}
 	l.mu.Unlock()
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -64,7 +64,7 @@
 	lastAnswer map[string]time.Time // By VM.
 	view       replica.View
 	viewRev    uint64
-	copiedFor  uint64 // Version of the view whose earlier sets were copied.
+	copiedFor  uint64 // Epoch whose earlier sets were copied.
 	started    time.Time
 	changed    chan struct{}
 }
@@ -114,11 +114,6 @@
 		next[name] = r
 	}
 	m.mu.Lock()
-	for name := range next {
-		if _, known := m.registered[name]; !known {
-			m.lastAnswer[name] = time.Now()
-		}
-	}
 	m.registered = next
 	m.mu.Unlock()
 	m.wake()
@@ -223,26 +218,23 @@
 	if v.Settled() || !replica.Contains(v.Current(), m.Self.Key()) || m.marked(v) {
 		return
 	}
-	if m.copiedFor != setsKey(v) {
+	if m.copiedFor != v.Epoch {
 		start := time.Now()
 		if err := m.copyEarlierSets(ctx, v); err != nil {
 			m.Log.Warn("copy of the earlier sets failed", "view", v.Version, "error", err)
 			return
 		}
-		m.copiedFor = setsKey(v)
+		m.copiedFor = v.Epoch
 		m.Log.Info("earlier sets copied", "view", v.Version, "took", time.Since(start))
 	}
 	m.change(ctx, "copied", func(v replica.View) (replica.View, bool) {
-		if setsKey(v) != m.copiedFor {
+		if v.Epoch != m.copiedFor {
 			return v, false
 		}
 		return replica.MarkCopied(v, m.Self.Key())
 	})
 }
 
-// setsKey names the sets of a view: its version without the marks of members that have copied.
-func setsKey(v replica.View) uint64 { return v.Version - uint64(len(v.Copied)) }
-
 func (m *Membership) marked(v replica.View) bool {
 	for _, k := range v.Copied {
 		if k == m.Self.Key() {
@@ -282,13 +274,17 @@
 	for vm, at := range m.lastAnswer {
 		last[vm] = at
 	}
-	self, now := m.Self.VM, time.Now()
+	self, started, now := m.Self.VM, m.started, time.Now()
 	f.SilentFor = func(vm string) time.Duration {
 		if vm == self {
 			return 0
 		}
+		if last[vm].Before(started) {
+			return now.Sub(started)
+		}
 		return now.Sub(last[vm])
 	}
+	f.Answers = func(vm string) bool { return vm == self || now.Sub(last[vm]) < replica.AnswersWithin }
 	return f
 }
 
--- a/daemon/replica/protocol.go
+++ b/daemon/replica/protocol.go
@@ -43,13 +43,13 @@
 
 // Batch is the body of a request to a replica.
 type Batch struct {
-	View    replica.View `json:"view,omitzero"` // Present when the replica may lack it.
-	Version uint64       `json:"version"`       // Version of the view that the sender uses.
-	Disk    string       `json:"disk"`          // Disk of the replica that the sender means.
-	Ops     []Op         `json:"ops"`
+	View  replica.View `json:"view,omitzero"` // Present when the replica may lack it.
+	Epoch uint64       `json:"epoch"`         // Epoch of the view that the sender uses.
+	Disk  string       `json:"disk"`          // Disk of the replica that the sender means.
+	Ops   []Op         `json:"ops"`
 }
 
-// BatchAnswer is the body of an answer. View is set where the sender's view is not the replica's; then nothing was done.
+// BatchAnswer is the body of an answer. View is set where the sender's epoch is not the replica's; then nothing was done.
 type BatchAnswer struct {
 	View    *replica.View `json:"view,omitempty"`
 	Results []Result      `json:"results,omitempty"`
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,6 +29,8 @@
 	log    *slog.Logger
 	writes chan *writeJob
 
+	adopting sync.Mutex // Held while a view is made durable.
+
 	batches     *metrics.Counter
 	refused     *metrics.Counter
 	writeErrors *metrics.Counter
@@ -174,17 +177,19 @@
 	}
 }
 
-// adopt makes a newer view durable. It reports whether the sender's view is in force here.
+// adopt makes a newer view durable. It reports whether the sender's epoch is in force here.
 func (s *Server) adopt(ctx context.Context, v replica.View) bool {
-	if s.state.currentView().Version >= v.Version {
-		return s.state.currentView().Version == v.Version
+	s.adopting.Lock()
+	defer s.adopting.Unlock()
+	if current := s.state.currentView(); current.Version >= v.Version {
+		return current.Epoch == v.Epoch
 	}
 	job := &writeJob{view: &v, done: make(chan struct{})}
 	if !s.submit(ctx, job) || job.view == nil {
 		return false
 	}
-	s.log.Info("view adopted", "view", v.Version, "sets", len(v.Sets), "members", len(v.Current()))
-	return s.state.currentView().Version == v.Version
+	s.log.Info("view adopted", "view", v.Version, "epoch", v.Epoch, "sets", len(v.Sets), "members", len(v.Current()))
+	return s.state.currentView().Epoch == v.Epoch
 }
 
 func (s *Server) submit(ctx context.Context, job *writeJob) bool {
@@ -214,7 +219,7 @@
 	if b.View.Version > s.state.currentView().Version {
 		s.adopt(r.Context(), b.View)
 	}
-	if v := s.state.currentView(); v.Version != b.Version {
+	if v := s.state.currentView(); v.Epoch != b.Epoch {
 		s.refused.Inc()
 		reply(w, BatchAnswer{View: &v})
 		return
