--- /dev/null
+++ b/testbed/deployment/deployment.go
@@ -0,0 +1,359 @@
+// Package deployment runs gateways and replicas as separate processes on loopback, beside stand-ins of the users' platform:
+// its store, its settings files, its engines and its plain services.
+package deployment
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/testbed/process"
+	"jackdawbay.dev/testbed/standin/backend"
+	"jackdawbay.dev/testbed/standin/objectstore"
+)
+
+// Names of the deployment's routes and services.
+const (
+	Host    = "site.example"
+	Engines = "engines"
+	Desk    = "desk"
+	// Paths of the routes by kind.
+	PathKept      = "/kept/"
+	PathResumable = "/resumable/"
+	PathLookup    = "/lookup/"
+	PathOrder     = "/order/"
+)
+
+// TokensPerEvent is the number of tokens of one event of the engines.
+const TokensPerEvent = 32
+
+// Options describe a deployment.
+type Options struct {
+	Binaries  string // Folder with jackdawbayd.
+	Dir       string // Folder for logs, settings and disks.
+	Gateways  int
+	Replicas  int
+	Engines   int
+	Services  int
+	Zones     []string // Data centres; the first two lie in one region.
+	Tolerate  int
+	Events    int           // Events of a stream.
+	Pace      time.Duration // Time between events.
+	GraceS    float64
+	RetainS   float64
+	Attempts  map[string]int // Upstreams for one attempt, by path.
+	TimeoutMS int
+}
+
+// VM is one VM of the deployment with its process.
+type VM struct {
+	Name, Role, Zone, IP string
+	Front, Ready         string
+	PortBase             int
+	Dir                  string
+	Process              *process.Process
+	boot                 string
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Options  Options
+	Store    *objectstore.Store
+	Gateways []*VM
+	Replicas []*VM
+	Engines  []*backend.Upstream
+	Services []*backend.Upstream
+
+	mu      sync.Mutex
+	group   *process.Group
+	version uint64
+	nextVM  int
+}
+
+// Start starts everything and waits until the gateways are ready.
+func Start(o Options) (*Deployment, error) {
+	if len(o.Zones) == 0 {
+		o.Zones = []string{"zone-a", "zone-b", "zone-c"}
+	}
+	d := &Deployment{Options: o, group: process.NewGroup(o.Binaries, o.Dir)}
+	store, err := objectstore.Start("127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "start the store")
+	}
+	d.Store = store
+	for i := range o.Engines {
+		if _, err := d.AddUpstream(Engines, fmt.Sprintf("engine-%d", i)); err != nil {
+			return d, err
+		}
+	}
+	for i := range o.Services {
+		if _, err := d.AddUpstream(Desk, fmt.Sprintf("desk-%d", i)); err != nil {
+			return d, err
+		}
+	}
+	d.Configure(nil)
+	for range o.Replicas {
+		if _, err := d.AddVM("replica"); err != nil {
+			return d, err
+		}
+	}
+	for range o.Gateways {
+		if _, err := d.AddVM("gateway"); err != nil {
+			return d, err
+		}
+	}
+	return d, d.AwaitServing(20 * time.Second)
+}
+
+// Close ends everything.
+func (d *Deployment) Close() {
+	d.group.StopAll()
+	for _, u := range append(append([]*backend.Upstream{}, d.Engines...), d.Services...) {
+		u.Stop()
+	}
+	if d.Store != nil {
+		d.Store.Close()
+	}
+}
+
+// Logs returns the output of a VM's processes.
+func (d *Deployment) Logs(vm *VM) string {
+	raw, err := os.ReadFile(d.group.LogPath(vm.Name))
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
+
+// AddUpstream starts an upstream and registers it.
+func (d *Deployment) AddUpstream(service, id string) (*backend.Upstream, error) {
+	u := &backend.Upstream{ID: id, Slots: 8, Pace: d.Options.Pace}
+	if service == Engines {
+		u.Events = d.Options.Events
+	}
+	if err := u.Start("127.0.0.1:0"); err != nil {
+		return nil, errors.Wrap(err, "start an upstream")
+	}
+	d.mu.Lock()
+	if service == Engines {
+		d.Engines = append(d.Engines, u)
+	} else {
+		d.Services = append(d.Services, u)
+	}
+	n := len(d.Engines) + len(d.Services)
+	d.mu.Unlock()
+	d.Register(service, u, d.Options.Zones[n%len(d.Options.Zones)], "ready")
+	return u, nil
+}
+
+// Register writes the entry of an upstream.
+func (d *Deployment) Register(service string, u *backend.Upstream, zone, state string) {
+	d.Store.Put("servers", u.ID, map[string]any{
+		"service": service, "addr": u.Addr(), "zone": zone, "version": "v1", "slots": u.Slots, "state": state, "coldLeftMs": 0,
+		"born": time.Now().UnixMilli(), "seq": 1,
+	})
+}
+
+// Configure writes the next version of the configuration. Change may alter the routes.
+func (d *Deployment) Configure(change func(routes []map[string]any) []map[string]any) uint64 {
+	d.mu.Lock()
+	d.version += 3
+	version := d.version
+	d.mu.Unlock()
+	timeout := d.Options.TimeoutMS
+	if timeout == 0 {
+		timeout = 3000
+	}
+	attempts := func(path string, standard int) int {
+		if n, ok := d.Options.Attempts[path]; ok {
+			return n
+		}
+		return standard
+	}
+	route := func(path, kind, service string, more map[string]any) map[string]any {
+		r := map[string]any{
+			"name": strings.Trim(path, "/"), "host": Host, "pathPrefix": path, "kind": kind, "timeoutMs": timeout, "sloMs": 300,
+			"priority": 0, "service": service, "retain": false, "retainS": d.Options.RetainS,
+		}
+		for k, v := range more {
+			r[k] = v
+		}
+		return r
+	}
+	routes := []map[string]any{
+		route(PathKept, "stream", Engines, map[string]any{"retain": true, "sticky": true, "attempts": attempts(PathKept, 1)}),
+		route(PathResumable, "stream", Engines, map[string]any{"resumable": true, "sticky": true, "attempts": attempts(PathResumable, 1)}),
+		route(PathLookup, "idempotent", Desk, map[string]any{"attempts": attempts(PathLookup, 2)}),
+		route(PathOrder, "non_idempotent", Desk, map[string]any{"attempts": attempts(PathOrder, 1)}),
+	}
+	if change != nil {
+		routes = change(routes)
+	}
+	d.Store.Put("config", "main", map[string]any{
+		"version": version, "routes": routes,
+		"services": []map[string]any{
+			{"name": Engines, "healthPath": "/health", "maxConns": 100, "engine": map[string]any{"slots": 8, "tokensPerEvent": TokensPerEvent}},
+			{"name": Desk, "healthPath": "/health", "maxConns": 100},
+		},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+	})
+	return version
+}
+
+// AddVM starts a VM with a role. Each VM has a loopback address of its own, so that faults can tell them apart.
+func (d *Deployment) AddVM(role string) (*VM, error) {
+	d.mu.Lock()
+	d.nextVM++
+	n := d.nextVM
+	list := &d.Gateways
+	if role == "replica" {
+		list = &d.Replicas
+	}
+	zone := d.Options.Zones[len(*list)%len(d.Options.Zones)]
+	d.mu.Unlock()
+	vm := &VM{Name: fmt.Sprintf("%s-%d", role, n), Role: role, Zone: zone, IP: fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, n)}
+	ports, err := freePorts(vm.IP, 4)
+	if err != nil {
+		return nil, err
+	}
+	vm.Front, vm.Ready = net.JoinHostPort(vm.IP, ports[0]), net.JoinHostPort(vm.IP, ports[1])
+	if _, err := fmt.Sscan(ports[2], &vm.PortBase); err != nil {
+		return nil, errors.Wrap(err, "parse a port")
+	}
+	vm.Dir = filepath.Join(d.Options.Dir, vm.Name+"-disk")
+	vm.boot = filepath.Join(d.Options.Dir, vm.Name+".yaml")
+	if err := os.MkdirAll(vm.Dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "create the data directory")
+	}
+	if err := d.writeBoot(vm); err != nil {
+		return nil, err
+	}
+	if err := d.StartVM(vm); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	*list = append(*list, vm)
+	d.mu.Unlock()
+	return vm, nil
+}
+
+func (d *Deployment) writeBoot(vm *VM) error {
+	zones := map[string]string{}
+	for i, z := range d.Options.Zones {
+		zones[z] = "region-1"
+		if i >= 2 {
+			zones[z] = "region-2"
+		}
+	}
+	grace := d.Options.GraceS
+	if grace == 0 {
+		grace = 8
+	}
+	boot := map[string]any{
+		"node": vm.Name, "role": vm.Role, "ip": vm.IP, "zone": vm.Zone, "region": zones[vm.Zone], "zones": zones,
+		"portRange": []int{vm.PortBase, vm.PortBase + 15}, "limits": map[string]any{"memoryMb": 200, "maxFds": 1000},
+		"tolerate": map[string]any{"machines": d.Options.Tolerate}, "bounds": map[string]any{"graceS": grace},
+		"platform": map[string]any{"addr": d.Store.Addr(), "writesPerS": 400, "readsPerS": 2000},
+		"notKnown": "ignored",
+	}
+	if vm.Role == "gateway" {
+		boot["serves"], boot["listen"] = []string{"front"}, map[string]any{"front": vm.Front, "ready": vm.Ready}
+	} else {
+		boot["serves"], boot["dataDir"] = []string{"storage"}, vm.Dir
+	}
+	raw, err := json.Marshal(boot) // JSON is YAML.
+	if err != nil {
+		return errors.Wrap(err, "encode the settings")
+	}
+	return errors.Wrap(os.WriteFile(vm.boot, raw, 0o600), "write the settings")
+}
+
+// StartVM starts the process of a VM.
+func (d *Deployment) StartVM(vm *VM) error {
+	p, err := d.group.StartLogged(vm.Name, "jackdawbayd", []string{"JACKDAWBAY_BOOT=" + vm.boot}, vm.Role)
+	if err != nil {
+		return err
+	}
+	vm.Process = p
+	return nil
+}
+
+// Kill ends the process of a VM at once.
+func (d *Deployment) Kill(vm *VM) { vm.Process.Kill() }
+
+// Wipe removes the disk of a VM whose process has ended.
+func (d *Deployment) Wipe(vm *VM) error {
+	if err := os.RemoveAll(vm.Dir); err != nil {
+		return errors.Wrap(err, "remove the data directory")
+	}
+	return errors.Wrap(os.MkdirAll(vm.Dir, 0o700), "create the data directory")
+}
+
+// Freeze and Thaw suspend the process of a VM.
+func (d *Deployment) Freeze(vm *VM) error { return vm.Process.Signal(syscall.SIGSTOP) }
+
+// Thaw lets the process of a VM go on.
+func (d *Deployment) Thaw(vm *VM) error { return vm.Process.Signal(syscall.SIGCONT) }
+
+// AwaitServing waits until every gateway is ready and a turn can be served.
+func (d *Deployment) AwaitServing(timeout time.Duration) error {
+	deadline := time.Now().Add(timeout)
+	for _, g := range d.Gateways {
+		for {
+			if d.Ready(g) && d.probeTurn(g) {
+				break
+			}
+			if time.Now().After(deadline) {
+				return errors.Newf("%s does not serve; its log:\n%s", g.Name, d.Logs(g))
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// Ready asks a gateway whether it is ready.
+func (d *Deployment) Ready(g *VM) bool {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + g.Ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close() // Nothing is read of it.
+	return resp.StatusCode == http.StatusOK
+}
+
+func (d *Deployment) probeTurn(g *VM) bool {
+	if d.Options.Engines == 0 {
+		return true
+	}
+	a := Send(g, Call{Path: PathResumable, ID: NewID(), Program: NewID(), Budget: 1 << 20, MaxTokens: 1, Deadline: 2 * time.Second})
+	return a.Status == http.StatusOK
+}
+
+// freePorts returns ports of an address that are free now.
+func freePorts(ip string, n int) ([]string, error) {
+	var ports []string
+	for range n {
+		l, err := net.Listen("tcp", ip+":0")
+		if err != nil {
+			return nil, errors.Wrap(err, "find a free port")
+		}
+		defer func() { _ = l.Close() }() // The port is taken again by the process.
+		_, port, err := net.SplitHostPort(l.Addr().String())
+		if err != nil {
+			return nil, errors.Wrap(err, "split an address")
+		}
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
--- /dev/null
+++ b/testbed/deployment/main_test.go
@@ -0,0 +1,79 @@
+package deployment
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "jackdawbay-deployment-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	build := exec.Command("go", "build", "-o", dir+"/", "jackdawbay.dev/daemon/cmd/jackdawbayd")
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, output)
+		os.Exit(1)
+	}
+	binaries = dir
+	code := m.Run()
+	if err := os.RemoveAll(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(code)
+}
+
+// standard is a deployment that loses one VM with a disk.
+func standard() Options {
+	return Options{Gateways: 2, Replicas: 3, Engines: 2, Services: 2, Tolerate: 1, Events: 4, Pace: 10 * time.Millisecond, RetainS: 60}
+}
+
+// start starts a deployment and ends it with the test. The logs are shown when the test fails.
+func start(t *testing.T, o Options) *Deployment {
+	t.Helper()
+	o.Binaries, o.Dir = binaries, t.TempDir()
+	d, err := Start(o)
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, vm := range append(append([]*VM{}, d.Gateways...), d.Replicas...) {
+				t.Logf("log of %s:\n%s", vm.Name, d.Logs(vm))
+			}
+		}
+		d.Close()
+	})
+	must.NoError(t, err)
+	return d
+}
+
+// runs counts the runs of a request over all upstreams.
+func (d *Deployment) runs(id string) int {
+	n := 0
+	for _, u := range append(d.Engines[:len(d.Engines):len(d.Engines)], d.Services...) {
+		for _, r := range u.Runs() {
+			if r.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, what string, timeout time.Duration, f func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(timeout)
+	for !f() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v", what, timeout)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/testbed/deployment/state_test.go
@@ -0,0 +1,300 @@
+package deployment
+
+import (
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/testbed/standin/backend"
+	"jackdawbay.dev/testbed/standin/objectstore"
+)
+
+const most = 4 * TokensPerEvent // Tokens of a whole turn of the standard deployment.
+
+func turn(program, previous, body string) Call {
+	return Call{Path: PathKept, ID: NewID(), Program: program, Budget: 1 << 20, MaxTokens: most, Previous: previous, Body: body}
+}
+
+// chainOf sends turns that continue each other, through the gateways in turn, and returns their calls.
+func (d *Deployment) chainOf(t *testing.T, program, previous string, n int) []Call {
+	t.Helper()
+	var calls []Call
+	for i := range n {
+		c := turn(program, previous, "input-"+NewID()+";")
+		a := Send(d.Gateways[i%len(d.Gateways)], c)
+		must.NoError(t, a.Err)
+		must.EqOp(t, http.StatusOK, a.Status, must.Sprint(a.Body))
+		calls = append(calls, c)
+		previous = c.ID
+	}
+	return calls
+}
+
+// history is what an engine gets for a turn that continues others.
+func history(calls []Call, events int) string {
+	var b strings.Builder
+	for i, c := range calls {
+		b.WriteString(c.Body)
+		if i < len(calls)-1 {
+			b.WriteString(backend.Output(c.ID, events))
+		}
+	}
+	return b.String()
+}
+
+func (d *Deployment) body(id string) string {
+	for _, u := range d.Engines {
+		for _, r := range u.Runs() {
+			if r.ID == id {
+				return r.Body
+			}
+		}
+	}
+	return ""
+}
+
+// Guards against a history that is lost, mixed or out of order, through any gateway, and over the death of everything.
+func TestHistorySurvives(t *testing.T) {
+	d := start(t, standard())
+	program := NewID()
+	calls := d.chainOf(t, program, "", 5)
+	test.EqOp(t, history(calls, 4), d.body(calls[4].ID))
+
+	all := append(append([]*VM{}, d.Gateways...), d.Replicas...)
+	for _, vm := range all {
+		d.Kill(vm)
+	}
+	for _, vm := range all {
+		must.NoError(t, d.StartVM(vm))
+	}
+	must.NoError(t, d.AwaitServing(15*time.Second))
+	more := d.chainOf(t, program, calls[4].ID, 2)
+	calls = append(calls, more...)
+	test.EqOp(t, history(calls, 4), d.body(more[1].ID))
+}
+
+// Guards against a 404 for a turn that exists, and against any other answer for one that does not.
+func TestUnknownTurnIs404AndDoubtIs503(t *testing.T) {
+	d := start(t, standard())
+	calls := d.chainOf(t, NewID(), "", 2)
+	test.EqOp(t, http.StatusNotFound, Send(d.Gateways[0], turn(NewID(), NewID(), "x")).Status)
+	d.Kill(d.Replicas[0])
+	test.EqOp(t, http.StatusNotFound, Send(d.Gateways[1], turn(NewID(), NewID(), "x")).Status, test.Sprint("one lost replica leaves no doubt"))
+	must.EqOp(t, http.StatusOK, Send(d.Gateways[1], turn(NewID(), calls[1].ID, "x")).Status)
+	d.Kill(d.Replicas[1])
+	c := turn(NewID(), NewID(), "x")
+	a := Send(d.Gateways[1], c)
+	test.EqOp(t, http.StatusServiceUnavailable, a.Status)
+	test.EqOp(t, 0, d.runs(c.ID))
+}
+
+// Guards against the loss of turns with a disk, and against a VM with an empty disk whose ignorance counts as knowledge.
+func TestWipedDisks(t *testing.T) {
+	d := start(t, standard())
+	program := NewID()
+	calls := d.chainOf(t, program, "", 4)
+	for round := range 3 {
+		vm := d.Replicas[round]
+		d.Kill(vm)
+		must.NoError(t, d.Wipe(vm))
+		must.NoError(t, d.StartVM(vm))
+		eventually(t, "the view is settled with the new disk", 10*time.Second, func() bool {
+			disk, err := os.ReadFile(filepath.Join(vm.Dir, "identity"))
+			o, _ := d.Store.Get("jackdawbay-views", "main")
+			return err == nil && strings.Count(string(o.Spec), `"disk"`) == 3 && strings.Contains(string(o.Spec), string(disk))
+		})
+		for _, g := range d.Gateways {
+			d.Kill(g)
+			must.NoError(t, d.StartVM(g))
+		}
+		must.NoError(t, d.AwaitServing(15*time.Second))
+		more := d.chainOf(t, program, calls[len(calls)-1].ID, 1)
+		calls = append(calls, more...)
+		test.EqOp(t, history(calls, 4), d.body(more[0].ID))
+	}
+}
+
+// Guards against a VM that is reported as emptied while it still holds the only copies, and against one that is never
+// reported.
+func TestRetire(t *testing.T) {
+	d := start(t, standard())
+	program := NewID()
+	calls := d.chainOf(t, program, "", 3)
+	spare, err := d.AddVM("replica")
+	must.NoError(t, err)
+	retired := d.Replicas[0]
+	d.Store.Put("retirements", retired.Name, map[string]any{"durationS": 8})
+	eventually(t, "the VM is reported as emptied", 8*time.Second, func() bool {
+		o, _ := d.Store.Get("retirements", retired.Name)
+		return strings.Contains(string(o.Status), "done")
+	})
+	d.Kill(retired)
+	must.NoError(t, d.Wipe(retired))
+	d.Kill(d.Replicas[1])
+	calls = append(calls, d.chainOf(t, program, calls[2].ID, 1)...)
+	test.EqOp(t, history(calls, 4), d.body(calls[3].ID), test.Sprintf("the spare %s has the turns", spare.Name))
+}
+
+// Guards against a budget that is passed through several gateways side by side or over restarts, and against a refusal while
+// the budget still holds a turn.
+func TestBudget(t *testing.T) {
+	d := start(t, standard())
+	program := NewID()
+	const turns = 6
+	call := func() Call {
+		return Call{Path: PathResumable, ID: NewID(), Program: program, Budget: turns * most, MaxTokens: most}
+	}
+	for i := range turns {
+		a := Send(d.Gateways[i%2], call())
+		must.EqOp(t, http.StatusOK, a.Status, must.Sprintf("turn %d: %s", i, a.Body))
+		time.Sleep(50 * time.Millisecond)
+	}
+	for i := range 4 {
+		c := call()
+		test.EqOp(t, http.StatusPaymentRequired, Send(d.Gateways[i%2], c).Status)
+		test.EqOp(t, 0, d.runs(c.ID))
+	}
+	all := append(append([]*VM{}, d.Gateways...), d.Replicas...)
+	for _, vm := range all {
+		d.Kill(vm)
+	}
+	for _, vm := range all {
+		must.NoError(t, d.StartVM(vm))
+	}
+	must.NoError(t, d.AwaitServing(15*time.Second))
+	test.EqOp(t, http.StatusPaymentRequired, Send(d.Gateways[0], call()).Status)
+}
+
+// Guards against a budget that counts the worst case of turns that have ended with less, or have not run.
+func TestBudgetCountsWhatReachedTheCaller(t *testing.T) {
+	d := start(t, standard())
+	program := NewID()
+	call := func() Call {
+		return Call{Path: PathResumable, ID: NewID(), Program: program, Budget: 10 * most, MaxTokens: 5 * most}
+	}
+	d.always(backend.Refuse)
+	for range 5 {
+		must.EqOp(t, http.StatusServiceUnavailable, Send(d.Gateways[0], call()).Status)
+	}
+	d.always(backend.NoFault)
+	time.Sleep(500 * time.Millisecond)
+	for i := range 6 {
+		must.EqOp(t, http.StatusOK, Send(d.Gateways[i%2], call()).Status, must.Sprintf("turn %d", i))
+		time.Sleep(200 * time.Millisecond)
+	}
+	test.EqOp(t, http.StatusPaymentRequired, Send(d.Gateways[0], call()).Status, test.Sprint("six turns leave less than one worst case"))
+}
+
+// Guards against many turns of one program side by side that pass its budget together.
+func TestBudgetHoldsForConcurrentTurns(t *testing.T) {
+	d := start(t, standard())
+	program := NewID()
+	const budget, callers = 5 * most, 24
+	answers := make(chan Answer, callers)
+	for i := range callers {
+		go func() {
+			answers <- Send(d.Gateways[i%2], Call{Path: PathResumable, ID: NewID(), Program: program, Budget: budget, MaxTokens: most})
+		}()
+	}
+	spent := 0
+	for range callers {
+		a := <-answers
+		spent += len(a.Events()) * TokensPerEvent
+	}
+	test.LessEq(t, budget+most, spent)
+}
+
+// Guards against service that ends with the store, for what does not need it, and against a configuration that goes back.
+func TestStoreOutage(t *testing.T) {
+	for _, o := range []objectstore.Outage{objectstore.Busy, objectstore.Many, objectstore.Reset, objectstore.Silent} {
+		t.Run(string(o), func(t *testing.T) {
+			d := start(t, standard())
+			program := NewID()
+			calls := d.chainOf(t, program, "", 1)
+			d.Store.Fail(o, nil)
+			time.Sleep(1500 * time.Millisecond)
+			calls = append(calls, d.chainOf(t, program, calls[0].ID, 3)...)
+			test.EqOp(t, history(calls, 4), d.body(calls[3].ID))
+			test.EqOp(t, http.StatusOK, Send(d.Gateways[0], Call{Path: PathOrder, ID: NewID()}).Status)
+			for _, g := range d.Gateways {
+				test.True(t, d.Ready(g), test.Sprint("readiness does not follow the store"))
+			}
+			d.Store.Fail(objectstore.None, nil)
+			d.Configure(func(routes []map[string]any) []map[string]any {
+				routes[2]["pathPrefix"] = "/moved/"
+				return routes
+			})
+			eventually(t, "the configuration is in force", 2500*time.Millisecond, func() bool {
+				return Send(d.Gateways[1], Call{Path: "/moved/", ID: NewID(), Method: http.MethodGet}).Status == http.StatusOK &&
+					Send(d.Gateways[1], Call{Path: PathLookup, ID: NewID(), Method: http.MethodGet}).Status == http.StatusNotFound
+			})
+		})
+	}
+}
+
+// Guards against a missed change when the history of the store is gone, and against an older version that comes later.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	d := start(t, standard())
+	old, _ := d.Store.Get("config", "main")
+	d.Configure(func(routes []map[string]any) []map[string]any {
+		routes[2]["pathPrefix"] = "/moved/"
+		return routes
+	})
+	d.Store.Forget()
+	moved := func() bool {
+		return Send(d.Gateways[0], Call{Path: "/moved/", ID: NewID(), Method: http.MethodGet}).Status == http.StatusOK
+	}
+	eventually(t, "the configuration is in force", 2500*time.Millisecond, moved)
+	d.Store.PutRaw("config", "main", old.Spec)
+	time.Sleep(1500 * time.Millisecond)
+	test.True(t, moved(), test.Sprint("the older version is ignored"))
+	d.Store.PutRaw("config", "main", []byte(`"unreadable"`))
+	time.Sleep(500 * time.Millisecond)
+	test.True(t, moved(), test.Sprint("an unreadable version is ignored"))
+}
+
+// Guards against answers other than 503 while no configuration is known.
+func TestNoConfiguration(t *testing.T) {
+	o := standard()
+	o.Gateways = 1
+	d := start(t, o)
+	d.Store.Fail(objectstore.Busy, nil)
+	g := d.Gateways[0]
+	d.Kill(g)
+	must.NoError(t, d.StartVM(g))
+	eventually(t, "the gateway listens", 5*time.Second, func() bool {
+		return Send(g, Call{Path: PathOrder, ID: NewID()}).Status == http.StatusServiceUnavailable
+	})
+	test.False(t, d.Ready(g))
+	test.EqOp(t, http.StatusServiceUnavailable, Send(g, Call{Path: "/nowhere/", ID: NewID()}).Status)
+	d.Store.Fail(objectstore.None, nil)
+	must.NoError(t, d.AwaitServing(5*time.Second))
+}
+
+// Guards against upstreams that are dropped when their entries lapse during an outage of the store.
+func TestLapsedEntriesComeBack(t *testing.T) {
+	d := start(t, standard())
+	d.Store.Fail(objectstore.Busy, nil)
+	for _, s := range d.Services {
+		d.Store.Remove("servers", s.ID)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	d.Store.Fail(objectstore.None, nil)
+	deadline := time.Now().Add(1200 * time.Millisecond)
+	for time.Now().Before(deadline) {
+		test.EqOp(t, http.StatusOK, Send(d.Gateways[0], Call{Path: PathOrder, ID: NewID()}).Status)
+	}
+	d.Register(Desk, d.Services[0], "zone-a", "ready")
+	time.Sleep(2500 * time.Millisecond)
+	before := len(d.Services[1].Runs())
+	for range 6 {
+		test.EqOp(t, http.StatusOK, Send(d.Gateways[0], Call{Path: PathOrder, ID: NewID()}).Status)
+	}
+	test.EqOp(t, before, len(d.Services[1].Runs()), test.Sprint("an upstream that has not come back is gone"))
+}
--- a/testbed/process/process.go
+++ b/testbed/process/process.go
@@ -74,6 +74,37 @@
 	}
 }
 
+// StartLogged runs a binary that prints no ready line. Its output is appended to the log, so that restarts follow each other.
+func (g *Group) StartLogged(name, binary string, env []string, args ...string) (*Process, error) {
+	log, err := os.OpenFile(g.LogPath(name), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open log")
+	}
+	// The child holds its own copy of the file.
+	defer func() { _ = log.Close() }()
+	cmd := exec.Command(filepath.Join(g.binaries, binary), args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.Env = append(os.Environ(), env...)
+	if err := cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", binary)
+	}
+	p := &Process{Name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.list = append(g.list, p)
+	return p, nil
+}
+
+// LogPath is the file with the output of a process.
+func (g *Group) LogPath(name string) string { return filepath.Join(g.logs, name+".log") }
+
+// Done is closed when the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.done }
+
 // watch reads the ready line and waits for the exit.
 func (p *Process) watch(out io.Reader, ready chan<- map[string]string) {
 	lines := bufio.NewScanner(out)
