--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := api core daemon cli testbed
+MODULES := api core daemon platform cli testbed
 PACKAGES := $(addprefix ./,$(addsuffix /...,$(MODULES)))
 
 .PHONY: build test race lint demo
--- a/core/placement/parts.go
+++ b/core/placement/parts.go
@@ -23,30 +23,34 @@
 	return (h ^ ',') * fnvPrime
 }
 
-// missing is the number of tokens behind the longest known prefix.
-func (s *partSet) missing(parts []Part) int64 {
-	var total int64
-	for _, p := range parts {
-		total += p.Tokens
-	}
+// prefixes appends the hash of each prefix of a prompt.
+func prefixes(hashes []uint64, parts []Part) []uint64 {
 	h := uint64(fnvOffset)
 	for _, p := range parts {
 		h = extend(h, p.ID)
-		if _, ok := s.used[h]; !ok {
-			return total
+		hashes = append(hashes, h)
+	}
+	return hashes
+}
+
+// missing is the number of tokens behind the longest known prefix. The longest one is looked up first, as most prompts
+// continue one that the engine has read.
+func (s *partSet) missing(parts []Part, hashes []uint64) int64 {
+	var missing int64
+	for i := len(parts) - 1; i >= 0; i-- {
+		if _, ok := s.used[hashes[i]]; ok {
+			break
 		}
-		total -= p.Tokens
+		missing += parts[i].Tokens
 	}
-	return total
+	return missing
 }
 
 func (s *partSet) add(now time.Time, parts []Part) {
 	if s.used == nil {
 		s.used = map[uint64]time.Time{}
 	}
-	h := uint64(fnvOffset)
-	for _, p := range parts {
-		h = extend(h, p.ID)
+	for _, h := range prefixes(nil, parts) {
 		s.used[h] = now
 	}
 	if len(s.used) > maxParts {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -68,7 +68,6 @@
 	ejections  int
 	avoidUntil time.Time
 	parts      partSet
-	removed    bool
 }
 
 // Choice is a chosen upstream with the inputs of the decision.
@@ -86,7 +85,8 @@
 	weights   Weights
 	upstreams map[string]*upstream
 	order     []string
-	serviceMS float64 // Moving average of the time that a request takes.
+	hashes    []uint64 // Of the prompt that is being placed.
+	serviceMS float64  // Moving average of the time that a request takes.
 }
 
 // initialServiceMS is used until a request has been observed.
@@ -120,13 +120,15 @@
 func (g *Group) Choose(now time.Time, r Request) (Choice, bool) {
 	best := Choice{CostMS: math.Inf(1)}
 	found := false
+	g.hashes = prefixes(g.hashes[:0], r.Parts)
+	mean := g.meanOthers(now)
 	for pass := 0; pass < 2 && !found; pass++ {
 		for i, id := range g.order {
 			u := g.upstreams[id]
 			if u.info.Draining || r.Avoid[id] || pass == 0 && now.Before(u.avoidUntil) {
 				continue
 			}
-			c := g.estimate(now, u, r)
+			c := g.estimate(now, u, r, mean)
 			c.CostMS += spread(r.Spot, i, len(g.order))
 			if c.CostMS < best.CostMS {
 				best, found = c, true
@@ -144,10 +146,10 @@
 	return part * spreadMS
 }
 
-func (g *Group) estimate(now time.Time, u *upstream, r Request) Choice {
+func (g *Group) estimate(now time.Time, u *upstream, r Request, mean float64) Choice {
 	c := Choice{Upstream: u.info, ReportAge: now.Sub(u.reportedAt)}
-	c.Running = g.load(now, u)
-	c.Missing = u.parts.missing(r.Parts)
+	c.Running = g.load(now, u, mean)
+	c.Missing = u.parts.missing(r.Parts, g.hashes)
 	slots := float64(max(u.info.Slots, 1))
 	busy := min(c.Running/slots, 1)
 	c.CostMS = float64(u.info.Distance)/float64(time.Millisecond) +
@@ -163,19 +165,18 @@
 	return c
 }
 
-// load estimates the requests at an upstream: what it reported, corrected by the own requests since, and decaying towards
-// the own requests as the report ages.
-func (g *Group) load(now time.Time, u *upstream) float64 {
+// load estimates the requests at an upstream: what it reported, corrected by the own requests since. As the report ages, the
+// share of other daemons decays towards the mean over all upstreams.
+func (g *Group) load(now time.Time, u *upstream, mean float64) float64 {
 	own := float64(u.running)
 	if u.reportedAt.IsZero() {
-		return own
+		return own + mean
 	}
 	others := float64(u.reported.Running+u.reported.Waiting) - float64(u.ownThen)
 	if others < 0 {
 		others = 0
 	}
 	age := float64(now.Sub(u.reportedAt)) / float64(g.weights.ReportHalfLife)
-	mean := g.meanOthers(now)
 	fresh := math.Exp2(-age)
 	return own + others*fresh + mean*(1-fresh)
 }
@@ -245,24 +246,3 @@
 		u.avoidUntil = until
 	}
 }
-
-// Free is the estimated number of free slots of the group, and Slots their number.
-func (g *Group) Free(now time.Time) (free, slots float64) {
-	for _, id := range g.order {
-		u := g.upstreams[id]
-		if u.info.Draining || now.Before(u.avoidUntil) {
-			continue
-		}
-		slots += float64(u.info.Slots)
-		free += max(0, float64(u.info.Slots)-g.load(now, u))
-	}
-	return free, slots
-}
-
-// ServiceTime is the usual time of a request at an upstream.
-func (g *Group) ServiceTime() time.Duration {
-	return time.Duration(g.serviceMS * float64(time.Millisecond))
-}
-
-// Len is the number of upstreams.
-func (g *Group) Len() int { return len(g.order) }
--- a/testbed/deployment/forward_test.go
+++ b/testbed/deployment/forward_test.go
@@ -14,12 +14,6 @@
 	"jackdawbay.dev/testbed/standin/backend"
 )
 
-func (d *Deployment) next(f ...backend.Fault) {
-	for _, u := range append(d.Engines[:len(d.Engines):len(d.Engines)], d.Services...) {
-		u.Next(f...)
-	}
-}
-
 func (d *Deployment) always(f backend.Fault) {
 	for _, u := range append(d.Engines[:len(d.Engines):len(d.Engines)], d.Services...) {
 		u.Always(f)
