--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -32,6 +32,7 @@
 // roleFlags are the settings of a role on the platform; the others stand in the platform's settings file.
 type roleFlags struct {
 	LogLevel   string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
+	Advertise  string `help:"Address at which others reach the replica listener. Default: the listener." env:"JACKDAWBAY_ADVERTISE"`
 	CacheBytes int64  `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
 }
 
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -29,8 +29,12 @@
 	if err != nil {
 		return err
 	}
+	address := p.flags.Advertise
+	if address == "" {
+		address = p.site.ReplicaListen
+	}
 	members := &replica.Membership{
-		Self:        core.Member{VM: p.site.VM, Disk: server.Disk(), Address: p.site.ReplicaListen, DataCentre: p.site.DataCentre},
+		Self:        core.Member{VM: p.site.VM, Disk: server.Disk(), Address: address, DataCentre: p.site.DataCentre},
 		Tolerate:    func() int { return int(p.tolerate.Load()) },
 		Server:      server,
 		Store:       p.store,
--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -17,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/testbed/process"
+	"jackdawbay.dev/testbed/relay"
 	"jackdawbay.dev/testbed/standin/backend"
 	"jackdawbay.dev/testbed/standin/objectstore"
 )
@@ -52,6 +54,7 @@
 	RetainS   float64
 	Attempts  map[string]int // Upstreams for one attempt, by path.
 	TimeoutMS int
+	Relays    bool // Put a relay before each upstream and replica, and between each VM and the store.
 }
 
 // VM is one VM of the deployment with its process.
@@ -61,6 +64,7 @@
 	PortBase             int
 	Dir                  string
 	Process              *process.Process
+	ToStore, ToReplica   *relay.Relay // Nil without relays.
 	boot                 string
 }
 
@@ -77,6 +81,7 @@
 	group   *process.Group
 	version uint64
 	nextVM  int
+	front   map[*backend.Upstream]*relay.Relay
 }
 
 // Start starts everything and waits until the gateways are ready.
@@ -84,7 +89,7 @@
 	if len(o.Zones) == 0 {
 		o.Zones = []string{"zone-a", "zone-b", "zone-c"}
 	}
-	d := &Deployment{Options: o, group: process.NewGroup(o.Binaries, o.Dir)}
+	d := &Deployment{Options: o, group: process.NewGroup(o.Binaries, o.Dir), front: map[*backend.Upstream]*relay.Relay{}}
 	store, err := objectstore.Start("127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "start the store")
@@ -120,11 +125,47 @@
 	for _, u := range append(append([]*backend.Upstream{}, d.Engines...), d.Services...) {
 		u.Stop()
 	}
+	for _, r := range d.Relays() {
+		r.Close()
+	}
 	if d.Store != nil {
 		d.Store.Close()
 	}
 }
 
+// Relays returns all relays of the deployment.
+func (d *Deployment) Relays() []*relay.Relay {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []*relay.Relay
+	for _, r := range d.front {
+		list = append(list, r)
+	}
+	for _, vm := range append(append([]*VM{}, d.Gateways...), d.Replicas...) {
+		for _, r := range []*relay.Relay{vm.ToStore, vm.ToReplica} {
+			if r != nil {
+				list = append(list, r)
+			}
+		}
+	}
+	return list
+}
+
+// RelayOf returns the relay before an upstream, or nil.
+func (d *Deployment) RelayOf(u *backend.Upstream) *relay.Relay {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.front[u]
+}
+
+// addressOf is the address at which callers reach an upstream.
+func (d *Deployment) addressOf(u *backend.Upstream) string {
+	if r := d.RelayOf(u); r != nil {
+		return r.Addresses()[0]
+	}
+	return u.Addr()
+}
+
 // Logs returns the output of a VM's processes.
 func (d *Deployment) Logs(vm *VM) string {
 	raw, err := os.ReadFile(d.group.LogPath(vm.Name))
@@ -143,6 +184,15 @@
 	if err := u.Start("127.0.0.1:0"); err != nil {
 		return nil, errors.Wrap(err, "start an upstream")
 	}
+	if d.Options.Relays {
+		r, err := relay.Start([]relay.Link{{Listen: "127.0.0.1:0", Target: u.Addr()}})
+		if err != nil {
+			return nil, err
+		}
+		d.mu.Lock()
+		d.front[u] = r
+		d.mu.Unlock()
+	}
 	d.mu.Lock()
 	if service == Engines {
 		d.Engines = append(d.Engines, u)
@@ -158,7 +208,7 @@
 // Register writes the entry of an upstream.
 func (d *Deployment) Register(service string, u *backend.Upstream, zone, state string) {
 	d.Store.Put("servers", u.ID, map[string]any{
-		"service": service, "addr": u.Addr(), "zone": zone, "version": "v1", "slots": u.Slots, "state": state, "coldLeftMs": 0,
+		"service": service, "addr": d.addressOf(u), "zone": zone, "version": "v1", "slots": u.Slots, "state": state, "coldLeftMs": 0,
 		"born": time.Now().UnixMilli(), "seq": 1,
 	})
 }
@@ -234,6 +284,11 @@
 	if err := os.MkdirAll(vm.Dir, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create the data directory")
 	}
+	if d.Options.Relays {
+		if err := d.addRelays(vm); err != nil {
+			return nil, err
+		}
+	}
 	if err := d.writeBoot(vm); err != nil {
 		return nil, err
 	}
@@ -246,6 +301,17 @@
 	return vm, nil
 }
 
+func (d *Deployment) addRelays(vm *VM) (err error) {
+	if vm.ToStore, err = relay.Start([]relay.Link{{Listen: "127.0.0.1:0", Target: d.Store.Addr()}}); err != nil {
+		return err
+	}
+	if vm.Role == "replica" {
+		target := net.JoinHostPort(vm.IP, strconv.Itoa(vm.PortBase))
+		vm.ToReplica, err = relay.Start([]relay.Link{{Listen: "127.0.0.1:0", Target: target}})
+	}
+	return err
+}
+
 func (d *Deployment) writeBoot(vm *VM) error {
 	zones := map[string]string{}
 	for i, z := range d.Options.Zones {
@@ -258,11 +324,15 @@
 	if grace == 0 {
 		grace = 8
 	}
+	store := d.Store.Addr()
+	if vm.ToStore != nil {
+		store = vm.ToStore.Addresses()[0]
+	}
 	boot := map[string]any{
 		"node": vm.Name, "role": vm.Role, "ip": vm.IP, "zone": vm.Zone, "region": zones[vm.Zone], "zones": zones,
 		"portRange": []int{vm.PortBase, vm.PortBase + 15}, "limits": map[string]any{"memoryMb": 200, "maxFds": 1000},
 		"tolerate": map[string]any{"machines": d.Options.Tolerate}, "bounds": map[string]any{"graceS": grace},
-		"platform": map[string]any{"addr": d.Store.Addr(), "writesPerS": 400, "readsPerS": 2000},
+		"platform": map[string]any{"addr": store, "writesPerS": 400, "readsPerS": 2000},
 		"notKnown": "ignored",
 	}
 	if vm.Role == "gateway" {
@@ -279,7 +349,11 @@
 
 // StartVM starts the process of a VM.
 func (d *Deployment) StartVM(vm *VM) error {
-	p, err := d.group.StartLogged(vm.Name, "jackdawbayd", []string{"JACKDAWBAY_BOOT=" + vm.boot}, vm.Role)
+	env := []string{"JACKDAWBAY_BOOT=" + vm.boot}
+	if vm.ToReplica != nil {
+		env = append(env, "JACKDAWBAY_ADVERTISE="+vm.ToReplica.Addresses()[0])
+	}
+	p, err := d.group.StartLogged(vm.Name, "jackdawbayd", env, vm.Role)
 	if err != nil {
 		return err
 	}
@@ -357,3 +431,25 @@
 	}
 	return ports, nil
 }
+
+// SettledWith reports whether the view has one set and a member with a disk.
+func (d *Deployment) SettledWith(disk string) bool {
+	o, ok := d.Store.Get("jackdawbay-views", "main")
+	if !ok {
+		return false
+	}
+	var view struct {
+		Sets [][]struct {
+			Disk string `json:"disk"`
+		} `json:"sets"`
+	}
+	if err := json.Unmarshal(o.Spec, &view); err != nil || len(view.Sets) != 1 {
+		return false
+	}
+	for _, m := range view.Sets[0] {
+		if m.Disk == disk {
+			return true
+		}
+	}
+	return false
+}
--- a/testbed/relay/relay.go
+++ b/testbed/relay/relay.go
@@ -27,6 +27,7 @@
 	Pass      Mode = "pass"
 	Blackhole Mode = "blackhole" // No bytes and no close; the connections are reset when the blackhole is lifted.
 	Refuse    Mode = "refuse"    // Connections are reset.
+	Mute      Mode = "mute"      // Bytes reach the target and none come back; the connections are reset when it is lifted.
 )
 
 // Rule applies to connections whose source address starts with From and whose target starts with To.
@@ -141,7 +142,7 @@
 func (r *Relay) SetRules(rules []Rule) error {
 	active := make([]activeRule, len(rules))
 	for i, rule := range rules {
-		if !slices.Contains([]Mode{Pass, Blackhole, Refuse}, rule.Mode) {
+		if !slices.Contains([]Mode{Pass, Blackhole, Refuse, Mute}, rule.Mode) {
 			return errors.Newf("rule %d has the unknown mode %q", i, rule.Mode)
 		}
 		if rule.LatencyMillis < 0 || rule.BytesPerSecond < 0 {
@@ -159,7 +160,9 @@
 		switch mode := r.match(c.from, c.to).Mode; {
 		case mode == Blackhole:
 			c.blackholed = true
-		case mode == Refuse || c.blackholed:
+		case mode == Mute:
+			c.muted = true
+		case mode == Refuse || c.blackholed || c.muted:
 			c.reset()
 		}
 	}
@@ -238,6 +241,7 @@
 	ended      context.Context
 	end        context.CancelFunc
 	blackholed bool // It met a blackhole. Guarded by the lock of the relay.
+	muted      bool // It lost bytes to the source. Guarded by the lock of the relay.
 	targetMu   sync.Mutex
 	target     *net.TCPConn
 	pair       *Pair
@@ -292,7 +296,7 @@
 	if mode == Refuse || len(r.conns) >= maxConnections || r.ctx.Err() != nil {
 		return false
 	}
-	c.blackholed = mode == Blackhole
+	c.blackholed, c.muted = mode == Blackhole, mode == Mute
 	key := [2]string{c.from, c.to}
 	if r.pairs[key] == nil {
 		r.pairs[key] = &Pair{From: c.from, To: c.to}
@@ -389,6 +393,9 @@
 		if _, ok := r.await(c); !ok {
 			continue
 		}
+		if rule.Mode == Mute && direction == 1 {
+			continue
+		}
 		if len(k.data) == 0 {
 			_ = dst.CloseWrite()
 			continue
