Let one replica propose at a time, let only new members copy, and read changes of the store together

Ruled out: processor (0.02 of a core), memory, engines (13 refusals). Store calls were mostly 66 watches woken by each registration.

--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -25,7 +25,7 @@
 	Epoch    uint64     `json:"epoch"`    // Changes with the sets. Replicas refuse writes of another epoch.
 	Tolerate int        `json:"tolerate"` // VMs with a disk that may be lost at the same time.
 	Sets     [][]Member `json:"sets"`
-	Copied   []string   `json:"copied"` // Keys of the members of the last set that have copied all earlier sets.
+	Copied   []string   `json:"copied"` // Keys of the members of the last set that have copied the earlier sets.
 }
 
 // Current returns the set that takes the writes.
@@ -104,15 +104,45 @@
 // restart of a process, and shorter than the time in which a successor has to count as caught up.
 const ReplaceAfter = 2500 * time.Millisecond
 
+// ReplaceWhileCopying is the silence after which a member is replaced while earlier sets are still copied. Each further set is
+// read as well, so a change waits for the end of the one before if it can.
+const ReplaceWhileCopying = 3 * ReplaceAfter
+
 // Propose returns the next view, if a change is due. The caller writes it under the condition that the view that it read
 // is still in force.
 func Propose(v View, f Fleet) (View, bool) {
 	if v.Version == 0 {
 		return propose(View{Tolerate: v.Tolerate}, f, nil)
 	}
+	answering := 0
+	for _, m := range v.Current() {
+		if f.Answers(m.VM) {
+			answering++
+		}
+	}
+	if answering < WriteQuorum(v.Current(), v.Tolerate) {
+		return v, false // The observer may be the one that is cut off.
+	}
 	return propose(v, f, v.Current())
 }
 
+// ProposerRank orders the VMs that may propose: the members of the current set that answer, or the registered VMs before the
+// first view. Others do not propose. Each rank waits longer than the one before, so that one proposal is made at a time.
+func ProposerRank(v View, f Fleet, self string) (rank int, may bool) {
+	candidates := f.Registered
+	if v.Version > 0 {
+		candidates = v.Current()
+	}
+	for _, m := range candidates {
+		if m.VM == self {
+			may = true
+		} else if m.VM < self && f.Answers(m.VM) {
+			rank++
+		}
+	}
+	return rank, may
+}
+
 func propose(v View, f Fleet, current []Member) (View, bool) {
 	present := map[string]Member{}
 	for _, m := range f.Registered {
@@ -121,13 +151,17 @@
 	next := make([]Member, 0, len(current)+1)
 	changed := false
 	var lost []Member
+	patience := ReplaceAfter
+	if !v.Settled() {
+		patience = ReplaceWhileCopying
+	}
 	for _, m := range current {
 		now, known := present[m.VM]
 		switch {
 		case known && now.Disk != m.Disk:
 			next = append(next, now)
 			changed = true
-		case f.Retiring[m.VM] || f.SilentFor(m.VM) > ReplaceAfter:
+		case f.Retiring[m.VM] || f.SilentFor(m.VM) > patience:
 			lost = append(lost, m)
 		case known && now.Address != m.Address:
 			next = append(next, now)
@@ -138,7 +172,7 @@
 	}
 	spare := candidates(f, current)
 	for _, m := range lost {
-		if s, ok := take(&spare, next); ok {
+		if s, ok := take(&spare, next, m.DataCentre); ok {
 			next = append(next, s)
 			changed = true
 			continue
@@ -149,8 +183,8 @@
 		}
 		next = append(next, m)
 	}
-	for len(next) < WantedMembers(v.Tolerate) {
-		s, ok := take(&spare, next)
+	for len(next) < WantedMembers(v.Tolerate) && v.Settled() {
+		s, ok := take(&spare, next, "")
 		if !ok {
 			break
 		}
@@ -181,13 +215,17 @@
 	return out
 }
 
-// take removes the candidate whose data centre has the fewest members.
-func take(spare *[]Member, set []Member) (Member, bool) {
+// take removes a candidate: one of a preferred data centre, as what it copies is near, else the one whose data centre has the
+// fewest members.
+func take(spare *[]Member, set []Member, prefer string) (Member, bool) {
 	best, bestCount := -1, 0
 	for i, s := range *spare {
 		n := 0
+		if prefer != "" && s.DataCentre == prefer {
+			n = -1
+		}
 		for _, m := range set {
-			if m.DataCentre == s.DataCentre {
+			if n >= 0 && m.DataCentre == s.DataCentre {
 				n++
 			}
 		}
@@ -203,8 +241,28 @@
 	return m, true
 }
 
-// MarkCopied returns the view after a member of the last set has copied every earlier set. When all have, the earlier
-// sets are dropped.
+// MustCopy reports whether a member of the last set has to copy the earlier sets before they can be dropped. A member that
+// stays need not, if each member that left has a successor that copies: then every write has as many copies as before.
+func (v View) MustCopy(m Member) bool {
+	if len(v.Sets) != 2 {
+		return !v.Settled()
+	}
+	earlier, current := v.Sets[0], v.Sets[1]
+	stays := func(m Member) bool { return Contains(earlier, m.Key()) }
+	added, kept := 0, 0
+	for _, c := range current {
+		if stays(c) {
+			kept++
+		} else {
+			added++
+		}
+	}
+	replaced := added >= len(earlier)-kept && WriteQuorum(current, v.Tolerate) <= WriteQuorum(earlier, v.Tolerate)
+	return !replaced || !stays(m)
+}
+
+// MarkCopied returns the view after a member of the last set has copied every earlier set. When all that must have, the
+// earlier sets are dropped.
 func MarkCopied(v View, key string) (View, bool) {
 	if v.Settled() || !Contains(v.Current(), key) {
 		return v, false
@@ -221,9 +279,12 @@
 	for _, k := range next.Copied {
 		done[k] = true
 	}
-	if count(v.Current(), done) == len(v.Current()) {
-		next.Sets = [][]Member{v.Current()}
-		next.Copied = nil
+	for _, m := range v.Current() {
+		if v.MustCopy(m) && !done[m.Key()] {
+			return next, true
+		}
 	}
+	next.Sets = [][]Member{v.Current()}
+	next.Copied = nil
 	return next, true
 }
--- a/daemon/catalog/catalog.go
+++ b/daemon/catalog/catalog.go
@@ -39,7 +39,9 @@
 
 // Times of the catalog.
 const (
-	watchWait = 1000 * time.Millisecond // A silent connection to the store is noticed soon after this time.
+	watchWait = 5 * time.Second // Keep-alive probes notice a silent connection sooner.
+	// watchPause is far below the seconds within which a change has to be in force.
+	watchPause = 300 * time.Millisecond
 	// returnTime is the time in which upstreams whose entries lapsed while the store was away register again.
 	returnTime = 2200 * time.Millisecond
 )
@@ -92,7 +94,7 @@
 
 // FollowConfig follows the configuration until the context ends.
 func (c *Catalog) FollowConfig(ctx context.Context) error {
-	platform.Follow(ctx, c.store, c.formats.ConfigKind(), platform.FollowOptions{Wait: watchWait, Log: c.log}, c.onConfig)
+	platform.Follow(ctx, c.store, c.formats.ConfigKind(), platform.FollowOptions{Wait: watchWait, Pause: watchPause, Log: c.log}, c.onConfig)
 	return ctx.Err()
 }
 
@@ -115,7 +117,7 @@
 
 // FollowUpstreams follows the list of upstreams until the context ends.
 func (c *Catalog) FollowUpstreams(ctx context.Context) error {
-	options := platform.FollowOptions{Wait: watchWait, Log: c.log, OnRead: c.onRead, OnLost: c.onLost}
+	options := platform.FollowOptions{Wait: watchWait, Pause: watchPause, Log: c.log, OnRead: c.onRead, OnLost: c.onLost}
 	platform.Follow(ctx, c.store, c.formats.UpstreamKind(), options, c.onEntries)
 	return ctx.Err()
 }
@@ -133,18 +135,23 @@
 	if !c.lostSince.IsZero() {
 		c.lostSince, c.backSince = time.Time{}, at
 	}
-	expired := len(c.held) > 0 && at.Sub(c.backSince) > returnTime
-	if expired {
-		for id := range c.held {
-			c.log.Info("upstream did not come back after the store did", "upstream", id, "address", c.known[id].Address)
-			delete(c.known, id)
-		}
-		c.held = map[string]bool{}
-	}
 	c.mu.Unlock()
-	if expired {
-		c.publish(0)
+}
+
+// dropHeld drops upstreams that have not come back in time after the store did.
+func (c *Catalog) dropHeld(backSince time.Time) {
+	c.mu.Lock()
+	if !c.backSince.Equal(backSince) || !c.lostSince.IsZero() || len(c.held) == 0 {
+		c.mu.Unlock()
+		return
+	}
+	for id := range c.held {
+		c.log.Info("upstream did not come back after the store did", "upstream", id, "address", c.known[id].Address)
+		delete(c.known, id)
 	}
+	c.held = map[string]bool{}
+	c.mu.Unlock()
+	c.publish(0)
 }
 
 func (c *Catalog) onEntries(objects map[string]platform.Object) {
@@ -188,6 +195,10 @@
 		}
 	}
 	c.known, c.held = next, held
+	if len(held) > 0 {
+		since := c.backSince
+		time.AfterFunc(max(returnTime-now.Sub(since), 0), func() { c.dropHeld(since) })
+	}
 	c.mu.Unlock()
 	c.publish(revision)
 }
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -35,6 +35,7 @@
 	}
 	members := &replica.Membership{
 		Self:        core.Member{VM: p.site.VM, Disk: server.Disk(), Address: address, DataCentre: p.site.DataCentre},
+		RegionOf:    p.site.RegionOf,
 		Tolerate:    func() int { return int(p.tolerate.Load()) },
 		Server:      server,
 		Store:       p.store,
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -29,6 +29,9 @@
 	memoryShare = 0.7
 	// storeTimeout bounds one call to the store. Its answers take milliseconds; a silent connection is given up.
 	storeTimeout = 800 * time.Millisecond
+	// storeKeepAlive is the time between probes of a connection to the store. A watch waits on it for longer than a silent
+	// connection may go unnoticed, and calls to the store are priced while probes are not.
+	storeKeepAlive = time.Second
 	// peerDialTimeout bounds connecting to a replica.
 	peerDialTimeout = 400 * time.Millisecond
 	// reloadInterval is the time between two looks at the settings file, which may change without a signal.
@@ -81,12 +84,15 @@
 	p.tolerate.Store(int64(set.Tolerate))
 	p.store = store.NewClient(store.Config{
 		BaseURL:         "http://" + set.StoreAddress,
-		Transport:       transport.Options{DialTimeout: storeTimeout},
+		Transport:       transport.Options{DialTimeout: storeTimeout, KeepAlive: storeKeepAlive},
 		Timeout:         storeTimeout,
 		WritesPerSecond: set.StoreWrites,
 		ReadsPerSecond:  set.StoreReads,
 		Codec:           platform.StoreCodec{},
 	})
+	p.metrics.NewGauge(`jackdawbay_store_calls{verb="read"}`, func() float64 { return float64(p.store.Stats.Reads.Load()) })
+	p.metrics.NewGauge(`jackdawbay_store_calls{verb="write"}`, func() float64 { return float64(p.store.Stats.Writes.Load()) })
+	p.metrics.NewGauge(`jackdawbay_store_calls{verb="watch"}`, func() float64 { return float64(p.store.Stats.Watches.Load()) })
 	p.tree = suture.New(name, suture.Spec{EventHook: func(e suture.Event) {
 		if e.Type() != suture.EventTypeResume {
 			log.Error("duty ended", "event", e.String())
@@ -105,7 +111,7 @@
 	if err != nil {
 		log.Error("role failed", "error", err)
 	}
-	log.Info("stop")
+	log.Info("stop", "store_reads", p.store.Stats.Reads.Load(), "store_writes", p.store.Stats.Writes.Load(), "store_watches", p.store.Stats.Watches.Load())
 	stopAll()
 	<-logDone
 	if err != nil {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -53,6 +53,8 @@
 	rejected  int
 	choice    placement.Choice
 	firstByte time.Duration
+	beginTook time.Duration // Time for the charge and the history.
+	keepTook  time.Duration // Time for the turn to be stored.
 
 	stream   streamState
 	headSent bool
@@ -141,7 +143,9 @@
 	if continues {
 		from = c.meta.Previous
 	}
+	start := time.Now()
 	open, err := c.g.cfg.Replicas.Begin(ctx, c.meta.Program, charge, from, c.route.Retention, c.g.turns.get)
+	c.beginTook = time.Since(start)
 	if err != nil {
 		if c.r.Context().Err() != nil {
 			c.abort("caller_gone")
@@ -422,5 +426,5 @@
 	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.version,
 		"upstream", c.choice.Upstream.ID, "running", int(c.choice.Running), "report_age", c.choice.ReportAge.Round(time.Millisecond),
 		"missing", c.choice.Missing, "sends", c.sends, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
-		"first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
+		"begin", c.beginTook.Round(time.Millisecond), "keep", c.keepTook.Round(time.Millisecond), "first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
 }
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -161,6 +162,8 @@
 	if c.charged {
 		charge = &core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.perEvent, Settled: true}
 	}
+	start := time.Now()
+	defer func() { c.keepTook = time.Since(start) }()
 	ctx, cancel := context.WithTimeout(c.r.Context(), keepTimeout)
 	defer cancel()
 	if err := c.g.cfg.Replicas.Keep(ctx, &t, c.meta.Program, charge, c.route.Retention); err != nil {
--- a/daemon/platform/follow.go
+++ b/daemon/platform/follow.go
@@ -16,6 +16,7 @@
 // FollowOptions describe how a kind is followed.
 type FollowOptions struct {
 	Wait   time.Duration // Longest time of one watch.
+	Pause  time.Duration // Time between two watches, in which changes gather; each call is priced.
 	Log    *slog.Logger
 	OnRead func(at time.Time) // Called after each answer of the store; may be nil.
 	OnLost func(at time.Time) // Called after each call that failed; may be nil.
@@ -53,6 +54,9 @@
 	if f.revision == 0 {
 		return f.list(ctx)
 	}
+	if f.options.Pause > 0 && !clock.Sleep(ctx, f.options.Pause) {
+		return ctx.Err()
+	}
 	revision, events, err := f.store.Watch(ctx, f.kind, f.revision, f.options.Wait)
 	if errors.Is(err, ErrGap) {
 		f.options.Log.Info("history of the store is gone, listing again", "kind", f.kind, "revision", f.revision)
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -157,17 +157,18 @@
 		case <-ctx.Done():
 			return false, false
 		case <-hedge.C:
-			send(len(members))
+			send(sent + 1)
+			hedge.Reset(hedgeMin)
 		case a := <-answers:
 			pending--
 			switch {
 			case a.err != nil:
-				send(len(members))
+				send(sent + 1)
 			case a.view != nil && a.view.Version > v.Version:
 				c.adopt(*a.view, a.member.VM)
 				return false, true
 			case a.view != nil && behind[a.member.Key()]:
-				send(len(members)) // It has the view and still refuses: its disk does not take it.
+				send(sent + 1) // It has the view and still refuses: its disk does not take it.
 			case a.view != nil:
 				behind[a.member.Key()] = true
 				c.lane(a.member).sendView(v)
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -7,6 +7,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"sort"
 	"sync"
 	"time"
 
@@ -30,7 +31,9 @@
 	probeTimeout       = 400 * time.Millisecond  // Well above a round trip between regions.
 	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
 	copyTimeout        = 2 * time.Second
-	watchWait          = 8 * time.Second
+	watchWait          = 15 * time.Second
+	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
+	proposerDelay      = 1200 * time.Millisecond // Wait of each further proposer, above a slow write to the store.
 )
 
 // Retirement is the operator's request to empty a VM.
@@ -51,6 +54,7 @@
 // Membership registers a replica, watches the others, changes the view and copies what the replica lacks.
 type Membership struct {
 	Self        replica.Member
+	RegionOf    func(dataCentre string) string
 	Tolerate    func() int // VMs with a disk that may be lost at the same time.
 	Server      *Server
 	Store       platform.Store
@@ -64,7 +68,8 @@
 	lastAnswer map[string]time.Time // By VM.
 	view       replica.View
 	viewRev    uint64
-	copiedFor  uint64 // Epoch whose earlier sets were copied.
+	dueSince   time.Time // Since when a change of the view is due; zero where none is.
+	copiedFor  uint64    // Epoch whose earlier sets were copied.
 	started    time.Time
 	changed    chan struct{}
 }
@@ -93,7 +98,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Wait: watchWait, Log: m.Log}, h)
+			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Wait: watchWait, Pause: watchPause, Log: m.Log}, h)
 		}()
 	}
 	follow(RegistrationKind, m.onRegistrations)
@@ -215,7 +220,7 @@
 	if !m.Server.adopt(ctx, v) {
 		return
 	}
-	if v.Settled() || !replica.Contains(v.Current(), m.Self.Key()) || m.marked(v) {
+	if v.Settled() || !replica.Contains(v.Current(), m.Self.Key()) || !v.MustCopy(m.Self) || m.marked(v) {
 		return
 	}
 	if m.copiedFor != v.Epoch {
@@ -254,9 +259,25 @@
 	if waiting || fresh && time.Since(m.started) < membershipInterval {
 		return
 	}
+	f := m.fleet()
+	m.mu.Lock()
+	v := m.view
+	m.mu.Unlock()
+	v.Tolerate = m.Tolerate()
+	rank, may := replica.ProposerRank(v, f, m.Self.VM)
+	if _, due := replica.Propose(v, f); !due || !may {
+		m.dueSince = time.Time{}
+		return
+	}
+	if m.dueSince.IsZero() {
+		m.dueSince = time.Now()
+	}
+	if time.Since(m.dueSince) < time.Duration(rank)*proposerDelay {
+		return
+	}
 	m.change(ctx, "proposed", func(v replica.View) (replica.View, bool) {
 		v.Tolerate = m.Tolerate()
-		return replica.Propose(v, m.fleet())
+		return replica.Propose(v, f)
 	})
 }
 
@@ -379,40 +400,60 @@
 func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View) error {
 	answered := map[string]bool{m.Self.Key(): true}
 	holders := map[string][]replica.Member{}
-	asked := map[string]bool{}
-	for _, set := range v.Sets[:len(v.Sets)-1] {
-		for _, member := range set {
-			key := member.Key()
-			if key == m.Self.Key() || asked[key] {
-				continue
-			}
-			asked[key] = true
-			inv, err := m.fetchInventory(ctx, member, v)
-			if err != nil {
-				m.Log.Warn("inventory cannot be read", "vm", member.VM, "error", err)
-				continue
-			}
-			answered[key] = true
-			if err := m.storeLedgers(ctx, inv.Programs); err != nil {
-				return err
-			}
-			for _, id := range inv.Turns {
-				holders[id] = append(holders[id], member)
-			}
+	for _, member := range m.sources(v) {
+		if knowsEarlier(v, answered) {
+			break
 		}
+		inv, err := m.fetchInventory(ctx, member, v)
+		if err != nil {
+			m.Log.Warn("inventory cannot be read", "source", member.VM, "error", err)
+			continue
+		}
+		answered[member.Key()] = true
+		if err := m.storeLedgers(ctx, inv.Programs); err != nil {
+			return err
+		}
+		for _, id := range inv.Turns {
+			holders[id] = append(holders[id], member)
+		}
+	}
+	if !knowsEarlier(v, answered) {
+		return errors.Newf("%d replicas of the earlier sets answered, which is no read quorum of each", len(answered)-1)
 	}
+	return m.copyTurns(ctx, v, holders)
+}
+
+// sources are the other members of the earlier sets, those in the own data centre and then in the own region first.
+func (m *Membership) sources(v replica.View) []replica.Member {
+	seen := map[string]bool{m.Self.Key(): true}
+	var list []replica.Member
 	for _, set := range v.Sets[:len(v.Sets)-1] {
-		n := 0
 		for _, member := range set {
-			if answered[member.Key()] {
-				n++
+			if !seen[member.Key()] {
+				seen[member.Key()] = true
+				list = append(list, member)
 			}
 		}
-		if n < replica.ReadQuorum(set, v.Tolerate) {
-			return errors.Newf("%d of %d replicas of an earlier set answered", n, len(set))
+	}
+	distance := func(member replica.Member) int {
+		switch {
+		case member.DataCentre == m.Self.DataCentre:
+			return 0
+		case m.RegionOf(member.DataCentre) == m.RegionOf(m.Self.DataCentre):
+			return 1
+		default:
+			return 2
 		}
 	}
-	return m.copyTurns(ctx, v, holders)
+	sort.SliceStable(list, func(i, j int) bool { return distance(list[i]) < distance(list[j]) })
+	return list
+}
+
+// knowsEarlier reports whether the members that answered know every write of the earlier sets.
+func knowsEarlier(v replica.View, answered map[string]bool) bool {
+	earlier := v
+	earlier.Sets = v.Sets[:len(v.Sets)-1]
+	return earlier.Knows(answered)
 }
 
 // copyTurns fetches the turns that this replica lacks, from its own data centre where one there has them.
@@ -468,7 +509,7 @@
 func (m *Membership) storeLedgers(ctx context.Context, programs []ProgramLedger) error {
 	var ops []Op
 	for _, p := range programs {
-		for _, c := range p.Charges {
+		for _, c := range m.Server.state.unknown(p) {
 			ops = append(ops, Op{Kind: OpCharge, Program: p.Program, Charge: c, RetainMS: p.LeftMS - expirySlack.Milliseconds()})
 		}
 	}
--- a/daemon/replica/protocol.go
+++ b/daemon/replica/protocol.go
@@ -2,15 +2,49 @@
 // synchronised log, copies what it lacks when the view changes, and takes part in changing the view.
 package replica
 
-import "jackdawbay.dev/core/replica"
+import (
+	"encoding/json"
+	"unicode/utf8"
+
+	"jackdawbay.dev/core/replica"
+)
 
 // Turn is one complete turn of a chain.
 type Turn struct {
 	ID       string `json:"id"`
 	Previous string `json:"previous,omitempty"` // Empty at the start of a chain.
 	Program  string `json:"program"`
-	Input    []byte `json:"input"`
-	Output   []byte `json:"output"`
+	Input    Text   `json:"input"`
+	Output   Text   `json:"output"`
+}
+
+// Text is bytes that are mostly text. Text is encoded as it is, other bytes in base64, which is a third longer.
+type Text []byte
+
+type binaryText struct {
+	Base64 []byte `json:"base64"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (t Text) MarshalJSON() ([]byte, error) {
+	if utf8.Valid(t) {
+		return json.Marshal(string(t))
+	}
+	return json.Marshal(binaryText{t})
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *Text) UnmarshalJSON(raw []byte) error {
+	if len(raw) > 0 && raw[0] == '{' {
+		var b binaryText
+		err := json.Unmarshal(raw, &b)
+		*t = b.Base64
+		return err
+	}
+	var s string
+	err := json.Unmarshal(raw, &s)
+	*t = Text(s)
+	return err
 }
 
 // OpKind names an operation.
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -146,6 +146,23 @@
 	return out
 }
 
+// unknown returns the charges of a copied ledger that change the own one.
+func (s *state) unknown(l ProgramLedger) []replica.Charge {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	own, ok := s.programs[l.Program]
+	if !ok {
+		return l.Charges
+	}
+	var out []replica.Charge
+	for _, c := range l.Charges {
+		if have, ok := own.ledger[c.Turn]; !ok || have.Merge(c) != have {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // noteCharge enters a charge before it is durable, so that a charge that is processed later sees it.
 func (s *state) noteCharge(program string, c replica.Charge) {
 	s.mu.Lock()
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -19,6 +19,7 @@
 	SourceAddress string        // IP address that outgoing connections bind to; empty leaves the choice to the system.
 	DialTimeout   time.Duration // Bound of connecting.
 	MaxPerHost    int           // Connections to one host; zero sets no bound.
+	KeepAlive     time.Duration // Time between probes of a silent connection; zero takes 15 s.
 	NoReuse       bool          // Each request takes a new connection, so that a send on a dead one cannot be in doubt.
 }
 
@@ -31,6 +32,9 @@
 // NewClient returns a client. HTTP/2 is off because its transport repeats requests that a server refused.
 func NewClient(o Options) *http.Client {
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
+	if o.KeepAlive > 0 {
+		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: 1}
+	}
 	if o.SourceAddress != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(o.SourceAddress)}
 	}
