--- a/cli/command/command.go
+++ b/cli/command/command.go
@@ -50,6 +50,7 @@
 	Get      Get      `cmd:"" help:"Show records of the platform."`
 	Status   Status   `cmd:"" help:"Show in how many daemons each record is in force."`
 	Explain  Explain  `cmd:"" help:"Describe a kind of record or one of its fields."`
+	Trace    Trace    `cmd:"" help:"Show what the logs of gateways say of one request or program."`
 	Load     Load     `cmd:"" help:"Drive daemons on loopback with a seeded load and check every answer."`
 }
 
--- /dev/null
+++ b/cli/command/trace_test.go
@@ -0,0 +1,35 @@
+package command_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/cli/command"
+)
+
+const gatewayLog = `time=2026-03-03T06:11:54Z level=INFO msg="budget does not hold the turn" role=gateway vm=front-1 request=aa11 program=p1 spent=900 worst=570 budget=1140 charges=3
+time=2026-03-03T06:11:54Z level=INFO msg=request role=gateway vm=front-1 request=aa11 program=p1 route=r version=4 upstream="" running=0 report_age=0s missing=0 sends=0 events=0 status=402 outcome=program_budget_exhausted begin=41ms keep=0s first=0s took=41ms
+time=2026-03-03T06:11:55Z level=INFO msg=request role=gateway vm=front-2 request=bb22 program=p2 route=r version=4 upstream=i-9 running=2 report_age=30ms missing=0 sends=1 events=0 status=502 outcome=response_lost begin=0s keep=0s first=0s took=48ms
+`
+
+// Guards against a trace that misses lines, mixes requests, or says nothing of the cause.
+func TestTrace(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "log")
+	must.NoError(t, os.WriteFile(file, []byte(gatewayLog), 0o600))
+	code, out, _ := run(t, "trace", "aa11", file)
+	must.Eq(t, command.ExitOK, code)
+	must.StrContains(t, out, "spent=900")
+	must.StrContains(t, out, "The budget of the program does not cover the call.")
+	must.StrContains(t, out, "It was not sent to an upstream.")
+	must.StrNotContains(t, out, "bb22")
+	code, out, _ = run(t, "trace", "p2", file)
+	must.Eq(t, command.ExitOK, code)
+	must.StrContains(t, out, "last to upstream i-9")
+	must.StrContains(t, out, "may have run")
+	code, _, errs := run(t, "trace", "a", file)
+	must.Eq(t, command.ExitFault, code, must.Sprint("a part of an id is no id"))
+	must.StrContains(t, errs, "No line")
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -74,7 +74,7 @@
 type Choice struct {
 	Upstream  Upstream
 	Running   float64       // Estimated requests there, of all daemons.
-	ReportAge time.Duration // Age of the reported load.
+	ReportAge time.Duration // Age of the reported load; zero without a report.
 	Missing   int64         // Tokens of the prompt that the upstream has to read, as far as is known.
 	CostMS    float64
 	Queued    bool // All its slots are estimated to be taken.
@@ -147,7 +147,10 @@
 }
 
 func (g *Group) estimate(now time.Time, u *upstream, r Request, mean float64) Choice {
-	c := Choice{Upstream: u.info, ReportAge: now.Sub(u.reportedAt)}
+	c := Choice{Upstream: u.info}
+	if !u.reportedAt.IsZero() {
+		c.ReportAge = now.Sub(u.reportedAt)
+	}
 	c.Running = g.load(now, u, mean)
 	c.Missing = u.parts.missing(r.Parts, g.hashes)
 	slots := float64(max(u.info.Slots, 1))
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -24,6 +24,7 @@
 	maxSends       = 8                       // Sends of one request, those that did not reach an upstream included.
 	beginTimeout   = 1200 * time.Millisecond // Time for the replicas to answer at the start of a turn.
 	keepTimeout    = 2500 * time.Millisecond // Time for the replicas to store a turn.
+	defaultTimeout = 30 * time.Second        // For a request without a deadline on a route without a timeout.
 	minLeft        = 5 * time.Millisecond    // With less time left a request is not sent.
 	maxAnswerBytes = 16 << 20                // Largest response that is not a stream.
 	busyPause      = 60 * time.Millisecond   // Time for which an upstream that refused a request is avoided.
@@ -90,6 +91,9 @@
 	if c.meta.Deadline > 0 && (left <= 0 || c.meta.Deadline < left) {
 		left = c.meta.Deadline
 	}
+	if left <= 0 {
+		left = defaultTimeout
+	}
 	c.deadline = c.arrived.Add(left)
 	if c.g.outlasts(c.deadline) {
 		c.refuse(errkind.ShuttingDown, "", retryStopping)
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -497,7 +497,7 @@
 		return
 	}
 	if l.suspectUntil.IsZero() {
-		l.client.cfg.Log.Warn("replica does not answer", "vm", l.member.VM, "took", took, "error", err)
+		l.client.cfg.Log.Warn("replica does not answer", "replica", l.member.VM, "took", took, "error", err)
 	}
 	l.suspectUntil = time.Now().Add(suspectFor)
 }
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -393,7 +393,7 @@
 	m.mu.Lock()
 	m.retiring[m.Self.VM] = r
 	m.mu.Unlock()
-	m.Log.Info("retirement reported", "vm", r.VM, "done", r.Done, "view", v.Version)
+	m.Log.Info("retirement reported", "done", r.Done, "view", v.Version)
 }
 
 // copyEarlierSets reads a read quorum of each earlier set and stores what this replica lacks.
