--- a/daemon/gateway/answer.go
+++ b/daemon/gateway/answer.go
@@ -15,7 +15,7 @@
 // Retry times of refusals. They are short, as the causes last for a fraction of a second.
 const (
 	retryConfiguration = 500 * time.Millisecond
-	retryHistory       = 300 * time.Millisecond
+	retryHistory       = 100 * time.Millisecond
 	retryUpstream      = 250 * time.Millisecond
 	retryStopping      = 20 * time.Millisecond // Another daemon can take the request at once.
 )
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -154,6 +154,7 @@
 		if c.r.Context().Err() != nil {
 			c.abort("caller_gone")
 		}
+		c.w.Header().Set("Connection", "close") // The next connection may lead to a gateway that reaches a quorum.
 		c.refuse(errkind.HistoryUnavailable, "", retryHistory)
 		return false
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -76,14 +76,15 @@
 
 // Gateway is the handler for callers. It is safe for concurrent use.
 type Gateway struct {
-	cfg      Config
-	stopBy   atomic.Pointer[time.Time] // Set once the daemon is to stop: when it must have answered everything.
-	underway atomic.Int64
-	lastSeen atomic.Int64 // Time of the last request in Unix nanoseconds.
-	groups   *groups
-	turns    *turnCache
-	settle   chan settlement
-	stats    *stats
+	cfg       Config
+	stopBy    atomic.Pointer[time.Time] // Set once the daemon is to stop: when it must have answered everything.
+	reachedAt atomic.Int64              // Time at which a quorum of replicas answered, in Unix nanoseconds.
+	underway  atomic.Int64
+	lastSeen  atomic.Int64 // Time of the last request in Unix nanoseconds.
+	groups    *groups
+	turns     *turnCache
+	settle    chan settlement
+	stats     *stats
 }
 
 // New returns a gateway.
@@ -102,9 +103,21 @@
 // OnUpstreams takes a new list of upstreams.
 func (g *Gateway) OnUpstreams(u *catalog.Upstreams) { g.groups.update(u) }
 
-// Ready reports whether the daemon can serve requests.
+// unreachableGrace is how long a gateway stays ready without a quorum of replicas. A restart of replicas is shorter.
+const unreachableGrace = 2 * time.Second
+
+// Ready reports whether the daemon can serve requests. Without a quorum of replicas it cannot serve turns, and another
+// gateway may.
 func (g *Gateway) Ready() bool {
-	return g.stopBy.Load() == nil && g.cfg.Catalog.Table() != nil
+	if g.stopBy.Load() != nil || g.cfg.Catalog.Table() == nil {
+		return false
+	}
+	now := time.Now().UnixNano()
+	if g.cfg.Replicas.Reachable() {
+		g.reachedAt.Store(now)
+		return true
+	}
+	return now-g.reachedAt.Load() < unreachableGrace.Nanoseconds()
 }
 
 // Stop makes the daemon unready and tells callers to close their connections. By a time everything must be answered, so a
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/replica"
 )
@@ -31,7 +32,8 @@
 	batchTimeout = 700 * time.Millisecond // Well above a slow sync and a round trip between regions.
 	hedgeMin     = 30 * time.Millisecond  // Wait before the remaining replicas are asked as well.
 	hedgeFactor  = 4                      // Multiples of a replica's usual time to answer before others are asked.
-	suspectFor   = 1500 * time.Millisecond
+	probePause   = 200 * time.Millisecond // Time between two probes of a replica that does not answer.
+	probeTimeout = 300 * time.Millisecond // Well above a round trip between regions.
 	viewRetries  = 4
 	viewWait     = 25 * time.Second // Longest time of one watch for the view.
 )
@@ -105,6 +107,22 @@
 	return c.view
 }
 
+// Reachable reports whether the replicas that answer are a quorum of the view in force.
+func (c *Client) Reachable() bool {
+	v := c.View()
+	return v.Version > 0 && c.reachable(v)
+}
+
+func (c *Client) reachable(v core.View) bool {
+	answering := map[string]bool{}
+	for _, set := range v.Sets {
+		for _, m := range set {
+			answering[m.Key()] = !c.lane(m).suspect()
+		}
+	}
+	return v.Holds(answering) && v.Knows(answering)
+}
+
 // answer is what one member said to one operation group.
 type answer struct {
 	member  core.Member
@@ -120,8 +138,8 @@
 	defer c.opSeconds.UpdateDuration(start)
 	for range viewRetries {
 		v := c.View()
-		if v.Version == 0 {
-			break
+		if v.Version == 0 || !c.reachable(v) {
+			break // Waiting would only delay a refusal that the caller can act on.
 		}
 		done, again := c.runView(ctx, v, ops, enough)
 		if done {
@@ -197,11 +215,10 @@
 			}
 		}
 	}
-	now := time.Now()
 	rank := make(map[string]int, len(members))
 	for _, m := range members {
 		r := 0
-		if c.lane(m).suspect(now) {
+		if c.lane(m).suspect() {
 			r += 10
 		}
 		if !core.Contains(v.Current(), m.Key()) {
@@ -372,10 +389,10 @@
 	member core.Member
 	jobs   chan *job
 
-	mu           sync.Mutex
-	suspectUntil time.Time
-	usualTime    time.Duration
-	view         core.View // Sent with the next batch.
+	mu        sync.Mutex
+	silent    bool // The last request failed, and no probe has been answered since.
+	usualTime time.Duration
+	view      core.View // Sent with the next batch.
 }
 
 type job struct {
@@ -401,10 +418,10 @@
 	}
 }
 
-func (l *lane) suspect(now time.Time) bool {
+func (l *lane) suspect() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Before(l.suspectUntil)
+	return l.silent
 }
 
 func (l *lane) usual() time.Duration {
@@ -492,14 +509,44 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
-		l.suspectUntil = time.Time{}
 		l.usualTime += (took - l.usualTime) / 8
 		return
 	}
-	if l.suspectUntil.IsZero() {
-		l.client.cfg.Log.Warn("replica does not answer", "replica", l.member.VM, "took", took, "error", err)
+	if l.silent {
+		return
+	}
+	l.silent = true
+	l.client.cfg.Log.Warn("replica does not answer", "replica", l.member.VM, "took", took, "error", err)
+	go l.probe()
+}
+
+// probe asks a replica that did not answer until it does.
+func (l *lane) probe() {
+	start := time.Now()
+	for clock.Sleep(l.client.ctx, probePause) {
+		if err := l.askProbe(); err != nil {
+			continue // The start of the silence was logged.
+		}
+		l.mu.Lock()
+		l.silent = false
+		l.mu.Unlock()
+		l.client.cfg.Log.Info("replica answers again", "replica", l.member.VM, "after", time.Since(start))
+		return
+	}
+}
+
+func (l *lane) askProbe() error {
+	ctx, cancel := context.WithTimeout(l.client.ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.member.Address+replica.PathProbe, nil)
+	if err != nil {
+		return errors.Wrap(err, "build a request")
+	}
+	resp, err := l.client.cfg.Client.Do(req)
+	if err != nil {
+		return err
 	}
-	l.suspectUntil = time.Now().Add(suspectFor)
+	return resp.Body.Close()
 }
 
 func (l *lane) post(b replica.Batch) (replica.BatchAnswer, error) {
--- a/testbed/deployment/state_test.go
+++ b/testbed/deployment/state_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"jackdawbay.dev/testbed/relay"
 	"jackdawbay.dev/testbed/standin/backend"
 	"jackdawbay.dev/testbed/standin/objectstore"
 )
@@ -298,3 +299,34 @@
 	}
 	test.EqOp(t, before, len(d.Services[1].Runs()), test.Sprint("an upstream that has not come back is gone"))
 }
+
+// Guards against turns that wait for replicas which a gateway cannot reach, instead of going to another gateway, and against
+// a gateway that stays out of rotation after the cut has healed.
+func TestGatewayWithoutReplicasRefusesAtOnce(t *testing.T) {
+	o := standard()
+	o.Relays = true
+	d := start(t, o)
+	cut := func(rules []relay.Rule) {
+		for _, r := range d.Replicas[:2] {
+			must.NoError(t, r.ToReplica.SetRules(rules))
+		}
+	}
+	cut([]relay.Rule{{Mode: relay.Blackhole}})
+	Send(d.Gateways[0], turn(NewID(), "", "notices the cut"))
+	refused := 0
+	for range 10 {
+		c := turn(NewID(), "", "x")
+		a := Send(d.Gateways[0], c)
+		if a.Status == http.StatusServiceUnavailable && a.Took < 100*time.Millisecond {
+			refused++
+			test.True(t, a.Close)
+		}
+		test.EqOp(t, 0, d.runs(c.ID))
+	}
+	test.GreaterEq(t, 9, refused)
+	test.EqOp(t, http.StatusOK, Send(d.Gateways[0], Call{Path: PathOrder, ID: NewID()}).Status, test.Sprint("tool calls need no replica"))
+	eventually(t, "the gateway is not ready", 4*time.Second, func() bool { return !d.Ready(d.Gateways[0]) })
+	cut(nil)
+	eventually(t, "the gateway is ready", 2*time.Second, func() bool { return d.Ready(d.Gateways[0]) })
+	must.EqOp(t, http.StatusOK, Send(d.Gateways[0], turn(NewID(), "", "x")).Status)
+}
