Keep the progress of a copy, compress it, and probe the disk and not only the VM

Ruled out: the restart (all replicas were open 3.8 s after the loss of power) and the proposal (one view with both successors).

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"sort"
 	"sync"
 	"time"
@@ -538,7 +539,7 @@
 func (l *lane) askProbe() error {
 	ctx, cancel := context.WithTimeout(l.client.ctx, probeTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.member.Address+replica.PathProbe, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.member.Address+replica.PathProbe+"?disk="+url.QueryEscape(l.member.Disk), nil)
 	if err != nil {
 		return errors.Wrap(err, "build a request")
 	}
@@ -546,7 +547,13 @@
 	if err != nil {
 		return err
 	}
-	return resp.Body.Close()
+	if err := resp.Body.Close(); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.Newf("status %d", resp.StatusCode)
+	}
+	return nil
 }
 
 func (l *lane) post(b replica.Batch) (replica.BatchAnswer, error) {
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"io"
@@ -9,6 +10,7 @@
 	"net/http"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,7 +32,7 @@
 	membershipInterval = 500 * time.Millisecond
 	probeTimeout       = 400 * time.Millisecond  // Well above a round trip between regions.
 	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
-	copyTimeout        = 2 * time.Second
+	copyTimeout        = 10 * time.Second        // An inventory of megabytes over a busy link between regions.
 	watchWait          = 15 * time.Second
 	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
 	proposerDelay      = 1200 * time.Millisecond // Wait of each further proposer, above a slow write to the store.
@@ -62,6 +64,9 @@
 	Client      *http.Client
 	Log         *slog.Logger
 
+	copying  atomic.Bool
+	progress *copyProgress // Used by the copy under way only.
+
 	mu         sync.Mutex
 	registered map[string]replica.Member
 	retiring   map[string]Retirement
@@ -223,23 +228,48 @@
 	if v.Settled() || !replica.Contains(v.Current(), m.Self.Key()) || !v.MustCopy(m.Self) || m.marked(v) {
 		return
 	}
-	if m.copiedFor != v.Epoch {
-		start := time.Now()
-		if err := m.copyEarlierSets(ctx, v); err != nil {
-			m.Log.Warn("copy of the earlier sets failed", "view", v.Version, "error", err)
-			return
+	m.mu.Lock()
+	copied := m.copiedFor == v.Epoch
+	m.mu.Unlock()
+	if !copied {
+		if m.copying.CompareAndSwap(false, true) {
+			go m.copy(ctx, v)
 		}
-		m.copiedFor = v.Epoch
-		m.Log.Info("earlier sets copied", "view", v.Version, "took", time.Since(start))
+		return
 	}
-	m.change(ctx, "copied", func(v replica.View) (replica.View, bool) {
-		if v.Epoch != m.copiedFor {
-			return v, false
+	m.change(ctx, "copied", func(now replica.View) (replica.View, bool) {
+		if now.Epoch != v.Epoch {
+			return now, false
 		}
-		return replica.MarkCopied(v, m.Self.Key())
+		return replica.MarkCopied(now, m.Self.Key())
 	})
 }
 
+// copy copies the earlier sets beside the other work of the membership.
+func (m *Membership) copy(ctx context.Context, v replica.View) {
+	defer m.copying.Store(false)
+	start := time.Now()
+	if m.progress == nil || m.progress.epoch != v.Epoch {
+		m.progress = &copyProgress{epoch: v.Epoch, answered: map[string]bool{m.Self.Key(): true}, holders: map[string][]replica.Member{}}
+	}
+	if err := m.copyEarlierSets(ctx, v, m.progress); err != nil {
+		m.Log.Warn("copy of the earlier sets failed", "view", v.Version, "error", err)
+		return
+	}
+	m.mu.Lock()
+	m.copiedFor = v.Epoch
+	m.mu.Unlock()
+	m.Log.Info("earlier sets copied", "view", v.Version, "took", time.Since(start))
+	m.wake()
+}
+
+// copyProgress is what has been read of the earlier sets. It survives a failed attempt.
+type copyProgress struct {
+	epoch    uint64
+	answered map[string]bool
+	holders  map[string][]replica.Member // By turn.
+}
+
 func (m *Membership) marked(v replica.View) bool {
 	for _, k := range v.Copied {
 		if k == m.Self.Key() {
@@ -397,30 +427,31 @@
 }
 
 // copyEarlierSets reads a read quorum of each earlier set and stores what this replica lacks.
-func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View) error {
-	answered := map[string]bool{m.Self.Key(): true}
-	holders := map[string][]replica.Member{}
+func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View, p *copyProgress) error {
 	for _, member := range m.sources(v) {
-		if knowsEarlier(v, answered) {
+		if knowsEarlier(v, p.answered) {
 			break
 		}
+		if p.answered[member.Key()] {
+			continue
+		}
 		inv, err := m.fetchInventory(ctx, member, v)
 		if err != nil {
 			m.Log.Warn("inventory cannot be read", "source", member.VM, "error", err)
 			continue
 		}
-		answered[member.Key()] = true
 		if err := m.storeLedgers(ctx, inv.Programs); err != nil {
 			return err
 		}
+		p.answered[member.Key()] = true
 		for _, id := range inv.Turns {
-			holders[id] = append(holders[id], member)
+			p.holders[id] = append(p.holders[id], member)
 		}
 	}
-	if !knowsEarlier(v, answered) {
-		return errors.Newf("%d replicas of the earlier sets answered, which is no read quorum of each", len(answered)-1)
+	if !knowsEarlier(v, p.answered) {
+		return errors.Newf("%d replicas of the earlier sets answered, which is no read quorum of each", len(p.answered)-1)
 	}
-	return m.copyTurns(ctx, v, holders)
+	return m.copyTurns(ctx, v, p.holders)
 }
 
 // sources are the other members of the earlier sets, those in the own data centre and then in the own region first.
@@ -576,5 +607,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return errors.Newf("status %d", resp.StatusCode)
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(into), "decode an answer")
+	var from io.Reader = resp.Body
+	if resp.Header.Get("Content-Encoding") == "gzip" {
+		z, err := gzip.NewReader(resp.Body)
+		if err != nil {
+			return errors.Wrap(err, "decompress an answer")
+		}
+		from = z
+	}
+	return errors.Wrap(json.NewDecoder(from).Decode(into), "decode an answer")
 }
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"log/slog"
@@ -75,7 +76,7 @@
 	r.HandleFunc(PathBatch, s.handleBatch).Methods(http.MethodPost)
 	r.HandleFunc(PathInventory, s.handleInventory).Methods(http.MethodPost)
 	r.HandleFunc(PathTurns, s.handleTurns).Methods(http.MethodPost)
-	r.HandleFunc(PathProbe, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+	r.HandleFunc(PathProbe, s.handleProbe).Methods(http.MethodGet)
 	return r
 }
 
@@ -262,13 +263,22 @@
 	return results, true
 }
 
+// handleProbe answers for one disk: a VM whose disk was lost is another replica at the same address.
+func (s *Server) handleProbe(w http.ResponseWriter, r *http.Request) {
+	if disk := r.URL.Query().Get("disk"); disk != "" && disk != s.Disk() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (s *Server) handleInventory(w http.ResponseWriter, r *http.Request) {
 	var req CopyRequest
 	if !s.decode(w, r, &req) || !s.admitCopy(w, r, req) {
 		return
 	}
 	inv := s.state.inventory()
-	reply(w, CopyAnswer{Inventory: &inv})
+	replyCompressed(w, CopyAnswer{Inventory: &inv})
 }
 
 func (s *Server) handleTurns(w http.ResponseWriter, r *http.Request) {
@@ -288,7 +298,7 @@
 			answer.Turns = append(answer.Turns, t)
 		}
 	}
-	reply(w, answer)
+	replyCompressed(w, answer)
 }
 
 // admitCopy adopts the view of the copying replica first, so that no write of an earlier view is completed through this
@@ -330,3 +340,18 @@
 	w.Header().Set("Content-Type", "application/json")
 	_, _ = w.Write(raw) // The sender repeats what it gets no answer to.
 }
+
+// replyCompressed sends a large answer, which may cross the link between regions.
+func replyCompressed(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	if err := json.NewEncoder(z).Encode(body); err != nil {
+		return // The receiver notices that the answer is not whole and asks again.
+	}
+	_ = z.Close() // As above.
+}
