--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -541,7 +541,7 @@
 	var ops []Op
 	for _, p := range programs {
 		for _, c := range m.Server.state.unknown(p) {
-			ops = append(ops, Op{Kind: OpCharge, Program: p.Program, Charge: c, RetainMS: p.LeftMS - expirySlack.Milliseconds()})
+			ops = append(ops, Op{Kind: OpKeep, Program: p.Program, Charge: c, RetainMS: p.LeftMS - expirySlack.Milliseconds()})
 		}
 	}
 	return m.store(ctx, ops)
--- a/daemon/replica/protocol.go
+++ b/daemon/replica/protocol.go
@@ -53,7 +53,7 @@
 // Operations of a batch.
 const (
 	OpCharge OpKind = "charge" // Adds a charge to a program and returns all charges of the program.
-	OpKeep   OpKind = "keep"   // Stores a turn and settles its charge.
+	OpKeep   OpKind = "keep"   // Stores a turn, a charge, or both.
 	OpChain  OpKind = "chain"  // Returns the turns of a chain, newest first, up to a turn that the caller has.
 )
 
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -163,7 +163,9 @@
 		var out []entry
 		if op.Program != "" {
 			s.state.noteCharge(op.Program, op.Charge)
-			result.Charges = s.state.charges(op.Program)
+			if op.Kind == OpCharge {
+				result.Charges = s.state.charges(op.Program)
+			}
 			out = append(out, entry{At: now, Retain: retain, Ledger: &ledgerEntry{
 				Program: op.Program, Charges: []replica.Charge{op.Charge},
 			}})
