Leave the place of a silent replica to an old spare only after 7 s

A VM that registers after the silence began still takes the place after 2.5 s, as it may be the successor of one that is gone.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -65,7 +65,12 @@
 
 // Guards against views that lose data or availability when VMs come, go, lose disks or are to be emptied.
 func TestPropose(t *testing.T) {
-	long := ReplaceAfter + time.Second
+	long := ReplaceBySpareAfter + time.Second
+	soon := ReplaceAfter + time.Second
+	withYoung := func(f Fleet, vm string) Fleet {
+		f.Young = map[string]bool{vm: true}
+		return f
+	}
 	settled := View{Version: 5, Tolerate: 1, Sets: [][]Member{set("a", "b", "c")}}
 	cases := map[string]struct {
 		view View
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -104,6 +104,10 @@
 // restart of a process, and shorter than the time in which a successor has to count as caught up.
 const ReplaceAfter = 2500 * time.Millisecond
 
+// ReplaceBySpareAfter is the silence after which a spare that has been there before takes the place of a member. It is longer
+// than a loss of power with the restart after it, since a copy slows the other members down for seconds.
+const ReplaceBySpareAfter = 7 * time.Second
+
 // ReplaceWhileCopying is the silence after which a member is replaced while earlier sets are still copied. Each further set is
 // read as well, so a change waits for the end of the one before if it can.
 const ReplaceWhileCopying = 3 * ReplaceAfter
@@ -151,7 +155,12 @@
 	next := make([]Member, 0, len(current)+1)
 	changed := false
 	var lost []Member
-	patience := ReplaceAfter
+	patience := ReplaceBySpareAfter
+	for _, s := range candidates(f, current) {
+		if f.Young[s.VM] {
+			patience = ReplaceAfter
+		}
+	}
 	if !v.Settled() {
 		patience = ReplaceWhileCopying
 	}
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -35,6 +35,7 @@
 	copyTimeout        = 10 * time.Second        // An inventory of megabytes over a busy link between regions.
 	watchWait          = 15 * time.Second
 	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
+	youngFor           = 15 * time.Second        // Time for which a newly registered VM may be a successor.
 	proposerDelay      = 1200 * time.Millisecond // Wait of each further proposer, above a slow write to the store.
 )
 
@@ -71,6 +72,8 @@
 	registered map[string]replica.Member
 	retiring   map[string]Retirement
 	lastAnswer map[string]time.Time // By VM.
+	firstSeen  map[string]time.Time // By VM; only of VMs that registered while this replica watched.
+	listed     bool                 // The registrations have been read once.
 	view       replica.View
 	viewRev    uint64
 	dueSince   time.Time // Since when a change of the view is due; zero where none is.
@@ -84,6 +87,7 @@
 	m.registered = map[string]replica.Member{}
 	m.retiring = map[string]Retirement{}
 	m.lastAnswer = map[string]time.Time{}
+	m.firstSeen = map[string]time.Time{}
 	m.view = m.Server.View()
 	m.started = time.Now()
 	m.changed = make(chan struct{}, 1)
@@ -124,6 +128,12 @@
 		next[name] = r
 	}
 	m.mu.Lock()
+	for vm := range next {
+		if _, known := m.registered[vm]; !known && m.listed {
+			m.firstSeen[vm] = time.Now()
+		}
+	}
+	m.listed = true
 	m.registered = next
 	m.mu.Unlock()
 	m.wake()
@@ -318,6 +328,10 @@
 	for _, r := range m.registered {
 		f.Registered = append(f.Registered, r)
 	}
+	f.Young = map[string]bool{}
+	for vm, at := range m.firstSeen {
+		f.Young[vm] = time.Since(at) < youngFor
+	}
 	for vm := range m.retiring {
 		f.Retiring[vm] = true
 	}
