--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -95,6 +95,7 @@
 	SilentFor  func(vm string) time.Duration // Time since a VM answered, or since the observer started.
 	Answers    func(vm string) bool          // The VM has answered lately.
 	Retiring   map[string]bool               // VMs that are to be emptied.
+	Young      map[string]bool               // VMs that have registered lately; one of them may succeed a VM that is gone for good.
 }
 
 // AnswersWithin is the time within which a VM must have answered to be taken into a set.
