--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -82,6 +82,8 @@
 		"calm":                                   {settled, fleet(set("a", "b", "c"), nil), ""},
 		"added VM stays a spare":                 {settled, fleet(set("a", "b", "c", "d"), nil), ""},
 		"silent without a spare":                 {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": long}), ""},
+		"short silence beside an old spare":      {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": soon}), ""},
+		"short silence and a successor":          {settled, withYoung(fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": soon}), "d"), "ad bd dd "},
 		"silent with a spare":                    {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long}), "ad bd dd "},
 		"spare that never answered is not taken": {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": AnswersWithin}), ""},
 		"silent spare is not taken":              {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": long}), ""},
