--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -111,7 +111,7 @@
 
 // ReplaceWhileCopying is the silence after which a member is replaced while earlier sets are still copied. Each further set is
 // read as well, so a change waits for the end of the one before if it can.
-const ReplaceWhileCopying = 3 * ReplaceAfter
+const ReplaceWhileCopying = ReplaceBySpareAfter + 3*time.Second
 
 // Propose returns the next view, if a change is due. The caller writes it under the condition that the view that it read
 // is still in force.
