--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -506,9 +506,7 @@
 	wanted := map[string][]string{}
 	members := map[string]replica.Member{}
 	for id, from := range holders {
-		if _, have, err := m.Server.state.turn(id); err != nil {
-			return err
-		} else if have {
+		if m.Server.state.has(id) {
 			continue
 		}
 		source := from[0]
@@ -523,16 +521,14 @@
 	for key, ids := range wanted {
 		for len(ids) > 0 {
 			n := min(len(ids), maxTurnsPerCopy)
-			var answer CopyAnswer
-			req := CopyRequest{View: v, Disk: members[key].Disk, IDs: ids[:n]}
-			if err := m.post(ctx, members[key].Address, PathTurns, req, &answer); err != nil {
+			records, err := m.fetchTurns(ctx, members[key], v, ids[:n])
+			if err != nil {
 				return err
 			}
-			if answer.View != nil {
-				return errors.Newf("replica %s refuses view %d", key, v.Version)
-			}
-			if err := m.storeTurns(ctx, answer.Turns); err != nil {
-				return err
+			if len(records) > 0 {
+				if err := m.Server.storeCopied(ctx, records); err != nil {
+					return err
+				}
 			}
 			ids = ids[n:]
 		}
@@ -561,14 +557,6 @@
 	return m.store(ctx, ops)
 }
 
-func (m *Membership) storeTurns(ctx context.Context, turns []KeptTurn) error {
-	var ops []Op
-	for _, t := range turns {
-		ops = append(ops, Op{Kind: OpKeep, Turn: &t.Turn, RetainMS: t.LeftMS - expirySlack.Milliseconds()})
-	}
-	return m.store(ctx, ops)
-}
-
 // copyGroup bounds the operations that a copy hands to the disk at once.
 const copyGroup = 500
 
@@ -602,25 +590,29 @@
 	return resp.Body.Close()
 }
 
-func (m *Membership) post(ctx context.Context, address, path string, body, into any) error {
+// fetchTurns reads turns from another replica as they stand in its log.
+func (m *Membership) fetchTurns(ctx context.Context, member replica.Member, v replica.View, ids []string) ([]record, error) {
 	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
 	defer cancel()
-	raw, err := json.Marshal(body)
+	resp, err := m.send(ctx, member.Address, PathTurns, CopyRequest{View: v, Disk: member.Disk, IDs: ids})
 	if err != nil {
-		return errors.Wrap(err, "encode a request")
+		return nil, err
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(raw))
-	if err != nil {
-		return errors.Wrap(err, "build a request")
+	defer func() { _ = resp.Body.Close() }()
+	if resp.Header.Get("Content-Type") != "application/octet-stream" {
+		return nil, errors.Newf("replica %s refuses view %d", member.Key(), v.Version)
 	}
-	resp, err := m.Client.Do(req)
+	return readPayloads(resp.Body)
+}
+
+func (m *Membership) post(ctx context.Context, address, path string, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	resp, err := m.send(ctx, address, path, body)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("status %d", resp.StatusCode)
-	}
 	var from io.Reader = resp.Body
 	if resp.Header.Get("Content-Encoding") == "gzip" {
 		z, err := gzip.NewReader(resp.Body)
@@ -631,3 +623,24 @@
 	}
 	return errors.Wrap(json.NewDecoder(from).Decode(into), "decode an answer")
 }
+
+// send posts a body and returns an answer with status 200.
+func (m *Membership) send(ctx context.Context, address, path string, body any) (*http.Response, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode a request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(raw))
+	if err != nil {
+		return nil, errors.Wrap(err, "build a request")
+	}
+	resp, err := m.Client.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		_ = resp.Body.Close() // The status says all.
+		return nil, errors.Newf("status %d", resp.StatusCode)
+	}
+	return resp, nil
+}
--- a/daemon/replica/protocol.go
+++ b/daemon/replica/protocol.go
@@ -102,12 +102,6 @@
 	Charges []replica.Charge `json:"charges"`
 }
 
-// KeptTurn is a turn with the time for which it is still kept.
-type KeptTurn struct {
-	Turn
-	LeftMS int64 `json:"left_ms"`
-}
-
 // CopyRequest asks for an inventory or for turns.
 type CopyRequest struct {
 	View replica.View `json:"view"`
@@ -115,11 +109,11 @@
 	IDs  []string     `json:"ids,omitempty"`
 }
 
-// CopyAnswer answers a CopyRequest.
+// CopyAnswer answers a CopyRequest for an inventory, and any that is refused. Turns are answered with a sequence of their
+// lengths, four bytes each in little-endian order, and their payloads as they stand in the log.
 type CopyAnswer struct {
 	View      *replica.View `json:"view,omitempty"` // Set where the replica refuses the sender's view.
 	Inventory *Inventory    `json:"inventory,omitempty"`
-	Turns     []KeptTurn    `json:"turns,omitempty"`
 }
 
 // Paths of the replica listener.
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -1,15 +1,19 @@
 package replica
 
 import (
+	"bufio"
 	"compress/gzip"
 	"context"
+	"encoding/binary"
 	"encoding/json"
+	"io"
 	"log/slog"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
 	"jackdawbay.dev/core/replica"
@@ -40,6 +44,7 @@
 
 type writeJob struct {
 	ops     []Op
+	raw     []record      // Records that were copied from another replica.
 	view    *replica.View // Set for the adoption of a view.
 	results []Result
 	done    chan struct{}
@@ -111,7 +116,7 @@
 	if !drop {
 		return
 	}
-	if err := s.state.append(rewrite); err != nil {
+	if err := s.state.append(recordsOf(rewrite)); err != nil {
 		s.writeErrors.Inc()
 		s.log.Error("cannot rewrite ledgers before a segment is removed", "error", err)
 		return
@@ -123,18 +128,19 @@
 
 func (s *Server) writeGroup(group []*writeJob) {
 	now := time.Now()
-	var entries []entry
+	var records []record
 	for _, job := range group {
 		if job.view != nil {
-			entries = append(entries, entry{At: now, View: job.view})
+			records = append(records, record{entry: entry{At: now, View: job.view}})
 		}
+		records = append(records, job.raw...)
 		job.results = make([]Result, len(job.ops))
 		for i, op := range job.ops {
-			entries = append(entries, s.prepare(now, op, &job.results[i])...)
+			records = append(records, recordsOf(s.prepare(now, op, &job.results[i]))...)
 		}
 	}
 	start := time.Now()
-	err := s.state.append(entries)
+	err := s.state.append(records)
 	s.syncSeconds.UpdateDuration(start)
 	for _, job := range group {
 		if err != nil {
@@ -143,15 +149,13 @@
 					job.results[i] = Result{Failed: true}
 				}
 			}
-			if job.view != nil {
-				job.view = nil
-			}
+			job.view, job.raw = nil, nil
 		}
 		close(job.done)
 	}
 	if err != nil {
 		s.writeErrors.Inc()
-		s.log.Error("disk refused a write", "error", err, "entries", len(entries))
+		s.log.Error("disk refused a write", "error", err, "records", len(records))
 	}
 }
 
@@ -288,19 +292,67 @@
 	if !s.decode(w, r, &req) || !s.admitCopy(w, r, req) {
 		return
 	}
-	var answer CopyAnswer
+	w.Header().Set("Content-Type", "application/octet-stream")
+	out := bufio.NewWriter(w)
 	for _, id := range req.IDs[:min(len(req.IDs), maxTurnsPerCopy)] {
-		t, ok, err := s.state.turn(id)
+		payload, ok, err := s.state.payload(id)
 		if err != nil {
 			s.log.Error("cannot read a turn for a copy", "turn", id, "error", err)
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+			panic(http.ErrAbortHandler) // The answer must not look whole.
+		}
+		if !ok {
+			continue
 		}
-		if ok {
-			answer.Turns = append(answer.Turns, t)
+		var length [lengthBytes]byte
+		binary.LittleEndian.PutUint32(length[:], uint32(len(payload)))
+		_, _ = out.Write(length[:]) // An error shows in the flush.
+		_, _ = out.Write(payload)   // As above.
+	}
+	if err := out.Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// lengthBytes is the size of the length before a copied payload.
+const lengthBytes = 4
+
+// readPayloads reads copied turns.
+func readPayloads(r io.Reader) ([]record, error) {
+	in := bufio.NewReader(r)
+	var records []record
+	for {
+		var length [lengthBytes]byte
+		if _, err := io.ReadFull(in, length[:]); errors.Is(err, io.EOF) {
+			return records, nil
+		} else if err != nil {
+			return nil, errors.Wrap(err, "read the length of a turn")
 		}
+		n := binary.LittleEndian.Uint32(length[:])
+		if n > maxFrameBytes {
+			return nil, errors.Newf("a turn of %d bytes is too large", n)
+		}
+		payload := make([]byte, n)
+		if _, err := io.ReadFull(in, payload); err != nil {
+			return nil, errors.Wrap(err, "read a turn")
+		}
+		e, err := decodeEntry(payload)
+		if err != nil {
+			return nil, err
+		}
+		records = append(records, record{entry: e, payload: payload})
+	}
+}
+
+// storeCopied makes copied records durable.
+func (s *Server) storeCopied(ctx context.Context, records []record) error {
+	job := &writeJob{raw: records, done: make(chan struct{})}
+	if !s.submit(ctx, job) {
+		return errors.New("too many writes wait")
+	}
+	if job.raw == nil {
+		return errors.New("disk refused copied turns")
 	}
-	replyCompressed(w, answer)
+	return nil
 }
 
 // admitCopy adopts the view of the copying replica first, so that no write of an earlier view is completed through this
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"bytes"
 	"encoding/json"
 	"sync"
 	"time"
@@ -14,7 +15,8 @@
 // at the end of their retention.
 const expirySlack = 30 * time.Second
 
-// entry is the payload of a frame: a turn, a charge, a whole ledger, or a view.
+// entry is the payload of a frame: a turn, a charge, a whole ledger, or a view. A turn is encoded as a header line and the
+// turn itself, so that opening the log and copying between replicas need not decode what was said.
 type entry struct {
 	At     time.Time     `json:"at"`
 	Retain time.Duration `json:"retain,omitempty"`
@@ -23,6 +25,61 @@
 	View   *replica.View `json:"view,omitempty"`
 }
 
+// turnHeader is the first line of the payload of a turn.
+type turnHeader struct {
+	At       time.Time     `json:"at"`
+	Retain   time.Duration `json:"retain"`
+	ID       string        `json:"id"`
+	Previous string        `json:"previous,omitempty"`
+}
+
+const headerEnd = '\n'
+
+func encodeEntry(e entry) ([]byte, error) {
+	if e.Turn == nil {
+		raw, err := json.Marshal(e)
+		return raw, errors.Wrap(err, "encode an entry")
+	}
+	header, err := json.Marshal(turnHeader{At: e.At, Retain: e.Retain, ID: e.Turn.ID, Previous: e.Turn.Previous})
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the header of a turn")
+	}
+	turn, err := json.Marshal(e.Turn)
+	return append(append(header, headerEnd), turn...), errors.Wrap(err, "encode a turn")
+}
+
+// decodeEntry decodes what the index needs. Of a turn that is its header.
+func decodeEntry(payload []byte) (entry, error) {
+	header, _, isTurn := bytes.Cut(payload, []byte{headerEnd})
+	if !isTurn {
+		var e entry
+		err := json.Unmarshal(payload, &e)
+		return e, errors.Wrap(err, "decode an entry")
+	}
+	var h turnHeader
+	if err := json.Unmarshal(header, &h); err != nil {
+		return entry{}, errors.Wrap(err, "decode the header of a turn")
+	}
+	if h.ID == "" {
+		return entry{}, errors.New("a turn has no id")
+	}
+	return entry{At: h.At, Retain: h.Retain, Turn: &Turn{ID: h.ID, Previous: h.Previous}}, nil
+}
+
+// record is an entry with its payload. Without a payload the entry is encoded.
+type record struct {
+	entry   entry
+	payload []byte
+}
+
+func recordsOf(entries []entry) []record {
+	records := make([]record, len(entries))
+	for i, e := range entries {
+		records[i].entry = e
+	}
+	return records
+}
+
 type ledgerEntry struct {
 	Program string           `json:"program"`
 	Charges []replica.Charge `json:"charges"`
@@ -54,8 +111,8 @@
 	s := &state{turns: map[string]turnIndex{}, programs: map[string]*programState{}}
 	var bad int
 	log, err := OpenLog(fs, func(payload []byte, at Location) {
-		var e entry
-		if err := json.Unmarshal(payload, &e); err != nil {
+		e, err := decodeEntry(payload)
+		if err != nil {
 			bad++
 			return
 		}
@@ -103,13 +160,17 @@
 	return p
 }
 
-// append makes entries durable and enters them.
-func (s *state) append(entries []entry) error {
-	payloads := make([][]byte, len(entries))
-	for i, e := range entries {
-		raw, err := json.Marshal(e)
+// append makes records durable and enters them.
+func (s *state) append(records []record) error {
+	payloads := make([][]byte, len(records))
+	for i, r := range records {
+		payloads[i] = r.payload
+		if r.payload != nil {
+			continue
+		}
+		raw, err := encodeEntry(r.entry)
 		if err != nil {
-			return errors.Wrap(err, "encode an entry")
+			return err
 		}
 		payloads[i] = raw
 	}
@@ -120,8 +181,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.segments = s.log.segments
-	for i, e := range entries {
-		s.apply(e, at[i])
+	for i, r := range records {
+		s.apply(r.entry, at[i])
 	}
 	return nil
 }
@@ -187,29 +248,43 @@
 		if !ok {
 			return turns, id, nil
 		}
-		turns = append(turns, t.Turn)
+		turns = append(turns, t)
 		id = t.Previous
 	}
 	return turns, "", nil
 }
 
-func (s *state) turn(id string) (KeptTurn, bool, error) {
+func (s *state) turn(id string) (Turn, bool, error) {
+	payload, ok, err := s.payload(id)
+	if !ok || err != nil {
+		return Turn{}, false, err
+	}
+	_, raw, _ := bytes.Cut(payload, []byte{headerEnd})
+	var t Turn
+	if err := json.Unmarshal(raw, &t); err != nil {
+		return Turn{}, false, errors.Wrapf(err, "decode turn %s", id)
+	}
+	return t, true, nil
+}
+
+// payload returns a turn as it stands in the log.
+func (s *state) payload(id string) ([]byte, bool, error) {
 	s.mu.RLock()
 	ix, ok := s.turns[id]
 	segments := s.segments
 	s.mu.RUnlock()
 	if !ok {
-		return KeptTurn{}, false, nil
+		return nil, false, nil
 	}
 	raw, err := s.log.Read(ix.at, segments)
-	if err != nil {
-		return KeptTurn{}, false, err
-	}
-	var e entry
-	if err := json.Unmarshal(raw, &e); err != nil || e.Turn == nil {
-		return KeptTurn{}, false, errors.Newf("the entry of turn %s cannot be decoded", id)
-	}
-	return KeptTurn{Turn: *e.Turn, LeftMS: time.Until(ix.expires).Milliseconds()}, true, nil
+	return raw, err == nil, err
+}
+
+func (s *state) has(id string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.turns[id]
+	return ok
 }
 
 func (s *state) inventory() Inventory {
--- a/daemon/replica/state_test.go
+++ b/daemon/replica/state_test.go
@@ -1,8 +1,11 @@
 package replica
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -105,3 +108,56 @@
 	again := newServer(t, fs)
 	test.SliceLen(t, 1, again.state.charges("long"), test.Sprint("a ledger outlives its segment"))
 }
+
+// Guards against turns that change while they are copied from one replica to another, and against a copy that is cut and
+// looks whole.
+func TestCopiedTurnsAreTheSame(t *testing.T) {
+	source, target := newServer(t, newFaultFS()), newServer(t, newFaultFS())
+	var ids []string
+	for i := range 30 {
+		id := fmt.Sprint("t", i)
+		ids = append(ids, id)
+		turn := &Turn{ID: id, Previous: "before", Program: "p", Input: []byte{byte(i), '\n', 0xff}, Output: []byte("said <&> \n")}
+		_, ok := source.perform(t.Context(), []Op{{Kind: OpKeep, Turn: turn, RetainMS: 60_000}})
+		must.True(t, ok)
+	}
+	listener := httptest.NewServer(source.Handler())
+	defer listener.Close()
+	m := &Membership{Client: listener.Client(), Server: target}
+	member := replica.Member{VM: "source", Disk: source.Disk(), Address: strings.TrimPrefix(listener.URL, "http://")}
+	records, err := m.fetchTurns(t.Context(), member, replica.View{Version: 1, Epoch: 1}, ids)
+	must.NoError(t, err)
+	must.SliceLen(t, len(ids), records)
+	must.NoError(t, target.storeCopied(t.Context(), records))
+	for _, id := range ids {
+		want, _, err := source.state.turn(id)
+		must.NoError(t, err)
+		got, ok, err := target.state.turn(id)
+		must.NoError(t, err)
+		must.True(t, ok)
+		test.Eq(t, want, got)
+		test.EqOp(t, source.state.turns[id].expires.Unix(), target.state.turns[id].expires.Unix())
+	}
+	_, err = m.fetchTurns(t.Context(), member, replica.View{Version: 0, Epoch: 0}, ids)
+	test.Error(t, err, test.Sprint("an earlier view is refused"))
+	var raw bytes.Buffer
+	raw.Write([]byte{200, 0, 0, 0})
+	raw.Write(records[0].payload[:3])
+	_, err = readPayloads(&raw)
+	test.Error(t, err)
+}
+
+// BenchmarkCopyTurn bounds the processor time of copying one turn of a long prompt.
+func BenchmarkCopyTurn(b *testing.B) {
+	payload, err := encodeEntry(entry{Turn: &Turn{ID: "t", Input: bytes.Repeat([]byte("x"), 14_000)}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	frame := append([]byte{byte(len(payload)), byte(len(payload) >> 8), 0, 0}, payload...)
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := readPayloads(bytes.NewReader(frame)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
