Take a damaged answer to a deletion for a lost one again, and let a VM that is to be emptied wait for a successor

TestPlatformFaults/malformed: the codec's seam no longer decoded the answer to a deletion, so that garbage counted as success. TestRetire: the view shrank to two members in the moment before the spare had registered, and one lost replica then stopped turns; a VM that is to be emptied now waits 2 s for a successor before the set shrinks without it.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -49,8 +49,9 @@
 	f := Fleet{Registered: registered, Retiring: map[string]bool{},
 		SilentFor: func(vm string) time.Duration { return silent[vm] },
 		Answers:   func(vm string) bool { return silent[vm] < AnswersWithin }}
+	f.Shrink = map[string]bool{}
 	for _, vm := range retiring {
-		f.Retiring[vm] = true
+		f.Retiring[vm], f.Shrink[vm] = true, true
 	}
 	return f
 }
@@ -90,7 +91,12 @@
 		"restart is shorter":                     {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": time.Second}), ""},
 		"wiped disk":                             {settled, fleet([]Member{member("a", "new"), member("b", "d"), member("c", "d")}, nil), "anew bd cd "},
 		"retiring without a spare":               {settled, fleet(set("a", "b", "c"), nil, "b"), "ad cd "},
-		"retiring with a spare":                  {settled, fleet(set("a", "b", "c", "d"), nil, "b"), "ad cd dd "},
+		"retiring waits for a successor": {settled, func() Fleet {
+			f := fleet(set("a", "b", "c"), nil, "b")
+			f.Shrink = nil
+			return f
+		}(), ""},
+		"retiring with a spare": {settled, fleet(set("a", "b", "c", "d"), nil, "b"), "ad cd dd "},
 		"retired VM does not come back": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}},
 			fleet(set("a", "b", "c"), nil, "b"), ""},
 		"missing member is filled": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}}, fleet(set("a", "c", "e"), nil), "ad cd ed "},
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -95,6 +95,7 @@
 	SilentFor  func(vm string) time.Duration // Time since a VM answered, or since the observer started.
 	Answers    func(vm string) bool          // The VM has answered lately.
 	Retiring   map[string]bool               // VMs that are to be emptied.
+	Shrink     map[string]bool               // VMs that are to be emptied and wait no longer for a successor.
 	Young      map[string]bool               // VMs that have registered lately; one of them may succeed a VM that is gone for good.
 }
 
@@ -187,7 +188,7 @@
 			changed = true
 			continue
 		}
-		if f.Retiring[m.VM] && len(next) > 0 {
+		if f.Shrink[m.VM] && len(next) > 0 {
 			changed = true
 			continue
 		}
--- a/daemon/platform/platform.go
+++ b/daemon/platform/platform.go
@@ -272,7 +272,8 @@
 // Delete removes an object under a version condition, where zero sets none.
 func (c *Client) Delete(ctx context.Context, kind, name string, ifVersion uint64) error {
 	call := Call{Verb: VerbDelete, Kind: kind, Name: name, IfVersion: ifVersion}
-	return c.write(ctx, call, func([]byte) error { return nil })
+	var out struct{}
+	return c.write(ctx, call, func(body []byte) error { return json.Unmarshal(body, &out) })
 }
 
 func (c *Client) write(ctx context.Context, call Call, decode func(body []byte) error) error {
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -36,6 +36,7 @@
 	watchWait          = 15 * time.Second
 	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
 	youngFor           = 15 * time.Second        // Time for which a newly registered VM may be a successor.
+	successorWait      = 2 * time.Second         // Time for which a VM that is to be emptied waits for a VM that takes its place.
 	proposerDelay      = 1200 * time.Millisecond // Wait of each further proposer, above a slow write to the store.
 )
 
@@ -68,18 +69,19 @@
 	copying  atomic.Bool
 	progress *copyProgress // Used by the copy under way only.
 
-	mu         sync.Mutex
-	registered map[string]replica.Member
-	retiring   map[string]Retirement
-	lastAnswer map[string]time.Time // By VM.
-	firstSeen  map[string]time.Time // By VM; only of VMs that registered while this replica watched.
-	listed     bool                 // The registrations have been read once.
-	view       replica.View
-	viewRev    uint64
-	dueSince   time.Time // Since when a change of the view is due; zero where none is.
-	copiedFor  uint64    // Epoch whose earlier sets were copied.
-	started    time.Time
-	changed    chan struct{}
+	mu            sync.Mutex
+	registered    map[string]replica.Member
+	retiring      map[string]Retirement
+	lastAnswer    map[string]time.Time // By VM.
+	firstSeen     map[string]time.Time // By VM; only of VMs that registered while this replica watched.
+	retiringSince map[string]time.Time // By VM.
+	listed        bool                 // The registrations have been read once.
+	view          replica.View
+	viewRev       uint64
+	dueSince      time.Time // Since when a change of the view is due; zero where none is.
+	copiedFor     uint64    // Epoch whose earlier sets were copied.
+	started       time.Time
+	changed       chan struct{}
 }
 
 // Prepare sets up the maps of a Membership. It must be called once before the runs.
@@ -88,6 +90,7 @@
 	m.retiring = map[string]Retirement{}
 	m.lastAnswer = map[string]time.Time{}
 	m.firstSeen = map[string]time.Time{}
+	m.retiringSince = map[string]time.Time{}
 	m.view = m.Server.View()
 	m.started = time.Now()
 	m.changed = make(chan struct{}, 1)
@@ -163,6 +166,11 @@
 		next[name] = m.Retirements.DecodeRetirement(o)
 	}
 	m.mu.Lock()
+	for vm := range next {
+		if _, known := m.retiring[vm]; !known {
+			m.retiringSince[vm] = time.Now()
+		}
+	}
 	m.retiring = next
 	m.mu.Unlock()
 	m.wake()
@@ -332,8 +340,10 @@
 	for vm, at := range m.firstSeen {
 		f.Young[vm] = time.Since(at) < youngFor
 	}
+	f.Shrink = map[string]bool{}
 	for vm := range m.retiring {
 		f.Retiring[vm] = true
+		f.Shrink[vm] = time.Since(m.retiringSince[vm]) > successorWait
 	}
 	last := make(map[string]time.Time, len(m.lastAnswer))
 	for vm, at := range m.lastAnswer {
