Use the shared interval loop and log attribute, and drop a condition that was always true

Pool.Run repeated clock.Every, main repeated logging's ShortErrors, and the second half of the condition before route.Next held for each outcome that reads it. Behaviour is the same.

--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -12,6 +12,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"jackdawbay.dev/daemon/logging"
 	"jackdawbay.dev/daemon/node"
 	"jackdawbay.dev/daemon/settings"
 )
@@ -56,7 +57,7 @@
 	if err != nil {
 		failSettings(err)
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors}))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level, ReplaceAttr: logging.ShortErrors}))
 	if err := run(set, log); err != nil {
 		log.Error("daemon failed", "error", err)
 		os.Exit(exitFailed)
@@ -79,11 +80,3 @@
 	fmt.Printf("ready address=%s peer=%s ops=%s\n", callers, peers, ops)
 	return n.Run(ctx)
 }
-
-// shortErrors logs the message of an error without its stack, so that an event stays on one line.
-func shortErrors(_ []string, a slog.Attr) slog.Attr {
-	if err, ok := a.Value.Any().(error); ok {
-		return slog.String(a.Key, err.Error())
-	}
-	return a
-}
--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -13,6 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/daemon/clock"
 )
 
 // Bounds of the pool.
@@ -22,7 +24,7 @@
 	DefaultIdle = 4 * time.Second
 	// idleMargin is taken off the idle time that an upstream states, so that the upstream does not close first.
 	idleMargin = 700 * time.Millisecond
-	// sweepInterval is the time between two closings of idle connections.
+	// SweepInterval is the time between two closings of idle connections.
 	SweepInterval = 2 * time.Second
 )
 
@@ -140,16 +142,7 @@
 
 // Run closes idle connections that are past their time until the context ends.
 func (p *Pool) Run(ctx context.Context) error {
-	tick := time.NewTicker(SweepInterval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case now := <-tick.C:
-			p.sweep(now)
-		}
-	}
+	return clock.Every(ctx, SweepInterval, p.sweep)
 }
 
 func (p *Pool) sweep(now time.Time) {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -215,7 +215,7 @@
 			return
 		}
 		outcome := c.send(upstream)
-		next := route.Next(c.route, outcome, c.may() && (c.mayRunElsewhere() || outcome == route.NotSent || outcome == route.Rejected || c.sameUpstream(outcome)))
+		next := route.Next(c.route, outcome, c.may())
 		c.logSend(upstream, outcome, next)
 		switch next {
 		case route.Deliver:
@@ -232,11 +232,6 @@
 	}
 }
 
-// sameUpstream reports whether the request can go on at the upstream that had it, which needs no further upstream.
-func (c *call) sameUpstream(o route.Outcome) bool {
-	return o == route.Interrupted || o == route.Spoiled || o == route.Lost
-}
-
 // pick chooses the upstream for the next send. A request that may have run and may run nowhere else goes back to the same
 // upstream.
 func (c *call) pick() (placement.Upstream, bool) {
--- a/daemon/logging/logging.go
+++ b/daemon/logging/logging.go
@@ -106,12 +106,12 @@
 
 // NewHandler returns a text handler, one line of key=value pairs for each event, in front of the writer.
 func NewHandler(w *Writer, level slog.Leveler) *Handler {
-	inner := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: shortErrors})
+	inner := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: ShortErrors})
 	return &Handler{inner: inner, limits: &limits{byName: map[string]*rate.Limiter{}, left: map[string]int64{}, writer: w}}
 }
 
-// shortErrors logs the message of an error without its stack, so that an event stays on one line.
-func shortErrors(_ []string, a slog.Attr) slog.Attr {
+// ShortErrors logs the message of an error without its stack, so that an event stays on one line.
+func ShortErrors(_ []string, a slog.Attr) slog.Attr {
 	if err, ok := a.Value.Any().(error); ok {
 		return slog.String(a.Key, err.Error())
 	}
