Read chains from one replica, keep turns as they were said, copy only what lacks a quorum, bound hedging

Four things fed it: each chain was read and sent by three replicas; what was said was encoded as JSON at each hop and again for the log (keeping a turn of 6 KB took about 350 us of processor time, a charge 60 us); slow answers made gateways ask further replicas, which added load; a new member copied every turn, also across the region link, although most were on a write quorum without it. Change: the nearest replica is asked for the chain, the others only when it lacks a part; what was said follows the JSON of a message as it is; further replicas are asked while all answer only for a tenth of the operations; a copying member reads all inventories at once and fetches only turns that the last set does not hold on a write quorum; ledgers are stored one entry for each program; requests spread over replicas at the same distance; jobs whose sender is gone are not written. Tests: TestChainIsReadOnce, TestSlowReplicasGetNoFurtherLoad, TestSilentReplicaIsReplacedAtOnce, FuzzTurn, FuzzDecodeBatch, TestEveryWriteKeepsItsQuorum over all read quorums; each was seen failing with its guard taken out. FuzzText checked the JSON form of what was said, which is gone; FuzzTurn checks the same bytes on all ways.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -161,7 +162,8 @@
 }
 
 // Guards against a write that has fewer copies than its quorum after a change of the view, whichever members had it, and
-// against copies by members that need none: over every write quorum and every change by one or two members.
+// against copies by members that need none: over every write quorum, every change by one or two members, and every read
+// quorum whose inventories the copying members have read.
 func TestEveryWriteKeepsItsQuorum(t *testing.T) {
 	all := []string{"a", "b", "c", "d", "e", "f", "g"}
 	subsets := func(names []string, size int) [][]string {
@@ -185,18 +187,24 @@
 			for _, after := range subsets(all, size) {
 				v := View{Tolerate: tolerate, Sets: [][]Member{set(before...), set(after...)}}
 				for _, holders := range subsets(before, WriteQuorum(v.Sets[0], tolerate)) {
-					copies := map[string]bool{}
-					for _, h := range holders {
-						copies[h+"/d"] = true
-					}
-					for _, m := range v.Current() {
-						if v.MustCopy(m) {
-							copies[m.Key()] = true
+					for _, read := range subsets(before, ReadQuorum(v.Sets[0], tolerate)) {
+						copies := map[string]bool{}
+						var known []Member
+						for _, h := range holders {
+							copies[h+"/d"] = true
+							if slices.Contains(read, h) {
+								known = append(known, member(h, "d"))
+							}
+						}
+						for _, m := range v.Current() {
+							if v.MustCopy(m) && !v.Kept(known) {
+								copies[m.Key()] = true
+							}
+						}
+						settled := View{Tolerate: tolerate, Sets: [][]Member{v.Current()}}
+						if !settled.Holds(copies) {
+							t.Fatalf("tolerate %d: %v to %v, write on %v, read %v: %v", tolerate, before, after, holders, read, copies)
 						}
-					}
-					settled := View{Tolerate: tolerate, Sets: [][]Member{v.Current()}}
-					if !settled.Holds(copies) {
-						t.Fatalf("tolerate %d: %v to %v, write on %v: %v", tolerate, before, after, holders, copies)
 					}
 				}
 			}
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -76,6 +76,16 @@
 	return len(current) > 0 && count(current, stored) >= WriteQuorum(current, v.Tolerate)
 }
 
+// Kept reports whether the holders of a write are a write quorum of the last set, so that a member that lacks the write need
+// not copy it.
+func (v View) Kept(holders []Member) bool {
+	keys := map[string]bool{}
+	for _, m := range holders {
+		keys[m.Key()] = true
+	}
+	return v.Holds(keys)
+}
+
 func count(set []Member, keys map[string]bool) int {
 	n := 0
 	for _, m := range set {
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -6,6 +6,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"hash/fnv"
+	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -36,6 +38,8 @@
 	probePause   = 200 * time.Millisecond // Time between two probes of a replica that does not answer.
 	probeTimeout = 300 * time.Millisecond // Well above a round trip between regions.
 	viewRetries  = 4
+	hedgeShare   = 0.1              // Part of the operations for which one more replica may be asked while all replicas answer.
+	hedgeBurst   = 20               // Such operations at once, after a time without.
 	viewWait     = 25 * time.Second // Longest time of one watch for the view.
 )
 
@@ -57,8 +61,11 @@
 	lanes map[string]*lane
 	ctx   context.Context
 
+	hedges float64 // Requests to further replicas that may still be sent while all replicas answer.
+
 	opSeconds *metrics.Histogram
 	noQuorum  *metrics.Counter
+	hedged    *metrics.Counter
 }
 
 // New returns a client. Its senders end with the context.
@@ -69,6 +76,7 @@
 		ctx:       ctx,
 		opSeconds: cfg.Metrics.NewHistogram("jackdawbay_quorum_operation_seconds"),
 		noQuorum:  cfg.Metrics.NewCounter("jackdawbay_quorum_failed_total"),
+		hedged:    cfg.Metrics.NewCounter("jackdawbay_quorum_hedged_total"),
 	}
 }
 
@@ -127,22 +135,36 @@
 // answer is what one member said to one operation group.
 type answer struct {
 	member  core.Member
+	ops     []replica.Op
 	results []replica.Result
 	view    *core.View // The member uses another view.
 	err     error
 }
 
-// run sends operations to a quorum of the view and calls enough after each answer, with all answers so far. It ends when
-// enough reports true, or with ErrNoQuorum.
-func (c *Client) run(ctx context.Context, ops []replica.Op, enough func(v core.View, got map[string][]replica.Result) bool) error {
+// request is one or more operations for a quorum.
+type request struct {
+	key    string       // Spreads requests over replicas at the same distance.
+	ops    []replica.Op // What the nearest replica is asked, and those that are asked when others do not answer in time.
+	others []replica.Op // What the other replicas of the first quorum are asked: the leading part of ops, or nothing.
+
+	// enough is called after each answer with all answers so far and reports whether the request is done. An answer may hold
+	// results of the leading operations only.
+	enough func(v core.View, got map[string][]replica.Result) bool
+}
+
+// run sends a request to a quorum of the view. It returns ErrNoQuorum when the answers are not enough.
+func (c *Client) run(ctx context.Context, r request) error {
 	start := time.Now()
 	defer c.opSeconds.UpdateDuration(start)
+	c.mu.Lock()
+	c.hedges = min(c.hedges+hedgeShare, hedgeBurst)
+	c.mu.Unlock()
 	for range viewRetries {
 		v := c.View()
 		if v.Version == 0 || !c.reachable(v) {
 			break // Waiting would only delay a refusal that the caller can act on.
 		}
-		done, again := c.runView(ctx, v, ops, enough)
+		done, again := c.runView(ctx, v, r)
 		if done {
 			return nil
 		}
@@ -154,58 +176,91 @@
 	return ErrNoQuorum
 }
 
-func (c *Client) runView(ctx context.Context, v core.View, ops []replica.Op, enough func(core.View, map[string][]replica.Result) bool) (done, again bool) {
-	members := c.order(v)
+func (c *Client) runView(ctx context.Context, v core.View, r request) (done, again bool) {
+	members := c.order(v, r.key)
 	answers := make(chan answer, 2*len(members))
 	got := map[string][]replica.Result{}
 	behind := map[string]bool{}
+	waiting := map[string]bool{}
 	sent := 0
-	pending := 0
-	send := func(n int) {
-		for ; sent < n && sent < len(members); sent++ {
-			c.lane(members[sent]).submit(&job{ops: ops, epoch: v.Epoch, member: members[sent], answers: answers})
-			pending++
+	submit := func(m core.Member, ops []replica.Op) {
+		c.lane(m).submit(&job{ops: ops, epoch: v.Epoch, member: m, answers: answers})
+		waiting[m.Key()] = true
+	}
+	more := func() {
+		if sent < len(members) {
+			submit(members[sent], r.ops)
+			sent++
 		}
 	}
+	more()
 	first := firstWave(v, members)
-	send(first)
+	if len(r.others) == 0 {
+		first = 1
+	}
+	for ; sent < first; sent++ {
+		submit(members[sent], r.others)
+	}
 	hedge := time.NewTimer(c.hedgeDelay(members[:first]))
 	defer hedge.Stop()
-	for pending > 0 {
+	for len(waiting) > 0 {
 		select {
 		case <-ctx.Done():
 			return false, false
 		case <-hedge.C:
-			send(sent + 1)
+			if c.mayHedge(members[:sent], waiting) {
+				more()
+			}
 			hedge.Reset(hedgeMin)
 		case a := <-answers:
-			pending--
+			delete(waiting, a.member.Key())
 			switch {
 			case a.err != nil:
-				send(sent + 1)
+				more()
 			case a.view != nil && a.view.Version > v.Version:
 				c.adopt(*a.view, a.member.VM)
 				return false, true
 			case a.view != nil && behind[a.member.Key()]:
-				send(sent + 1) // It has the view and still refuses: its disk does not take it.
+				more() // It has the view and still refuses: its disk does not take it.
 			case a.view != nil:
 				behind[a.member.Key()] = true
 				c.lane(a.member).sendView(v)
-				c.lane(a.member).submit(&job{ops: ops, epoch: v.Epoch, member: a.member, answers: answers})
-				pending++
+				submit(a.member, a.ops)
 			default:
 				got[a.member.Key()] = a.results
-				if enough(v, got) {
+				if r.enough(v, got) {
 					return true, false
 				}
+				if len(waiting) == 0 {
+					more() // What the nearest were asked was not enough.
+				}
 			}
 		}
 	}
 	return false, c.View().Epoch > v.Epoch
 }
 
-// order sorts the members of all sets: those that answer before silent ones, then by distance.
-func (c *Client) order(v core.View) []core.Member {
+// mayHedge reports whether one more replica may be asked. A replica that answers nobody is always a reason. Where all of
+// them answer and are only slow, further requests would slow them down more, so only a part of the operations may cause one.
+func (c *Client) mayHedge(asked []core.Member, waiting map[string]bool) bool {
+	for _, m := range asked {
+		if waiting[m.Key()] && c.lane(m).stalled() {
+			return true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.hedges < 1 {
+		return false
+	}
+	c.hedges--
+	c.hedged.Inc()
+	return true
+}
+
+// order sorts the members of all sets: those that answer before silent ones, then by distance. The key spreads requests over
+// members at the same distance.
+func (c *Client) order(v core.View, key string) []core.Member {
 	seen := map[string]bool{}
 	var members []core.Member
 	for i := len(v.Sets) - 1; i >= 0; i-- {
@@ -217,7 +272,11 @@
 		}
 	}
 	rank := make(map[string]int, len(members))
+	spread := make(map[string]uint32, len(members))
 	for _, m := range members {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(key + " " + m.VM)) // Writing to a hash never fails.
+		spread[m.Key()] = h.Sum32()
 		r := 0
 		if c.lane(m).suspect() {
 			r += 10
@@ -233,7 +292,13 @@
 		}
 		rank[m.Key()] = r
 	}
-	sort.SliceStable(members, func(i, j int) bool { return rank[members[i].Key()] < rank[members[j].Key()] })
+	sort.SliceStable(members, func(i, j int) bool {
+		a, b := members[i].Key(), members[j].Key()
+		if rank[a] != rank[b] {
+			return rank[a] < rank[b]
+		}
+		return spread[a] < spread[b]
+	})
 	return members
 }
 
@@ -279,17 +344,23 @@
 	open := &Opening{Ledger: core.Ledger{}}
 	found := map[string]replica.Turn{}
 	missing, whole := open.follow(from, known)
+	charges := ops
 	if !whole {
-		ops = append(ops, replica.Op{Kind: replica.OpChain, From: missing})
-	}
-	for len(ops) > 0 {
-		err := c.run(ctx, ops, func(v core.View, got map[string][]replica.Result) bool {
-			return open.answered(v, got, ops, found, func() bool {
-				_, whole := open.follow(from, lookup(known, found))
-				return whole
-			})
-		})
-		if err != nil {
+		ops = append(ops[:len(ops):len(ops)], replica.Op{Kind: replica.OpChain, From: missing})
+	}
+	// The nearest replica mostly has the chain, so it alone is asked for it at first: chains are most of the bytes.
+	r := request{key: program, ops: ops, others: charges}
+	wanted := func(core.View, map[string]bool) bool { return true }
+	for len(r.ops) > 0 {
+		r.enough = func(v core.View, got map[string][]replica.Result) bool {
+			charged, read := open.answered(v, got, r.ops, found)
+			if !charged || len(read) == 0 && !whole {
+				return false
+			}
+			_, whole := open.follow(from, lookup(known, found))
+			return whole || wanted(v, read)
+		}
+		if err := c.run(ctx, r); err != nil {
 			return Opening{}, err
 		}
 		asked := missing
@@ -297,46 +368,44 @@
 		if whole {
 			break
 		}
-		if missing == asked {
+		if len(r.others) == len(r.ops) && missing == asked {
 			open.Missing = true
 			break
 		}
 		// No replica needs to hold the whole chain: each turn is on a quorum of its own. The rest is asked for from where
 		// the known part ends.
-		ops = []replica.Op{{Kind: replica.OpChain, From: missing}}
+		rest := []replica.Op{{Kind: replica.OpChain, From: missing}}
+		r = request{key: program, ops: rest, others: rest}
+		wanted = core.View.Knows
 	}
 	return *open, nil
 }
 
-// answered enters the answers of the replicas and reports whether they are enough.
-func (o *Opening) answered(v core.View, got map[string][]replica.Result, ops []replica.Op, found map[string]replica.Turn, whole func() bool) bool {
-	charged, asked := false, false
-	stored, answered := map[string]bool{}, map[string]bool{}
+// answered enters the answers of the replicas. It reports whether the charge is stored and known by a quorum, and which
+// replicas have been asked for the chain and answered.
+func (o *Opening) answered(v core.View, got map[string][]replica.Result, ops []replica.Op, found map[string]replica.Turn) (charged bool, read map[string]bool) {
+	charges := false
+	stored, read := map[string]bool{}, map[string]bool{}
 	for i, op := range ops {
-		charged = charged || op.Kind == replica.OpCharge
-		asked = asked || op.Kind == replica.OpChain
+		charges = charges || op.Kind == replica.OpCharge
 		for key, results := range got {
-			r := results[i]
-			if r.Failed {
+			if i >= len(results) || results[i].Failed {
 				continue
 			}
 			if op.Kind == replica.OpCharge {
 				stored[key] = true
-				for _, c := range r.Charges {
+				for _, c := range results[i].Charges {
 					o.Ledger.Add(c)
 				}
 				continue
 			}
-			answered[key] = true
-			for _, t := range r.Turns {
+			read[key] = true
+			for _, t := range results[i].Turns {
 				found[t.ID] = t
 			}
 		}
 	}
-	if charged && (!v.Holds(stored) || !v.Knows(stored)) {
-		return false
-	}
-	return !asked || whole() || v.Knows(answered)
+	return !charges || v.Holds(stored) && v.Knows(stored), read
 }
 
 func lookup(known func(string) (replica.Turn, bool), found map[string]replica.Turn) func(string) (replica.Turn, bool) {
@@ -372,16 +441,20 @@
 // Keep stores a complete turn and settles its charge. Nil means that a quorum has it on disk.
 func (c *Client) Keep(ctx context.Context, t *replica.Turn, program string, charge *core.Charge, retain time.Duration) error {
 	op := replica.Op{Kind: replica.OpKeep, Turn: t, RetainMS: retain.Milliseconds()}
+	if t != nil {
+		t.Measure()
+	}
 	if charge != nil {
 		op.Program, op.Charge = program, *charge
 	}
-	return c.run(ctx, []replica.Op{op}, func(v core.View, got map[string][]replica.Result) bool {
+	ops := []replica.Op{op}
+	return c.run(ctx, request{key: program, ops: ops, others: ops, enough: func(v core.View, got map[string][]replica.Result) bool {
 		stored := map[string]bool{}
 		for key, results := range got {
 			stored[key] = len(results) == 1 && !results[0].Failed
 		}
 		return v.Holds(stored)
-	})
+	}})
 }
 
 // lane is the ordered path to one replica.
@@ -393,6 +466,8 @@
 	mu        sync.Mutex
 	silent    bool // The last request failed, and no probe has been answered since.
 	usualTime time.Duration
+	open      int       // Requests under way.
+	progress  time.Time // When the replica last answered, or when the first of the requests under way was sent.
 	view      core.View // Sent with the next batch.
 }
 
@@ -415,7 +490,7 @@
 	select {
 	case l.jobs <- j:
 	default:
-		j.answers <- answer{member: l.member, err: errors.New("too many operations wait for the replica")}
+		j.answers <- answer{member: l.member, ops: j.ops, err: errors.New("too many operations wait for the replica")}
 	}
 }
 
@@ -431,6 +506,13 @@
 	return l.usualTime
 }
 
+// stalled reports whether the replica owes answers and has given none for several times its usual time.
+func (l *lane) stalled() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open > 0 && time.Since(l.progress) > max(hedgeMin, hedgeFactor*l.usualTime)
+}
+
 func (l *lane) sendView(v core.View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -487,8 +569,12 @@
 	if l.view.Epoch == epoch {
 		b.View = l.view
 	}
-	l.mu.Unlock()
 	start := time.Now()
+	if l.open == 0 {
+		l.progress = start
+	}
+	l.open++
+	l.mu.Unlock()
 	got, err := l.post(b)
 	took := time.Since(start)
 	if err == nil && got.View == nil && len(got.Results) != len(b.Ops) {
@@ -497,7 +583,7 @@
 	l.note(took, err)
 	i := 0
 	for _, j := range jobs {
-		a := answer{member: l.member, view: got.View, err: err}
+		a := answer{member: l.member, ops: j.ops, view: got.View, err: err}
 		if err == nil && got.View == nil {
 			a.results = got.Results[i : i+len(j.ops)]
 			i += len(j.ops)
@@ -509,7 +595,9 @@
 func (l *lane) note(took time.Duration, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.open--
 	if err == nil {
+		l.progress = time.Now()
 		l.usualTime += (took - l.usualTime) / 8
 		return
 	}
@@ -559,9 +647,9 @@
 func (l *lane) post(b replica.Batch) (replica.BatchAnswer, error) {
 	ctx, cancel := context.WithTimeout(l.client.ctx, batchTimeout)
 	defer cancel()
-	raw, err := json.Marshal(b)
+	raw, err := b.Encode()
 	if err != nil {
-		return replica.BatchAnswer{}, errors.Wrap(err, "encode a batch")
+		return replica.BatchAnswer{}, err
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+l.member.Address+replica.PathBatch, bytes.NewReader(raw))
 	if err != nil {
@@ -575,9 +663,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return replica.BatchAnswer{}, errors.Newf("status %d", resp.StatusCode)
 	}
-	var out replica.BatchAnswer
-	if err := json.NewDecoder(resp.Body).Decode(&out); err != nil {
-		return replica.BatchAnswer{}, errors.Wrap(err, "decode an answer")
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return replica.BatchAnswer{}, errors.Wrap(err, "read an answer")
 	}
-	return out, nil
+	return replica.DecodeBatchAnswer(body)
 }
--- /dev/null
+++ b/daemon/quorum/client_test.go
@@ -0,0 +1,210 @@
+package quorum
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/replica"
+)
+
+// node is a replica behind a listener that can be slow or silent.
+type node struct {
+	member core.Member
+	delay  atomic.Int64 // Nanoseconds before each request.
+	silent atomic.Bool  // Requests wait until their sender gives up.
+	ops    atomic.Int64
+	chains atomic.Int64
+}
+
+// newNodes starts replicas of one view, two of them in the region of the client.
+func newNodes(t *testing.T, count int) ([]*node, core.View) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	t.Cleanup(func() { cancel(); done.Wait() })
+	v := core.View{Version: 1, Epoch: 1, Tolerate: 2, Sets: [][]core.Member{nil}}
+	var nodes []*node
+	for i := range count {
+		n := &node{}
+		s, err := replica.New(replica.DirFS{Dir: t.TempDir()}, quiet(), metrics.NewSet())
+		must.NoError(t, err)
+		done.Add(1)
+		go func() {
+			defer done.Done()
+			_ = s.RunWriter(ctx) // Ends with the context.
+		}()
+		handler := s.Handler()
+		listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			n.serve(handler, w, r)
+		}))
+		t.Cleanup(listener.Close)
+		n.member = core.Member{VM: fmt.Sprint("vm-", i), Disk: s.Disk(), Address: strings.TrimPrefix(listener.URL, "http://"), DataCentre: fmt.Sprint("dc-", i)}
+		nodes = append(nodes, n)
+		v.Sets[0] = append(v.Sets[0], n.member)
+	}
+	return nodes, v
+}
+
+func (n *node) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if n.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
+	time.Sleep(time.Duration(n.delay.Load()))
+	if r.URL.Path == replica.PathBatch {
+		if b, err := replica.DecodeBatch(body); err == nil {
+			n.ops.Add(int64(len(b.Ops)))
+			for _, op := range b.Ops {
+				if op.Kind == replica.OpChain {
+					n.chains.Add(1)
+				}
+			}
+		}
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
+	next.ServeHTTP(w, r)
+}
+
+func quiet() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
+
+// newClient uses the view, which the replicas learn from its first batches.
+func newClient(t *testing.T, v core.View) *Client {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	c := New(ctx, Config{
+		DataCentre: "dc-0",
+		Region:     "near",
+		RegionOf: func(dc string) string {
+			if dc == "dc-0" || dc == "dc-1" {
+				return "near"
+			}
+			return "far"
+		},
+		Client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		Log:     quiet(),
+		Metrics: metrics.NewSet(),
+	})
+	c.adopt(v, "test")
+	return c
+}
+
+func keepTurn(t *testing.T, c *Client, id, previous string) {
+	t.Helper()
+	must.NoError(t, c.Keep(t.Context(), &replica.Turn{ID: id, Previous: previous, Program: "p", Input: []byte(id)}, "p", nil, time.Minute))
+}
+
+func unknown(string) (replica.Turn, bool) { return replica.Turn{}, false }
+
+func total(nodes []*node, count func(*node) *atomic.Int64) int64 {
+	sum := int64(0)
+	for _, n := range nodes {
+		sum += count(n).Load()
+	}
+	return sum
+}
+
+// TestChainIsReadOnce guards against histories that every replica of a quorum sends, most of which is thrown away, and
+// against a chain that is not found because the nearest replica lacks a part of it.
+func TestChainIsReadOnce(t *testing.T) {
+	nodes, v := newNodes(t, 5)
+	c := newClient(t, v)
+	keepTurn(t, c, "t1", "")
+	keepTurn(t, c, "t2", "t1")
+	open, err := c.Begin(t.Context(), "p", &core.Charge{Turn: "t3", Tokens: 5}, "t2", time.Minute, unknown)
+	must.NoError(t, err)
+	must.SliceLen(t, 2, open.Chain)
+	test.EqOp(t, "t2 t1", string(open.Chain[0].Input)+" "+string(open.Chain[1].Input))
+	test.EqOp(t, 1, total(nodes, func(n *node) *atomic.Int64 { return &n.chains }))
+	test.MapLen(t, 1, open.Ledger)
+
+	// The nearest replica did not see the next turn.
+	nodes[0].silent.Store(true)
+	keepTurn(t, c, "t4", "t2")
+	nodes[0].silent.Store(false)
+	must.True(t, waitFor(func() bool { return !c.lane(nodes[0].member).suspect() }))
+	open, err = c.Begin(t.Context(), "p", nil, "t4", time.Minute, unknown)
+	must.NoError(t, err)
+	must.SliceLen(t, 3, open.Chain)
+	open, err = c.Begin(t.Context(), "p", nil, "never", time.Minute, unknown)
+	must.NoError(t, err)
+	test.True(t, open.Missing)
+}
+
+func waitFor(ready func() bool) bool {
+	for range 200 {
+		if ready() {
+			return true
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return false
+}
+
+// TestSlowReplicasGetNoFurtherLoad guards against requests to further replicas that an overload causes and that make it
+// worse, for good: on the grown deployments, replicas did not recover from a burst.
+func TestSlowReplicasGetNoFurtherLoad(t *testing.T) {
+	nodes, v := newNodes(t, 5)
+	c := newClient(t, v)
+	keepTurn(t, c, "warm", "")
+	for _, n := range nodes {
+		n.delay.Store(int64(batchTimeout * 6 / 10))
+	}
+	const operations = 200
+	var all sync.WaitGroup
+	before := int64(0)
+	for i := range 2 * operations {
+		if i == operations {
+			// At first, the replicas look silent.
+			all.Wait()
+			before = total(nodes, func(n *node) *atomic.Int64 { return &n.ops })
+		}
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if err := c.Keep(t.Context(), nil, "p", &core.Charge{Turn: fmt.Sprint("t", i), Tokens: 1}, time.Minute); err != nil {
+				t.Error(err)
+			}
+		}()
+		time.Sleep(5 * time.Millisecond)
+	}
+	all.Wait()
+	sent := total(nodes, func(n *node) *atomic.Int64 { return &n.ops }) - before
+	test.Less(t, int64(3*operations+hedgeBurst+operations*hedgeShare)+1, sent)
+}
+
+// TestSilentReplicaIsReplacedAtOnce guards against operations that wait for the time-out of a replica that answers nobody.
+func TestSilentReplicaIsReplacedAtOnce(t *testing.T) {
+	nodes, v := newNodes(t, 5)
+	c := newClient(t, v)
+	for i := range 20 {
+		keepTurn(t, c, fmt.Sprint("warm", i), "")
+	}
+	nodes[0].silent.Store(true)
+	c.mu.Lock()
+	c.hedges = 0
+	c.mu.Unlock()
+	start := time.Now()
+	keepTurn(t, c, "t", "")
+	test.Less(t, batchTimeout/2, time.Since(start))
+}
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	probeTimeout       = 400 * time.Millisecond  // Well above a round trip between regions.
 	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
 	copyTimeout        = 10 * time.Second        // An inventory of megabytes over a busy link between regions.
+	lateInventory      = 500 * time.Millisecond  // Wait for further inventories when those that are needed have been read.
 	watchWait          = 15 * time.Second
 	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
 	youngFor           = 15 * time.Second        // Time for which a newly registered VM may be a successor.
@@ -450,27 +452,50 @@
 	m.Log.Info("retirement reported", "done", r.Done, "view", v.Version)
 }
 
-// copyEarlierSets reads a read quorum of each earlier set and stores what this replica lacks.
+// copyEarlierSets reads the inventories of a read quorum of each earlier set, and of the others as far as they answer, and
+// stores what this replica must have.
 func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View, p *copyProgress) error {
+	var unread []replica.Member
 	for _, member := range m.sources(v) {
-		if knowsEarlier(v, p.answered) {
-			break
+		if !p.answered[member.Key()] {
+			unread = append(unread, member)
 		}
-		if p.answered[member.Key()] {
-			continue
-		}
-		inv, err := m.fetchInventory(ctx, member, v)
-		if err != nil {
-			m.Log.Warn("inventory cannot be read", "source", member.VM, "error", err)
+	}
+	type reading struct {
+		member    replica.Member
+		inventory Inventory
+		err       error
+	}
+	readings := make(chan reading, len(unread))
+	for _, member := range unread {
+		go func() {
+			inv, err := m.fetchInventory(ctx, member, v)
+			readings <- reading{member, inv, err}
+		}()
+	}
+	late := time.NewTimer(copyTimeout)
+	defer late.Stop()
+	for range unread {
+		select {
+		case r := <-readings:
+			if r.err != nil {
+				m.Log.Warn("inventory cannot be read", "source", r.member.VM, "error", r.err)
+				continue
+			}
+			if err := m.storeLedgers(ctx, r.inventory.Programs); err != nil {
+				return err
+			}
+			p.answered[r.member.Key()] = true
+			for _, id := range r.inventory.Turns {
+				p.holders[id] = append(p.holders[id], r.member)
+			}
+			if knowsEarlier(v, p.answered) {
+				late.Reset(lateInventory)
+			}
 			continue
+		case <-late.C:
 		}
-		if err := m.storeLedgers(ctx, inv.Programs); err != nil {
-			return err
-		}
-		p.answered[member.Key()] = true
-		for _, id := range inv.Turns {
-			p.holders[id] = append(p.holders[id], member)
-		}
+		break
 	}
 	if !knowsEarlier(v, p.answered) {
 		return errors.Newf("%d replicas of the earlier sets answered, which is no read quorum of each", len(p.answered)-1)
@@ -490,20 +515,21 @@
 			}
 		}
 	}
-	distance := func(member replica.Member) int {
-		switch {
-		case member.DataCentre == m.Self.DataCentre:
-			return 0
-		case m.RegionOf(member.DataCentre) == m.RegionOf(m.Self.DataCentre):
-			return 1
-		default:
-			return 2
-		}
-	}
-	sort.SliceStable(list, func(i, j int) bool { return distance(list[i]) < distance(list[j]) })
+	sort.SliceStable(list, func(i, j int) bool { return m.distance(list[i]) < m.distance(list[j]) })
 	return list
 }
 
+func (m *Membership) distance(member replica.Member) int {
+	switch {
+	case member.DataCentre == m.Self.DataCentre:
+		return 0
+	case m.RegionOf(member.DataCentre) == m.RegionOf(m.Self.DataCentre):
+		return 1
+	default:
+		return 2
+	}
+}
+
 // knowsEarlier reports whether the members that answered know every write of the earlier sets.
 func knowsEarlier(v replica.View, answered map[string]bool) bool {
 	earlier := v
@@ -511,20 +537,16 @@
 	return earlier.Knows(answered)
 }
 
-// copyTurns fetches the turns that this replica lacks, from its own data centre where one there has them.
+// copyTurns fetches the turns that this replica lacks and that the last set does not hold on a write quorum without it, from
+// its own data centre where one there has them, then from its own region.
 func (m *Membership) copyTurns(ctx context.Context, v replica.View, holders map[string][]replica.Member) error {
 	wanted := map[string][]string{}
 	members := map[string]replica.Member{}
 	for id, from := range holders {
-		if m.Server.state.has(id) {
+		if m.Server.state.has(id) || v.Kept(from) {
 			continue
 		}
-		source := from[0]
-		for _, f := range from {
-			if f.DataCentre == m.Self.DataCentre {
-				source = f
-			}
-		}
+		source := slices.MinFunc(from, func(a, b replica.Member) int { return m.distance(a) - m.distance(b) })
 		wanted[source.Key()] = append(wanted[source.Key()], id)
 		members[source.Key()] = source
 	}
@@ -557,36 +579,29 @@
 	return *answer.Inventory, nil
 }
 
+// storeLedgers makes the charges durable that this replica lacks, one entry for each program.
 func (m *Membership) storeLedgers(ctx context.Context, programs []ProgramLedger) error {
-	var ops []Op
+	var records []record
+	now := time.Now()
 	for _, p := range programs {
-		for _, c := range m.Server.state.unknown(p) {
-			ops = append(ops, Op{Kind: OpKeep, Program: p.Program, Charge: c, RetainMS: p.LeftMS - expirySlack.Milliseconds()})
+		charges := m.Server.state.unknown(p)
+		if len(charges) == 0 {
+			continue
 		}
+		retain := time.Duration(p.LeftMS)*time.Millisecond - expirySlack
+		records = append(records, record{entry: entry{At: now, Retain: retain, Ledger: &ledgerEntry{Program: p.Program, Charges: charges}}})
 	}
-	return m.store(ctx, ops)
-}
-
-// copyGroup bounds the operations that a copy hands to the disk at once.
-const copyGroup = 500
-
-func (m *Membership) store(ctx context.Context, ops []Op) error {
-	for len(ops) > 0 {
-		n := min(len(ops), copyGroup)
-		results, ok := m.Server.perform(ctx, ops[:n])
-		if !ok {
-			return errors.New("too many writes wait")
-		}
-		for _, r := range results {
-			if r.Failed {
-				return errors.New("disk refused a copied entry")
-			}
+	for group := range slices.Chunk(records, copyGroup) {
+		if err := m.Server.storeCopied(ctx, group); err != nil {
+			return err
 		}
-		ops = ops[n:]
 	}
 	return nil
 }
 
+// copyGroup bounds the entries that a copy hands to the disk at once.
+const copyGroup = 500
+
 func (m *Membership) get(ctx context.Context, address, path string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
--- a/daemon/replica/protocol.go
+++ b/daemon/replica/protocol.go
@@ -3,48 +3,87 @@
 package replica
 
 import (
+	"bytes"
 	"encoding/json"
-	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/core/replica"
 )
 
-// Turn is one complete turn of a chain.
+// Turn is one complete turn of a chain. What was said is not part of its JSON: it follows the JSON of a message, and the
+// header of a log entry, as it is, because encoding it took most of the processor time of a replica.
 type Turn struct {
 	ID       string `json:"id"`
 	Previous string `json:"previous,omitempty"` // Empty at the start of a chain.
-	Program  string `json:"program"`
-	Input    Text   `json:"input"`
-	Output   Text   `json:"output"`
+	Program  string `json:"program,omitempty"`
+	Sizes    Sizes  `json:"sizes"` // Set by Measure or when the turn is encoded.
+	Input    []byte `json:"-"`
+	Output   []byte `json:"-"`
+}
+
+// Sizes are the lengths in bytes of what was said in a turn.
+type Sizes struct {
+	Input  int `json:"in"`
+	Output int `json:"out"`
 }
 
-// Text is bytes that are mostly text. Text is encoded as it is, other bytes in base64, which is a third longer.
-type Text []byte
+// Measure sets the sizes. A turn that several goroutines encode must be measured before.
+func (t *Turn) Measure() {
+	if s := (Sizes{Input: len(t.Input), Output: len(t.Output)}); t.Sizes != s {
+		t.Sizes = s
+	}
+}
 
-type binaryText struct {
-	Base64 []byte `json:"base64"`
+// cutTurn takes what was said in a turn from the front of bulk and returns the rest.
+func (t *Turn) cutTurn(bulk []byte) ([]byte, error) {
+	in, out := t.Sizes.Input, t.Sizes.Output
+	if in < 0 || out < 0 || in > len(bulk) || out > len(bulk)-in {
+		return nil, errors.Newf("turn %s of %d and %d bytes is not whole", t.ID, in, out)
+	}
+	t.Input, t.Output = bulk[:in:in], bulk[in:in+out:in+out]
+	return bulk[in+out:], nil
 }
 
-// MarshalJSON implements json.Marshaler.
-func (t Text) MarshalJSON() ([]byte, error) {
-	if utf8.Valid(t) {
-		return json.Marshal(string(t))
+// headEnd ends the JSON of a message and the header of a log entry. JSON as it is encoded here has no line feed.
+const headEnd = '\n'
+
+// encodeMessage returns the JSON of head and what was said in the turns.
+func encodeMessage(head any, turns []*Turn) ([]byte, error) {
+	size := 0
+	for _, t := range turns {
+		t.Measure()
+		size += len(t.Input) + len(t.Output)
+	}
+	raw, err := json.Marshal(head)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode a message")
+	}
+	message := make([]byte, 0, len(raw)+1+size)
+	message = append(append(message, raw...), headEnd)
+	for _, t := range turns {
+		message = append(append(message, t.Input...), t.Output...)
 	}
-	return json.Marshal(binaryText{t})
+	return message, nil
 }
 
-// UnmarshalJSON implements json.Unmarshaler.
-func (t *Text) UnmarshalJSON(raw []byte) error {
-	if len(raw) > 0 && raw[0] == '{' {
-		var b binaryText
-		err := json.Unmarshal(raw, &b)
-		*t = b.Base64
-		return err
+// decodeMessage decodes the JSON of a message into head and gives the turns that it then has what was said in them.
+func decodeMessage(raw []byte, head any, turns func() []*Turn) error {
+	text, bulk, _ := bytes.Cut(raw, []byte{headEnd})
+	if err := json.Unmarshal(text, head); err != nil {
+		return errors.Wrap(err, "decode a message")
 	}
-	var s string
-	err := json.Unmarshal(raw, &s)
-	*t = Text(s)
-	return err
+	for _, t := range turns() {
+		rest, err := t.cutTurn(bulk)
+		if err != nil {
+			return err
+		}
+		bulk = rest
+	}
+	if len(bulk) > 0 {
+		return errors.Newf("%d bytes follow a message", len(bulk))
+	}
+	return nil
 }
 
 // OpKind names an operation.
@@ -75,7 +114,7 @@
 	Failed  bool             `json:"failed,omitempty"`  // The operation is not durable.
 }
 
-// Batch is the body of a request to a replica.
+// Batch is the body of a request to a replica. What was said in its turns follows the JSON.
 type Batch struct {
 	View  replica.View `json:"view,omitzero"` // Present when the replica may lack it.
 	Epoch uint64       `json:"epoch"`         // Epoch of the view that the sender uses.
@@ -83,12 +122,52 @@
 	Ops   []Op         `json:"ops"`
 }
 
-// BatchAnswer is the body of an answer. View is set where the sender's epoch is not the replica's; then nothing was done.
+// BatchAnswer is the body of an answer. What was said in its turns follows the JSON. View is set where the sender's epoch is not the replica's; then nothing was done.
 type BatchAnswer struct {
 	View    *replica.View `json:"view,omitempty"`
 	Results []Result      `json:"results,omitempty"`
 }
 
+func (b *Batch) turns() []*Turn {
+	var list []*Turn
+	for _, op := range b.Ops {
+		if op.Turn != nil {
+			list = append(list, op.Turn)
+		}
+	}
+	return list
+}
+
+// Encode returns the body of a request.
+func (b *Batch) Encode() ([]byte, error) { return encodeMessage(b, b.turns()) }
+
+// DecodeBatch is the reverse of Batch.Encode. The turns keep parts of raw.
+func DecodeBatch(raw []byte) (Batch, error) {
+	var b Batch
+	err := decodeMessage(raw, &b, b.turns)
+	return b, err
+}
+
+func (a *BatchAnswer) turns() []*Turn {
+	var list []*Turn
+	for i := range a.Results {
+		for k := range a.Results[i].Turns {
+			list = append(list, &a.Results[i].Turns[k])
+		}
+	}
+	return list
+}
+
+// Encode returns the body of an answer.
+func (a *BatchAnswer) Encode() ([]byte, error) { return encodeMessage(a, a.turns()) }
+
+// DecodeBatchAnswer is the reverse of BatchAnswer.Encode. The turns keep parts of raw.
+func DecodeBatchAnswer(raw []byte) (BatchAnswer, error) {
+	var a BatchAnswer
+	err := decodeMessage(raw, &a, a.turns)
+	return a, err
+}
+
 // Inventory lists what a replica holds.
 type Inventory struct {
 	Turns    []string        `json:"turns"`
--- a/daemon/replica/protocol_test.go
+++ b/daemon/replica/protocol_test.go
@@ -1,22 +1,59 @@
 package replica
 
 import (
-	"encoding/json"
 	"testing"
 
 	"github.com/shoenig/test"
+
+	"jackdawbay.dev/core/replica"
 )
 
-// Guards against turns that change on their way to a replica or to its disk.
-func FuzzText(f *testing.F) {
-	f.Add([]byte("plain"))
-	f.Add([]byte{0xff, 0x00, '"', '<'})
-	f.Add([]byte("\u2028 \\ <a>&amp;"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		raw, err := json.Marshal(Turn{Input: b})
+// Guards against turns that change on their way to a replica, to its disk or back.
+func FuzzTurn(f *testing.F) {
+	f.Add([]byte("plain"), []byte(""))
+	f.Add([]byte{0xff, 0x00, '"', '<', '\n'}, []byte("\n\n"))
+	f.Add([]byte("\u2028 \\ <a>&amp;"), []byte("{}"))
+	f.Fuzz(func(t *testing.T, input, output []byte) {
+		turn := Turn{ID: "t", Previous: "s", Program: "p", Input: input, Output: output}
+		same := func(got Turn) {
+			test.EqOp(t, string(input), string(got.Input))
+			test.EqOp(t, string(output), string(got.Output))
+			test.EqOp(t, "s", got.Previous)
+		}
+		first := turn
+		b := Batch{Epoch: 1, Ops: []Op{{Kind: OpKeep, Turn: &first}, {Kind: OpCharge, Program: "p", Charge: replica.Charge{Turn: "t"}}, {Kind: OpKeep, Turn: &turn}}}
+		raw, err := b.Encode()
+		test.NoError(t, err)
+		gotBatch, err := DecodeBatch(raw)
+		test.NoError(t, err)
+		same(*gotBatch.Ops[0].Turn)
+		same(*gotBatch.Ops[2].Turn)
+		_, err = DecodeBatch(append(raw, 'x'))
+		test.Error(t, err, test.Sprint("a byte too many"))
+		if len(input)+len(output) > 0 {
+			_, err = DecodeBatch(raw[:len(raw)-1])
+			test.Error(t, err, test.Sprint("a byte too few"))
+		}
+		a := BatchAnswer{Results: []Result{{Turns: []Turn{turn, turn}}, {Missing: "x"}}}
+		raw, err = a.Encode()
+		test.NoError(t, err)
+		gotAnswer, err := DecodeBatchAnswer(raw)
+		test.NoError(t, err)
+		same(gotAnswer.Results[0].Turns[1])
+		payload, err := encodeEntry(entry{Turn: &turn})
 		test.NoError(t, err)
-		var got Turn
-		test.NoError(t, json.Unmarshal(raw, &got))
-		test.EqOp(t, string(b), string(got.Input))
+		e, err := decodeEntry(payload)
+		test.NoError(t, err)
+		test.EqOp(t, "t", e.Turn.ID)
+	})
+}
+
+// Guards against a message whose sizes point outside it.
+func FuzzDecodeBatch(f *testing.F) {
+	f.Add([]byte(`{"ops":[{"kind":"keep","turn":{"id":"t","sizes":{"in":9,"out":9}}}]}`))
+	f.Add([]byte(`{"ops":[{"kind":"keep","turn":{"id":"t","sizes":{"in":-1,"out":9223372036854775807}}}]}` + "\nabc"))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = DecodeBatch(raw)
+		_, _ = DecodeBatchAnswer(raw)
 	})
 }
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/binary"
@@ -9,6 +10,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,6 +45,7 @@
 }
 
 type writeJob struct {
+	ctx     context.Context // Ends when nobody waits for the result any more.
 	ops     []Op
 	raw     []record      // Records that were copied from another replica.
 	view    *replica.View // Set for the adoption of a view.
@@ -129,6 +132,10 @@
 func (s *Server) writeGroup(group []*writeJob) {
 	now := time.Now()
 	var records []record
+	group = slices.DeleteFunc(group, func(job *writeJob) bool { return job.ctx.Err() != nil })
+	if len(group) == 0 {
+		return
+	}
 	for _, job := range group {
 		if job.view != nil {
 			records = append(records, record{entry: entry{At: now, View: job.view}})
@@ -200,6 +207,7 @@
 }
 
 func (s *Server) submit(ctx context.Context, job *writeJob) bool {
+	job.ctx = ctx
 	select {
 	case s.writes <- job:
 	default:
@@ -215,8 +223,13 @@
 
 func (s *Server) handleBatch(w http.ResponseWriter, r *http.Request) {
 	s.batches.Inc()
-	var b Batch
-	if !s.decode(w, r, &b) {
+	raw, ok := s.read(w, r)
+	if !ok {
+		return
+	}
+	b, err := DecodeBatch(raw)
+	if err != nil {
+		s.refuse(w, http.StatusBadRequest, "body cannot be decoded", "error", err)
 		return
 	}
 	if b.Disk != s.Disk() {
@@ -228,7 +241,7 @@
 	}
 	if v := s.state.currentView(); v.Epoch != b.Epoch {
 		s.refused.Inc()
-		reply(w, BatchAnswer{View: &v})
+		s.replyBatch(w, BatchAnswer{View: &v})
 		return
 	}
 	results, ok := s.perform(r.Context(), b.Ops)
@@ -236,7 +249,31 @@
 		s.refuse(w, http.StatusServiceUnavailable, "too many writes wait", "waiting", len(s.writes))
 		return
 	}
-	reply(w, BatchAnswer{Results: results})
+	s.replyBatch(w, BatchAnswer{Results: results})
+}
+
+func (s *Server) replyBatch(w http.ResponseWriter, a BatchAnswer) {
+	raw, err := a.Encode()
+	if err != nil {
+		s.log.Error("answer cannot be encoded", "error", err)
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(raw) // The sender repeats what it gets no answer to.
+}
+
+// read returns the whole body of a request.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
+	var body bytes.Buffer
+	if n := r.ContentLength; n > 0 && n <= maxRequestBytes {
+		body.Grow(int(n) + bytes.MinRead) // Without the spare part, the buffer grows once more to find the end.
+	}
+	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
+		s.refuse(w, http.StatusBadRequest, "body is not whole", "error", err)
+		return nil, false
+	}
+	return body.Bytes(), true
 }
 
 // perform runs reads at once and writes through the ring. The order of a batch does not matter to its sender.
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -15,8 +15,8 @@
 // at the end of their retention.
 const expirySlack = 30 * time.Second
 
-// entry is the payload of a frame: a turn, a charge, a whole ledger, or a view. A turn is encoded as a header line and the
-// turn itself, so that opening the log and copying between replicas need not decode what was said.
+// entry is the payload of a frame: a turn, a charge, a whole ledger, or a view. A turn is encoded as a header line and what
+// was said, as it is.
 type entry struct {
 	At     time.Time     `json:"at"`
 	Retain time.Duration `json:"retain,omitempty"`
@@ -27,30 +27,23 @@
 
 // turnHeader is the first line of the payload of a turn.
 type turnHeader struct {
-	At       time.Time     `json:"at"`
-	Retain   time.Duration `json:"retain"`
-	ID       string        `json:"id"`
-	Previous string        `json:"previous,omitempty"`
+	At     time.Time     `json:"at"`
+	Retain time.Duration `json:"retain"`
+	Turn
 }
 
-const headerEnd = '\n'
-
 func encodeEntry(e entry) ([]byte, error) {
 	if e.Turn == nil {
 		raw, err := json.Marshal(e)
 		return raw, errors.Wrap(err, "encode an entry")
 	}
-	header, err := json.Marshal(turnHeader{At: e.At, Retain: e.Retain, ID: e.Turn.ID, Previous: e.Turn.Previous})
-	if err != nil {
-		return nil, errors.Wrap(err, "encode the header of a turn")
-	}
-	turn, err := json.Marshal(e.Turn)
-	return append(append(header, headerEnd), turn...), errors.Wrap(err, "encode a turn")
+	h := turnHeader{At: e.At, Retain: e.Retain, Turn: *e.Turn}
+	return encodeMessage(&h, []*Turn{&h.Turn})
 }
 
 // decodeEntry decodes what the index needs. Of a turn that is its header.
 func decodeEntry(payload []byte) (entry, error) {
-	header, _, isTurn := bytes.Cut(payload, []byte{headerEnd})
+	header, _, isTurn := bytes.Cut(payload, []byte{headEnd})
 	if !isTurn {
 		var e entry
 		err := json.Unmarshal(payload, &e)
@@ -259,12 +252,11 @@
 	if !ok || err != nil {
 		return Turn{}, false, err
 	}
-	_, raw, _ := bytes.Cut(payload, []byte{headerEnd})
-	var t Turn
-	if err := json.Unmarshal(raw, &t); err != nil {
-		return Turn{}, false, errors.Wrapf(err, "decode turn %s", id)
+	var h turnHeader
+	if err := decodeMessage(payload, &h, func() []*Turn { return []*Turn{&h.Turn} }); err != nil {
+		return Turn{}, false, errors.Wrapf(err, "turn %s", id)
 	}
-	return t, true, nil
+	return h.Turn, true, nil
 }
 
 // payload returns a turn as it stands in the log.
