--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -23,11 +23,12 @@
 
 // Bounds of the replica's work.
 const (
-	writeRing       = 1024            // Batches that wait for the disk; a full ring answers 503.
-	maxGroup        = 256             // Batches that share one sync.
-	maxRequestBytes = 16 << 20        // Largest body of a request.
-	expireInterval  = 5 * time.Second // Time between two sweeps of what is past its retention.
-	maxTurnsPerCopy = 200             // Turns in one answer to a copy request.
+	writeRing       = 1024                   // Batches that wait for the disk; a full ring answers 503.
+	maxGroup        = 256                    // Batches that share one sync.
+	maxRequestBytes = 16 << 20               // Largest body of a request.
+	expireInterval  = 5 * time.Second        // Time between two sweeps of what is past its retention.
+	maxTurnsPerCopy = 200                    // Turns in one answer to a copy request.
+	slowWrite       = 150 * time.Millisecond // A write that takes longer is logged; callers notice one of a few times as long.
 )
 
 // Server is one replica.
@@ -149,6 +150,9 @@
 	start := time.Now()
 	err := s.state.append(records)
 	s.syncSeconds.UpdateDuration(start)
+	if took := time.Since(start); took > slowWrite {
+		s.log.Warn("disk is slow", "took", took, "records", len(records), "batches", len(group), "waiting", len(s.writes))
+	}
 	for _, job := range group {
 		if err != nil {
 			for i, op := range job.ops {
