Keep the data of processes under test in memory, and build the daemon for tests in one place

The tests are about processes and their logs, not about the machine's disk, so their data lies in memory where the system has a file system there.

--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -25,8 +25,7 @@
 // node is a replica behind a listener that can be silent.
 type node struct {
 	member core.Member
-	delay  atomic.Int64 // Nanoseconds before each request.
-	silent atomic.Bool  // Requests wait until their sender gives up.
+	silent atomic.Bool // Requests wait until their sender gives up.
 	chains atomic.Int64
 }
 
--- a/testbed/deployment/main_test.go
+++ b/testbed/deployment/main_test.go
@@ -3,26 +3,23 @@
 import (
 	"fmt"
 	"os"
-	"os/exec"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/testbed/process"
 )
 
 var binaries string
 
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "jackdawbay-deployment-")
+	dir, err := process.BuildDaemon()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	build := exec.Command("go", "build", "-o", dir+"/", "jackdawbay.dev/daemon/cmd/jackdawbayd")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, output)
-		os.Exit(1)
-	}
 	binaries = dir
 	code := m.Run()
 	if err := os.RemoveAll(dir); err != nil {
@@ -39,7 +36,9 @@
 // start starts a deployment and ends it with the test. The logs are shown when the test fails.
 func start(t *testing.T, o Options) *Deployment {
 	t.Helper()
-	o.Binaries, o.Dir = binaries, t.TempDir()
+	dir, remove := process.MemoryDir(t.TempDir())
+	t.Cleanup(func() { test.NoError(t, remove()) })
+	o.Binaries, o.Dir = binaries, dir
 	d, err := Start(o)
 	t.Cleanup(func() {
 		if t.Failed() {
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -4,11 +4,13 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/testbed/process"
 )
 
 var (
@@ -28,16 +30,11 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := os.MkdirTemp("", "jackdawbay-soak-")
+	dir, err := process.BuildDaemon()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	build := exec.Command("go", "build", "-o", dir+"/", "jackdawbay.dev/daemon/cmd/jackdawbayd")
-	if output, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, output)
-		os.Exit(1)
-	}
 	binaries = dir
 	code := m.Run()
 	if err := os.RemoveAll(dir); err != nil {
@@ -51,7 +48,9 @@
 func TestSoak(t *testing.T) {
 	play := func(seed uint64, cause string) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			cfg := Config{Seed: seed, Duration: *duration, Binaries: binaries, Dir: t.TempDir(), Gateways: 3, Replicas: 3, Callers: 10}
+			dir, remove := process.MemoryDir(t.TempDir())
+			t.Cleanup(func() { test.NoError(t, remove()) })
+			cfg := Config{Seed: seed, Duration: *duration, Binaries: binaries, Dir: dir, Gateways: 3, Replicas: 3, Callers: 10}
 			if *large {
 				cfg.Gateways, cfg.Replicas, cfg.Callers = 12, 5, 60
 			}
