--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -356,7 +356,9 @@
 	}
 	// The nearest replica mostly has the chain, so it alone is asked for it at first: chains are most of the bytes.
 	r := request{key: program, ops: ops, others: charges}
-	wanted := func(core.View, map[string]bool) bool { return true }
+	// conclusive reports whether a turn that the replicas in read do not have is certainly missing, or no more can be learned
+	// from this request.
+	conclusive := func(core.View, map[string]bool) bool { return true }
 	for len(r.ops) > 0 {
 		r.enough = func(v core.View, got map[string][]replica.Result) bool {
 			charged, read := open.answered(v, got, r.ops, found)
@@ -364,7 +366,7 @@
 				return false
 			}
 			_, whole := open.follow(from, lookup(known, found))
-			return whole || wanted(v, read)
+			return whole || conclusive(v, read)
 		}
 		if err := c.run(ctx, r); err != nil {
 			return Opening{}, err
@@ -382,7 +384,7 @@
 		// the known part ends.
 		rest := []replica.Op{{Kind: replica.OpChain, From: missing}}
 		r = request{key: program, ops: rest, others: rest}
-		wanted = core.View.Knows
+		conclusive = core.View.Knows
 	}
 	return *open, nil
 }
