Let one piece list a ledger's charges, the members of sets and the processes of a test

Ledger.Charges replaces three loops, core/replica.Union two, and the tests start the daemon and restart all processes through one function each. Gone: a sort of the sources of a copy, which nothing used since all inventories are read at once, and a time-out beside the one that each request has.

--- a/core/replica/ledger.go
+++ b/core/replica/ledger.go
@@ -1,5 +1,10 @@
 package replica
 
+import (
+	"maps"
+	"slices"
+)
+
 // Charge is what one turn takes of its program's token budget. It is the turn's worst case until the turn has ended.
 type Charge struct {
 	Turn    string `json:"turn"`
@@ -37,6 +42,9 @@
 	return merged != old
 }
 
+// Charges lists the charges, in no order.
+func (l Ledger) Charges() []Charge { return slices.Collect(maps.Values(l)) }
+
 // Spent is the sum of all charges but that of one turn.
 func (l Ledger) Spent(except string) int64 {
 	var sum int64
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -49,6 +49,21 @@
 	return false
 }
 
+// Union returns each member of the sets once.
+func Union(sets [][]Member) []Member {
+	seen := map[string]bool{}
+	var members []Member
+	for _, set := range sets {
+		for _, m := range set {
+			if !seen[m.Key()] {
+				seen[m.Key()] = true
+				members = append(members, m)
+			}
+		}
+	}
+	return members
+}
+
 // WriteQuorum is the number of members of a set that must hold a write: more than half, so that two writes meet in one
 // member, and more than may be lost at once.
 func WriteQuorum(set []Member, tolerate int) int {
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -267,16 +267,7 @@
 // order sorts the members of all sets: those that answer before silent ones, then by distance. The key spreads requests over
 // members at the same distance.
 func (c *Client) order(v core.View, key string) []core.Member {
-	seen := map[string]bool{}
-	var members []core.Member
-	for i := len(v.Sets) - 1; i >= 0; i-- {
-		for _, m := range v.Sets[i] {
-			if !seen[m.Key()] {
-				seen[m.Key()] = true
-				members = append(members, m)
-			}
-		}
-	}
+	members := core.Union(v.Sets)
 	rank := make(map[string]int, len(members))
 	spread := make(map[string]uint32, len(members))
 	for _, m := range members {
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -9,7 +9,6 @@
 	"log/slog"
 	"net/http"
 	"slices"
-	"sort"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -456,8 +455,8 @@
 // stores what this replica must have.
 func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View, p *copyProgress) error {
 	var unread []replica.Member
-	for _, member := range m.sources(v) {
-		if !p.answered[member.Key()] {
+	for _, member := range replica.Union(v.Sets[:len(v.Sets)-1]) {
+		if !p.answered[member.Key()] { // Its own key is there from the start.
 			unread = append(unread, member)
 		}
 	}
@@ -473,8 +472,7 @@
 			readings <- reading{member, inv, err}
 		}()
 	}
-	late := time.NewTimer(copyTimeout)
-	defer late.Stop()
+	var late <-chan time.Time // Set when the inventories that are needed have been read.
 	for range unread {
 		select {
 		case r := <-readings:
@@ -490,10 +488,10 @@
 				p.holders[id] = append(p.holders[id], r.member)
 			}
 			if knowsEarlier(v, p.answered) {
-				late.Reset(lateInventory)
+				late = time.After(lateInventory)
 			}
 			continue
-		case <-late.C:
+		case <-late:
 		}
 		break
 	}
@@ -503,22 +501,7 @@
 	return m.copyTurns(ctx, v, p.holders)
 }
 
-// sources are the other members of the earlier sets, those in the own data centre and then in the own region first.
-func (m *Membership) sources(v replica.View) []replica.Member {
-	seen := map[string]bool{m.Self.Key(): true}
-	var list []replica.Member
-	for _, set := range v.Sets[:len(v.Sets)-1] {
-		for _, member := range set {
-			if !seen[member.Key()] {
-				seen[member.Key()] = true
-				list = append(list, member)
-			}
-		}
-	}
-	sort.SliceStable(list, func(i, j int) bool { return m.distance(list[i]) < m.distance(list[j]) })
-	return list
-}
-
+// distance is 0 for a member in the own data centre, 1 in the own region and 2 elsewhere.
 func (m *Membership) distance(member replica.Member) int {
 	switch {
 	case member.DataCentre == m.Self.DataCentre:
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -193,11 +193,7 @@
 	if !ok {
 		return nil
 	}
-	out := make([]replica.Charge, 0, len(p.ledger))
-	for _, c := range p.ledger {
-		out = append(out, c)
-	}
-	return out
+	return p.ledger.Charges()
 }
 
 // unknown returns the charges of a copied ledger that change the own one.
@@ -287,11 +283,9 @@
 		inv.Turns = append(inv.Turns, id)
 	}
 	for id, p := range s.programs {
-		l := ProgramLedger{Program: id, LeftMS: time.Until(p.expires).Milliseconds()}
-		for _, c := range p.ledger {
-			l.Charges = append(l.Charges, c)
-		}
-		inv.Programs = append(inv.Programs, l)
+		inv.Programs = append(inv.Programs, ProgramLedger{
+			Program: id, LeftMS: time.Until(p.expires).Milliseconds(), Charges: p.ledger.Charges(),
+		})
 	}
 	return inv
 }
@@ -321,10 +315,7 @@
 		}
 	}
 	for id, p := range s.programs {
-		l := &ledgerEntry{Program: id}
-		for _, c := range p.ledger {
-			l.Charges = append(l.Charges, c)
-		}
+		l := &ledgerEntry{Program: id, Charges: p.ledger.Charges()}
 		rewrite = append(rewrite, entry{At: now, Retain: p.expires.Sub(now) - expirySlack, Ledger: l})
 	}
 	view := s.view
--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -141,7 +141,7 @@
 	for _, r := range d.front {
 		list = append(list, r)
 	}
-	for _, vm := range append(append([]*VM{}, d.Gateways...), d.Replicas...) {
+	for _, vm := range d.vms() {
 		for _, r := range []*relay.Relay{vm.ToStore, vm.ToReplica} {
 			if r != nil {
 				list = append(list, r)
@@ -453,3 +453,6 @@
 	}
 	return false
 }
+
+// vms are all gateways and replicas.
+func (d *Deployment) vms() []*VM { return append(append([]*VM{}, d.Gateways...), d.Replicas...) }
--- a/testbed/deployment/main_test.go
+++ b/testbed/deployment/main_test.go
@@ -1,7 +1,6 @@
 package deployment
 
 import (
-	"fmt"
 	"os"
 	"testing"
 	"time"
@@ -14,17 +13,10 @@
 var binaries string
 
 func TestMain(m *testing.M) {
-	dir, err := process.BuildDaemon()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binaries = dir
-	code := m.Run()
-	if err := os.RemoveAll(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(code)
+	os.Exit(process.RunWithDaemon(func(dir string) int {
+		binaries = dir
+		return m.Run()
+	}))
 }
 
 // standard is a deployment that loses one VM with a disk.
@@ -39,7 +31,7 @@
 	d, err := Start(o)
 	t.Cleanup(func() {
 		if t.Failed() {
-			for _, vm := range append(append([]*VM{}, d.Gateways...), d.Replicas...) {
+			for _, vm := range d.vms() {
 				t.Logf("log of %s:\n%s", vm.Name, d.Logs(vm))
 			}
 		}
@@ -49,6 +41,18 @@
 	return d
 }
 
+// killAll kills all processes at the same moment, starts them again and waits until turns are served.
+func (d *Deployment) killAll(t *testing.T) {
+	t.Helper()
+	for _, vm := range d.vms() {
+		d.Kill(vm)
+	}
+	for _, vm := range d.vms() {
+		must.NoError(t, d.StartVM(vm))
+	}
+	must.NoError(t, d.AwaitServing(15*time.Second))
+}
+
 // runs counts the runs of a request over all upstreams.
 func (d *Deployment) runs(id string) int {
 	n := 0
--- a/testbed/deployment/state_test.go
+++ b/testbed/deployment/state_test.go
@@ -67,14 +67,7 @@
 	calls := d.chainOf(t, program, "", 5)
 	test.EqOp(t, history(calls, 4), d.body(calls[4].ID))
 
-	all := append(append([]*VM{}, d.Gateways...), d.Replicas...)
-	for _, vm := range all {
-		d.Kill(vm)
-	}
-	for _, vm := range all {
-		must.NoError(t, d.StartVM(vm))
-	}
-	must.NoError(t, d.AwaitServing(15*time.Second))
+	d.killAll(t)
 	more := d.chainOf(t, program, calls[4].ID, 2)
 	calls = append(calls, more...)
 	test.EqOp(t, history(calls, 4), d.body(more[1].ID))
@@ -161,14 +154,7 @@
 		test.EqOp(t, http.StatusPaymentRequired, Send(d.Gateways[i%2], c).Status)
 		test.EqOp(t, 0, d.runs(c.ID))
 	}
-	all := append(append([]*VM{}, d.Gateways...), d.Replicas...)
-	for _, vm := range all {
-		d.Kill(vm)
-	}
-	for _, vm := range all {
-		must.NoError(t, d.StartVM(vm))
-	}
-	must.NoError(t, d.AwaitServing(15*time.Second))
+	d.killAll(t)
 	test.EqOp(t, http.StatusPaymentRequired, Send(d.Gateways[0], call()).Status)
 }
 
--- a/testbed/process/build.go
+++ b/testbed/process/build.go
@@ -1,22 +1,30 @@
 package process
 
 import (
+	"fmt"
 	"os"
 	"os/exec"
 
 	"github.com/cockroachdb/errors"
 )
 
-// BuildDaemon builds jackdawbayd into a new directory and returns it. The caller removes the directory. The error holds what
-// the compiler said.
-func BuildDaemon() (dir string, err error) {
-	dir, err = os.MkdirTemp("", "jackdawbay-build-")
+// RunWithDaemon builds jackdawbayd into a new directory, calls run with it, removes it and returns run's exit code. It
+// returns 1 when the daemon cannot be built.
+func RunWithDaemon(run func(binaries string) int) int {
+	dir, err := os.MkdirTemp("", "jackdawbay-build-")
 	if err != nil {
-		return "", errors.Wrap(err, "create a directory for the daemon")
+		fmt.Fprintln(os.Stderr, errors.Wrap(err, "create a directory for the daemon"))
+		return 1
 	}
+	defer func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}()
 	build := exec.Command("go", "build", "-o", dir+"/", "jackdawbay.dev/daemon/cmd/jackdawbayd")
 	if output, err := build.CombinedOutput(); err != nil {
-		return "", errors.Wrapf(err, "build the daemon: %s", output)
+		fmt.Fprintf(os.Stderr, "build the daemon: %v\n%s", err, output)
+		return 1
 	}
-	return dir, nil
+	return run(dir)
 }
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -29,17 +29,10 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	dir, err := process.BuildDaemon()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	binaries = dir
-	code := m.Run()
-	if err := os.RemoveAll(dir); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-	}
-	os.Exit(code)
+	os.Exit(process.RunWithDaemon(func(dir string) int {
+		binaries = dir
+		return m.Run()
+	}))
 }
 
 // Guards against every broken promise that callers and upstreams can see while processes are killed, stopped, frozen and
