Mark a VM as emptied in the view before it is reported as empty

A VM that is to be emptied reported so when its own view held it in no set. A replica that had not heard of the request could take it in as a spare at the same moment: the VM was removed while the view in force had it as a member, which is one loss more than the operator had asked for. The exploration of the membership reports, with one VM gone for good and three members:

no read can be certain: epoch 2 [a0,b0,c0 | a0,b0,d0]: a is gone for good, d joins, d is to be emptied, d adopts view 0, b proposes epoch 2 [a0,b0,c0 | a0,b0,d0], d is reported empty and removed

The VM now enters itself in the view, by a conditional write, and reports when that is in force. No later set takes it in, as each change of the view starts from the one before.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -101,6 +101,8 @@
 		"retired VM does not come back": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}},
 			fleet(set("a", "b", "c"), nil, "b"), ""},
 		"missing member is filled": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}}, fleet(set("a", "c", "e"), nil), "ad cd ed "},
+		"emptied VM is no spare": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "b")}, Emptied: []string{"c"}},
+			fleet(set("a", "b", "c"), nil), ""},
 		"observer that is cut off": {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"b": long, "c": long}), ""},
 		"change waits for the one before": {View{Version: 6, Epoch: 2, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b", "d")}},
 			fleet(set("a", "b", "c", "d", "e"), map[string]time.Duration{"d": long}), ""},
@@ -125,6 +127,19 @@
 	}
 }
 
+// Guards against a VM that is removed while a set holds it, and against one that is marked for ever.
+func TestMarkEmptied(t *testing.T) {
+	v := View{Version: 7, Epoch: 3, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b")}}
+	_, ok := MarkEmptied(v, "c")
+	test.False(t, ok, test.Sprint("an earlier set holds it"))
+	next, ok := MarkEmptied(v, "d")
+	must.True(t, ok)
+	test.Eq(t, []string{"d"}, next.Emptied)
+	test.EqOp(t, v.Epoch, next.Epoch)
+	_, ok = MarkEmptied(next, "d")
+	test.False(t, ok)
+}
+
 // Guards against several VMs that propose different views at once, and against a view that nobody changes.
 func TestProposerRank(t *testing.T) {
 	v := View{Version: 5, Tolerate: 1, Sets: [][]Member{set("a", "b", "c")}}
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -3,6 +3,7 @@
 package replica
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -26,6 +27,9 @@
 	Tolerate int        `json:"tolerate"` // VMs with a disk that may be lost at the same time.
 	Sets     [][]Member `json:"sets"`
 	Copied   []string   `json:"copied"` // Keys of the members of the last set that have copied the earlier sets.
+
+	// VMs that hold nothing that is needed and may be removed. No set takes them in again.
+	Emptied []string `json:"emptied,omitempty"`
 }
 
 // Current returns the set that takes the writes.
@@ -183,7 +187,7 @@
 	changed := false
 	var lost []Member
 	patience := ReplaceBySpareAfter
-	for _, s := range candidates(f, current) {
+	for _, s := range candidates(v, f) {
 		if f.Young[s.VM] {
 			patience = ReplaceAfter
 		}
@@ -206,7 +210,7 @@
 			next = append(next, m)
 		}
 	}
-	spare := candidates(f, current)
+	spare := candidates(v, f)
 	for _, m := range lost {
 		if s, ok := take(&spare, next, m.DataCentre); ok {
 			next = append(next, s)
@@ -232,15 +236,15 @@
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
 	sets := append(append([][]Member{}, v.Sets...), next)
-	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets}, true
+	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets, Emptied: v.Emptied}, true
 }
 
 // candidates are the registered VMs that answer, are not to be emptied and are in no place of the current set.
-func candidates(f Fleet, current []Member) []Member {
+func candidates(v View, f Fleet) []Member {
 	var out []Member
 	for _, m := range f.Registered {
-		inUse := false
-		for _, c := range current {
+		inUse := slices.Contains(v.Emptied, m.VM)
+		for _, c := range v.Current() {
 			inUse = inUse || c.VM == m.VM
 		}
 		if !inUse && !f.Retiring[m.VM] && f.Answers(m.VM) {
@@ -324,3 +328,20 @@
 	next.Copied = nil
 	return next, true
 }
+
+// MarkEmptied returns the view after a VM that is to be emptied has found itself in no set. It must be in force before the VM
+// may be removed, since another replica may be about to take the VM in.
+func MarkEmptied(v View, vm string) (View, bool) {
+	for _, m := range Union(v.Sets) {
+		if m.VM == vm {
+			return v, false
+		}
+	}
+	if slices.Contains(v.Emptied, vm) {
+		return v, false
+	}
+	next := v
+	next.Version = v.Version + 1
+	next.Emptied = append(slices.Clone(v.Emptied), vm)
+	return next, true
+}
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -439,6 +439,10 @@
 	if inUse && r.Running {
 		return
 	}
+	if !inUse && !slices.Contains(v.Emptied, m.Self.VM) {
+		m.change(ctx, "emptied", func(v replica.View) (replica.View, bool) { return replica.MarkEmptied(v, m.Self.VM) })
+		return
+	}
 	version, err := m.Retirements.ReportRetirement(ctx, r, !inUse)
 	if err != nil {
 		m.Log.Warn("retirement is not reported", "done", !inUse, "error", err)
