Let no reader of an earlier view miss a turn of a later one

A turn was acknowledged when a write quorum of the last set had it, also while earlier sets were still read. A gateway that had not heard of the later view, as after a cut from the store, could read two members of the earlier set that had not heard of it either, and answered 404 for a turn that was kept. The exploration of the membership reports, with three members and one write:

a reader with epoch 1 [a0,b0,c0] finds write 0 nowhere: d joins, a proposes epoch 2 [a0,b0,c0 | a0,c0,d0], write 0 begins in epoch 2, write 0 is stored by a, write 0 is stored by d (acknowledged)

In a set of two, one of the members was enough to conclude the same when the other one had been replaced by a settled view.

A write is now acknowledged when a read quorum of each earlier set is among its holders, as charges already were, and an absence is certain only when a write quorum of the last set of the reader's view answers at its epoch. Each settled view has taken a read quorum of the set before to its epoch, and a write quorum meets it. Nothing is refused that was served before: a request whose turns need a quorum is only begun when a write quorum and a read quorum of each set answer. Copies still need read quorums only.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -230,6 +230,48 @@
 	test.True(t, v.MustCopy(member("d", "d")))
 }
 
+// Guards against a reader of an earlier view that takes a turn for unknown although it was acknowledged in a later one: for
+// every change of a set, every write that is acknowledged before or after the copies, and every reader of the earlier view whose
+// sources have not heard of the later one.
+func TestEarlierReadersMissNoLaterWrite(t *testing.T) {
+	keys := func(vms ...string) map[string]bool {
+		out := map[string]bool{}
+		for _, vm := range vms {
+			out[vm+"/d"] = true
+		}
+		return out
+	}
+	all := []string{"a", "b", "c", "d"}
+	for before := 1; before <= 3; before++ {
+		earlier := View{Version: 1, Epoch: 1, Tolerate: 1, Sets: [][]Member{set(all[:before]...)}}
+		for after := range 1 << len(all) {
+			var last []string
+			for i, vm := range all {
+				if after>>i&1 == 1 {
+					last = append(last, vm)
+				}
+			}
+			later := View{Version: 2, Epoch: 2, Tolerate: 1, Sets: [][]Member{earlier.Sets[0], set(last...)}}
+			for holders := range 1 << len(all) {
+				var at, not []string // Members that have adopted the later view, and the others.
+				for i, vm := range all {
+					if holders>>i&1 == 1 {
+						at = append(at, vm)
+					} else {
+						not = append(not, vm)
+					}
+				}
+				// A copy takes a read quorum of the earlier set to the later epoch.
+				settled := View{Version: 3, Epoch: 2, Tolerate: 1, Sets: later.Sets[1:]}
+				acknowledged := later.Holds(keys(at...)) || earlier.Readable(keys(at...)) && settled.Holds(keys(at...))
+				if len(last) > 0 && acknowledged && earlier.Knows(keys(not...)) {
+					t.Fatalf("%v to %v: write on %v, read from %v", names(earlier.Sets[0]), last, at, not)
+				}
+			}
+		}
+	}
+}
+
 // Guards against a sum of charges that depends on the order in which reports arrive.
 func TestLedgerMergeCommutes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -79,8 +79,9 @@
 	return len(set) - WriteQuorum(set, tolerate) + 1
 }
 
-// Knows reports whether the members that answered know every completed write of all sets of the view.
-func (v View) Knows(answered map[string]bool) bool {
+// Readable reports whether the members that answered are a read quorum of every set, so that what they hold can be copied
+// without a loss. No write that one of them takes at an earlier epoch may complete afterwards.
+func (v View) Readable(answered map[string]bool) bool {
 	for _, set := range v.Sets {
 		if count(set, answered) < ReadQuorum(set, v.Tolerate) {
 			return false
@@ -89,8 +90,21 @@
 	return len(v.Sets) > 0
 }
 
-// Holds reports whether the members that stored a write are enough to acknowledge it.
+// Knows reports whether the members that answered at the epoch of the view know every completed write, also of views that
+// the reader has not heard of: a later view takes a read quorum of each set to its epoch before a write in it completes, and
+// a write quorum of the last set has a member of it.
+func (v View) Knows(answered map[string]bool) bool {
+	return v.Readable(answered) && v.held(answered)
+}
+
+// Holds reports whether the members that stored a write are enough to acknowledge it. A read quorum of each earlier set has to
+// be among them, so that readers of an earlier view do not miss the write before the copies have ended.
 func (v View) Holds(stored map[string]bool) bool {
+	return v.Readable(stored) && v.held(stored)
+}
+
+// held reports whether members are a write quorum of the last set.
+func (v View) held(stored map[string]bool) bool {
 	current := v.Current()
 	return len(current) > 0 && count(current, stored) >= WriteQuorum(current, v.Tolerate)
 }
@@ -102,7 +116,7 @@
 	for _, m := range holders {
 		keys[m.Key()] = true
 	}
-	return v.Holds(keys)
+	return v.held(keys)
 }
 
 func count(set []Member, keys map[string]bool) int {
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -521,7 +521,7 @@
 func knowsEarlier(v replica.View, answered map[string]bool) bool {
 	earlier := v
 	earlier.Sets = v.Sets[:len(v.Sets)-1]
-	return earlier.Knows(answered)
+	return earlier.Readable(answered)
 }
 
 // copyTurns fetches the turns that this replica lacks and that the last set does not hold on a write quorum without it, from
