Change the view whenever the members that answer can be copied

A set of two replicas never changed again once one of them was gone for good: callers got 503 for every turn until the end, though a successor had registered. A proposer wanted a write quorum of the current set to answer, which in a set of two that bears the loss of one is both. What it needs is the store's conditional write and sources for the copies: a read quorum of every set, counted by member, since a VM with a new disk knows nothing. A write quorum of any set meets it in a member that the copies take to the new epoch before they read it, so that adding a set loses nothing, whoever proposes it.

So a member whose copy the earlier sets wait for is dropped when it is gone and has no successor, and no member leaves a set without a successor unless more members answer than may be lost.

--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -142,6 +142,17 @@
 	Young      map[string]bool               // VMs that have registered lately; one of them may succeed a VM that is gone for good.
 }
 
+// answering returns the keys of the members that answer. A VM whose disk was lost answers as another member.
+func (f Fleet) answering() map[string]bool {
+	keys := map[string]bool{}
+	for _, m := range f.Registered {
+		if f.Answers(m.VM) {
+			keys[m.Key()] = true
+		}
+	}
+	return keys
+}
+
 // AnswersWithin is the time within which a VM must have answered to be taken into a set.
 const AnswersWithin = 1500 * time.Millisecond
 
@@ -158,19 +169,14 @@
 const ReplaceWhileCopying = ReplaceBySpareAfter + 3*time.Second
 
 // Propose returns the next view, if a change is due. The caller writes it under the condition that the view that it read
-// is still in force.
+// is still in force. Only members that are enough to read every completed write have to answer: what a change needs is the
+// store's conditional write, and sources for the copies. A write quorum may be more than what a tolerated loss leaves.
 func Propose(v View, f Fleet) (View, bool) {
 	if v.Version == 0 {
 		return propose(View{Tolerate: v.Tolerate}, f, nil)
 	}
-	answering := 0
-	for _, m := range v.Current() {
-		if f.Answers(m.VM) {
-			answering++
-		}
-	}
-	if answering < WriteQuorum(v.Current(), v.Tolerate) {
-		return v, false // The observer may be the one that is cut off.
+	if !v.Readable(f.answering()) {
+		return v, false // The observer may be the one that is cut off, and no copy could end.
 	}
 	return propose(v, f, v.Current())
 }
@@ -231,7 +237,8 @@
 			changed = true
 			continue
 		}
-		if f.Shrink[m.VM] && len(next) > 0 {
+		// The others must be able to serve without this member.
+		if count(next, f.answering()) > v.Tolerate && (f.Shrink[m.VM] || v.awaits(m)) {
 			changed = true
 			continue
 		}
@@ -315,6 +322,11 @@
 	return !replaced || !stays(m)
 }
 
+// awaits reports whether the earlier sets cannot be dropped before a member has copied them.
+func (v View) awaits(m Member) bool {
+	return !v.Settled() && Contains(v.Current(), m.Key()) && v.MustCopy(m) && !slices.Contains(v.Copied, m.Key())
+}
+
 // MarkCopied returns the view after a member of the last set has copied every earlier set. When all that must have, the
 // earlier sets are dropped.
 func MarkCopied(v View, key string) (View, bool) {
