Let a member move to another address without a copy

A replica that started at another address with its disk made a second set with the same members. Nobody has to copy anything for it, so nobody marked a copy: the view was never settled, and later changes waited as long as they do beside a copy. The address is now changed in place. Before the change the new test reports three sets instead of two and another epoch.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -140,6 +140,25 @@
 	}
 }
 
+// Guards against a view that never settles, since nobody has to copy, when a member only answers at another address.
+func TestProposeRelocates(t *testing.T) {
+	v := View{Version: 6, Epoch: 2, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b", "d")}, Copied: []string{"a/d"}}
+	f := fleet(set("a", "b", "c", "d"), nil)
+	f.Registered[1].Address = "elsewhere:1"
+	next, due := Propose(v, f)
+	must.True(t, due)
+	test.EqOp(t, 7, next.Version)
+	test.EqOp(t, v.Epoch, next.Epoch)
+	test.SliceLen(t, 2, next.Sets)
+	for _, set := range next.Sets {
+		test.EqOp(t, "elsewhere:1", set[1].Address)
+	}
+	test.Eq(t, v.Copied, next.Copied)
+	test.EqOp(t, "b:1", v.Sets[0][1].Address, test.Sprint("the view before is not changed"))
+	_, due = Propose(next, f)
+	test.False(t, due)
+}
+
 // Guards against a VM that is removed while a set holds it, and against one that is marked for ever.
 func TestMarkEmptied(t *testing.T) {
 	v := View{Version: 7, Epoch: 3, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b")}}
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -223,9 +223,6 @@
 			changed = true
 		case f.Retiring[m.VM] || f.SilentFor(m.VM) > patience:
 			lost = append(lost, m)
-		case known && now.Address != m.Address:
-			next = append(next, now)
-			changed = true
 		default:
 			next = append(next, m)
 		}
@@ -253,13 +250,35 @@
 		changed = true
 	}
 	if !changed {
-		return v, false
+		return relocate(v, present)
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
 	sets := append(append([][]Member{}, v.Sets...), next)
 	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets, Emptied: v.Emptied}, true
 }
 
+// relocate gives members that answer at another address their present one. They are the same members, so no set is added and
+// nothing is copied.
+func relocate(v View, present map[string]Member) (View, bool) {
+	sets := make([][]Member, len(v.Sets))
+	changed := false
+	for i, set := range v.Sets {
+		sets[i] = slices.Clone(set)
+		for k, m := range set {
+			if now, known := present[m.VM]; known && now.Disk == m.Disk && now.Address != m.Address {
+				sets[i][k] = now
+				changed = true
+			}
+		}
+	}
+	if !changed {
+		return v, false
+	}
+	v.Version++
+	v.Sets = sets
+	return v, true
+}
+
 // candidates are the registered VMs that answer, are not to be emptied and are in no place of the current set.
 func candidates(v View, f Fleet) []Member {
 	var out []Member
