Go on copying without a source that is gone, and probe replicas by disk

A copy that had read a source's inventory kept that source for the turns it listed, for all further tries at the view: a source that was lost in between, or that could not read its disk, kept the earlier sets from being dropped though another source had the turns. A replica with a new disk asked its own address for the old one, and logged each refusal. Probes asked for no disk, so a VM counted as answering for the disk that it had lost.

A source that gives no turns is now forgotten: the copy goes on with the others as long as they are a read quorum of each earlier set, and reads another inventory in the next try if they are not. A turn that only the lost source had is on no quorum. Tries that know enough no longer wait for an inventory that does not come.

--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -8,6 +8,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -289,6 +290,15 @@
 	holders  map[string][]replica.Member // By turn.
 }
 
+// forget drops what a source has answered that gives no turns. It may be gone, and a turn that only it has is on no quorum, or
+// on another source too.
+func (p *copyProgress) forget(source replica.Member) {
+	delete(p.answered, source.Key())
+	for id, from := range p.holders {
+		p.holders[id] = slices.DeleteFunc(from, func(h replica.Member) bool { return h.Key() == source.Key() })
+	}
+}
+
 func (m *Membership) marked(v replica.View) bool {
 	for _, k := range v.Copied {
 		if k == m.Self.Key() {
@@ -396,21 +406,21 @@
 // probe notes which replicas answer.
 func (m *Membership) probe(ctx context.Context) {
 	m.mu.Lock()
-	targets := map[string]string{}
+	targets := map[string]replica.Member{}
 	for vm, r := range m.registered {
 		if vm != m.Self.VM {
-			targets[vm] = r.Address
+			targets[vm] = r
 		}
 	}
 	m.mu.Unlock()
 	var wg sync.WaitGroup
-	for vm, address := range targets {
+	for vm, target := range targets {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			if err := m.get(ctx, address, PathProbe); err != nil {
+			if err := m.get(ctx, target.Address, PathProbe+"?disk="+url.QueryEscape(target.Disk)); err != nil {
 				return
 			}
 			m.mu.Lock()
@@ -460,7 +470,8 @@
 func (m *Membership) copyEarlierSets(ctx context.Context, v replica.View, p *copyProgress) error {
 	var unread []replica.Member
 	for _, member := range replica.Union(v.Sets[:len(v.Sets)-1]) {
-		if !p.answered[member.Key()] { // Its own key is there from the start.
+		lost := member.VM == m.Self.VM && member.Disk != m.Self.Disk
+		if !lost && !p.answered[member.Key()] { // Its own key is there from the start.
 			unread = append(unread, member)
 		}
 	}
@@ -477,6 +488,9 @@
 		}()
 	}
 	var late <-chan time.Time // Set when the inventories that are needed have been read.
+	if knowsEarlier(v, p.answered) {
+		late = time.After(lateInventory)
+	}
 	for range unread {
 		select {
 		case r := <-readings:
@@ -502,7 +516,7 @@
 	if !knowsEarlier(v, p.answered) {
 		return errors.Newf("%d replicas of the earlier sets answered, which is no read quorum of each", len(p.answered)-1)
 	}
-	return m.copyTurns(ctx, v, p.holders)
+	return m.copyTurns(ctx, v, p)
 }
 
 // distance is 0 for a member in the own data centre, 1 in the own region and 2 elsewhere.
@@ -525,34 +539,48 @@
 }
 
 // copyTurns fetches the turns that this replica lacks and that the last set does not hold on a write quorum without it, from
-// its own data centre where one there has them, then from its own region.
-func (m *Membership) copyTurns(ctx context.Context, v replica.View, holders map[string][]replica.Member) error {
-	wanted := map[string][]string{}
-	members := map[string]replica.Member{}
-	for id, from := range holders {
-		if m.Server.state.has(id) || v.Kept(from) {
-			continue
-		}
-		source := slices.MinFunc(from, func(a, b replica.Member) int { return m.distance(a) - m.distance(b) })
-		wanted[source.Key()] = append(wanted[source.Key()], id)
-		members[source.Key()] = source
-	}
-	for key, ids := range wanted {
-		for len(ids) > 0 {
-			n := min(len(ids), maxTurnsPerCopy)
-			records, err := m.fetchTurns(ctx, members[key], v, ids[:n])
-			if err != nil {
-				return err
+// its own data centre where one there has them, then from its own region. It goes on without a source that fails as long as
+// the others are a read quorum of each earlier set.
+func (m *Membership) copyTurns(ctx context.Context, v replica.View, p *copyProgress) error {
+	for {
+		wanted := map[string][]string{}
+		members := map[string]replica.Member{}
+		for id, from := range p.holders {
+			if len(from) == 0 || m.Server.state.has(id) || v.Kept(from) {
+				continue
 			}
-			if len(records) > 0 {
-				if err := m.Server.storeCopied(ctx, records); err != nil {
-					return err
+			source := slices.MinFunc(from, func(a, b replica.Member) int { return m.distance(a) - m.distance(b) })
+			wanted[source.Key()] = append(wanted[source.Key()], id)
+			members[source.Key()] = source
+		}
+		if len(wanted) == 0 {
+			return nil
+		}
+		for key, ids := range wanted {
+			source := members[key]
+			for len(ids) > 0 {
+				n := min(len(ids), maxTurnsPerCopy)
+				records, err := m.fetchTurns(ctx, source, v, ids[:n])
+				if err != nil {
+					p.forget(source)
+					if !knowsEarlier(v, p.answered) {
+						return errors.Wrapf(err, "read turns from %s", source.VM)
+					}
+					m.Log.Warn("turns cannot be read", "source", source.VM, "turns", len(ids), "error", err)
+					break
+				}
+				if len(records) > 0 {
+					if err := m.Server.storeCopied(ctx, records); err != nil {
+						return err
+					}
 				}
+				for _, id := range ids[:n] {
+					delete(p.holders, id) // What the source no longer has is past its time.
+				}
+				ids = ids[n:]
 			}
-			ids = ids[n:]
 		}
 	}
-	return nil
 }
 
 func (m *Membership) fetchInventory(ctx context.Context, member replica.Member, v replica.View) (Inventory, error) {
@@ -599,7 +627,13 @@
 		return err
 	}
 	_, _ = io.Copy(io.Discard, resp.Body) // An empty body; a failure shows in the next use of the connection.
-	return resp.Body.Close()
+	if err := resp.Body.Close(); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.Newf("status %d", resp.StatusCode)
+	}
+	return nil
 }
 
 // fetchTurns reads turns from another replica as they stand in its log.
