Do not let a VM that is gone delay every step of the membership

Each step of a replica's membership probed all registered VMs and waited for the slowest. A VM that was gone or had been emptied made every step, on every replica, as long as the time-out of a probe, 0.4 s, for ever: a replica whose disk had been lost registered, and was proposed 0.35 s later and copied over several more such steps, while a set of two could acknowledge nothing.

A step now waits 0.1 s at most for the answers. A late answer counts from the next step on, and one probe of a VM is under way at a time.

--- a/daemon/replica/copy_test.go
+++ b/daemon/replica/copy_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
@@ -128,3 +130,36 @@
 	m.probe(t.Context())
 	test.True(t, m.fleet().Answers("a"))
 }
+
+// roundTrip answers requests without a network.
+type roundTrip func(r *http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against a VM that is gone and delays each step of the others by the time-out of its probe.
+func TestProbeDoesNotWaitForASilentVM(t *testing.T) {
+	self := newSource(t, "b")
+	synctest.Test(t, func(t *testing.T) {
+		m := newMembership(self)
+		var probes atomic.Int64
+		m.Client = &http.Client{Transport: roundTrip(func(r *http.Request) (*http.Response, error) {
+			if r.URL.Host == "silent" {
+				probes.Add(1)
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			}
+			return &http.Response{StatusCode: http.StatusNoContent, Body: http.NoBody}, nil
+		})}
+		m.registered["a"] = replica.Member{VM: "a", Disk: "d", Address: "answers"}
+		m.registered["c"] = replica.Member{VM: "c", Disk: "d", Address: "silent"}
+		start := time.Now()
+		m.probe(t.Context())
+		m.probe(t.Context())
+		test.LessEq(t, 2*probeWait, time.Since(start))
+		test.EqOp(t, 1, probes.Load(), test.Sprint("one probe at a time"))
+		test.True(t, m.fleet().Answers("a"))
+		test.False(t, m.fleet().Answers("c"))
+		time.Sleep(probeTimeout)
+		synctest.Wait()
+	})
+}
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -32,6 +32,7 @@
 const (
 	membershipInterval = 500 * time.Millisecond
 	probeTimeout       = 400 * time.Millisecond  // Well above a round trip between regions.
+	probeWait          = 100 * time.Millisecond  // Above a round trip between regions.
 	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
 	copyTimeout        = 10 * time.Second        // An inventory of megabytes over a busy link between regions.
 	lateInventory      = 500 * time.Millisecond  // Wait for further inventories when those that are needed have been read.
@@ -75,6 +76,7 @@
 	registered    map[string]replica.Member
 	retiring      map[string]Retirement
 	lastAnswer    map[string]time.Time // By VM.
+	probing       map[string]bool      // VMs with a probe under way.
 	firstSeen     map[string]time.Time // By VM; only of VMs that registered while this replica watched.
 	retiringSince map[string]time.Time // By VM.
 	listed        bool                 // The registrations have been read once.
@@ -91,6 +93,7 @@
 	m.registered = map[string]replica.Member{}
 	m.retiring = map[string]Retirement{}
 	m.lastAnswer = map[string]time.Time{}
+	m.probing = map[string]bool{}
 	m.firstSeen = map[string]time.Time{}
 	m.retiringSince = map[string]time.Time{}
 	m.view = m.Server.View()
@@ -403,32 +406,42 @@
 	m.wake()
 }
 
-// probe notes which replicas answer.
+// probe notes which replicas answer. It does not wait for those that answer late: a VM that is gone must not delay each step of
+// the others. A late answer counts from the next step on.
 func (m *Membership) probe(ctx context.Context) {
+	var wg sync.WaitGroup
 	m.mu.Lock()
-	targets := map[string]replica.Member{}
-	for vm, r := range m.registered {
-		if vm != m.Self.VM {
-			targets[vm] = r
+	for vm, target := range m.registered {
+		if vm == m.Self.VM || m.probing[vm] {
+			continue
 		}
-	}
-	m.mu.Unlock()
-	var wg sync.WaitGroup
-	for vm, target := range targets {
+		m.probing[vm] = true
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 			defer cancel()
-			if err := m.get(ctx, target.Address, PathProbe+"?disk="+url.QueryEscape(target.Disk)); err != nil {
-				return
-			}
+			err := m.get(ctx, target.Address, PathProbe+"?disk="+url.QueryEscape(target.Disk))
 			m.mu.Lock()
-			m.lastAnswer[vm] = time.Now()
-			m.mu.Unlock()
+			defer m.mu.Unlock()
+			delete(m.probing, vm)
+			if err == nil {
+				m.lastAnswer[vm] = time.Now()
+			}
 		}()
 	}
-	wg.Wait()
+	m.mu.Unlock()
+	answered := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(answered)
+	}()
+	late := time.NewTimer(probeWait)
+	defer late.Stop()
+	select {
+	case <-answered:
+	case <-late.C:
+	}
 }
 
 // retire reports the state of the requests to empty a VM.
