Let a VM with a new disk propose itself at once

A VM whose disk was lost knows it before the others do, and waited its turn behind them, 1.2 s for each. It may propose already, as its VM has a place in the set; the conditional write in the store decides if another one does it first.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -189,7 +189,11 @@
 			test.EqOp(t, want.rank, rank)
 		}
 	}
-	rank, may := ProposerRank(View{}, fleet(set("a", "b"), nil), "b")
+	f.Registered[2].Disk = "new"
+	rank, may := ProposerRank(v, f, "c")
+	test.True(t, may)
+	test.EqOp(t, 0, rank, test.Sprint("a VM with a new disk waits for nobody"))
+	rank, may = ProposerRank(View{}, fleet(set("a", "b"), nil), "b")
 	test.True(t, may)
 	test.EqOp(t, 1, rank)
 }
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -182,7 +182,8 @@
 }
 
 // ProposerRank orders the VMs that may propose: the members of the current set that answer, or the registered VMs before the
-// first view. Others do not propose. Each rank waits longer than the one before, so that one proposal is made at a time.
+// first view. Others do not propose. Each rank waits longer than the one before, so that one proposal is made at a time. A VM
+// that has lost its disk knows so before the others, and does not wait: until it has its place again, the set lacks a member.
 func ProposerRank(v View, f Fleet, self string) (rank int, may bool) {
 	candidates := f.Registered
 	if v.Version > 0 {
@@ -195,6 +196,11 @@
 			rank++
 		}
 	}
+	for _, now := range f.Registered {
+		if now.VM == self && may && !Contains(candidates, now.Key()) {
+			return 0, true
+		}
+	}
 	return rank, may
 }
 
