Log how old a replica's knowledge of the store and of other members is

Each loss and return of the store is logged with the age of its last answer, and each change of a member's standing with the time of its silence, the number of registered VMs, the age of that list and whether a change of the view is proposed. Lines are written on changes only.

--- a/daemon/platform/follow.go
+++ b/daemon/platform/follow.go
@@ -48,6 +48,7 @@
 	revision uint64 // Zero asks for a list.
 	pause    time.Duration
 	lost     bool
+	answered time.Time // When the store last answered; zero before the first answer.
 }
 
 func (f *follower) step(ctx context.Context) error {
@@ -100,25 +101,35 @@
 }
 
 func (f *follower) read(revision uint64) {
+	now := time.Now()
 	if f.lost {
-		f.options.Log.Info("store answers again", "kind", f.kind, "revision", revision)
+		f.options.Log.Info("store answers again", "kind", f.kind, "revision", revision, "after", f.age(now))
 	}
-	f.lost, f.pause = false, followPauseMin
+	f.lost, f.pause, f.answered = false, followPauseMin, now
 	if revision > f.revision {
 		f.revision = revision
 	}
 	if f.options.OnRead != nil {
-		f.options.OnRead(time.Now())
+		f.options.OnRead(now)
 	}
 }
 
+// age is the time since the store last answered, or zero before its first answer.
+func (f *follower) age(now time.Time) time.Duration {
+	if f.answered.IsZero() {
+		return 0
+	}
+	return now.Sub(f.answered)
+}
+
 func (f *follower) failed(ctx context.Context, err error) {
+	now := time.Now()
 	if !f.lost {
 		f.lost = true
-		f.options.Log.Warn("store does not answer", "kind", f.kind, "revision", f.revision, "error", err)
+		f.options.Log.Warn("store does not answer", "kind", f.kind, "revision", f.revision, "last_answer", f.age(now), "error", err)
 	}
 	if f.options.OnLost != nil {
-		f.options.OnLost(time.Now())
+		f.options.OnLost(now)
 	}
 	clock.Sleep(ctx, f.pause)
 	f.pause = min(f.pause*2, followPauseMax)
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -68,7 +68,8 @@
 	Log         *slog.Logger
 
 	copying  atomic.Bool
-	progress *copyProgress // Used by the copy under way only.
+	progress *copyProgress       // Used by the copy under way only.
+	noted    map[string]standing // By member of the current set, as it was last logged. Used by Run only.
 
 	mu            sync.Mutex
 	registered    map[string]replica.Member
@@ -77,6 +78,7 @@
 	firstSeen     map[string]time.Time // By VM; only of VMs that registered while this replica watched.
 	retiringSince map[string]time.Time // By VM.
 	listed        bool                 // The registrations have been read once.
+	heard         time.Time            // When the store last answered about registrations, or the start.
 	view          replica.View
 	viewRev       uint64
 	dueSince      time.Time // Since when a change of the view is due; zero where none is.
@@ -92,8 +94,10 @@
 	m.lastAnswer = map[string]time.Time{}
 	m.firstSeen = map[string]time.Time{}
 	m.retiringSince = map[string]time.Time{}
+	m.noted = map[string]standing{}
 	m.view = m.Server.View()
 	m.started = time.Now()
+	m.heard = m.started
 	m.changed = make(chan struct{}, 1)
 }
 
@@ -107,16 +111,16 @@
 // RunWatchers follows the three kinds of objects. It returns when the context ends.
 func (m *Membership) RunWatchers(ctx context.Context) error {
 	var wg sync.WaitGroup
-	follow := func(kind string, h platform.Handler) {
+	follow := func(kind string, h platform.Handler, onRead func(at time.Time)) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Wait: watchWait, Pause: watchPause, Log: m.Log}, h)
+			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Wait: watchWait, Pause: watchPause, Log: m.Log, OnRead: onRead}, h)
 		}()
 	}
-	follow(RegistrationKind, m.onRegistrations)
-	follow(ViewKind, m.onView)
-	follow(m.Retirements.RetirementKind(), m.onRetirements)
+	follow(RegistrationKind, m.onRegistrations, m.onRegistrationsRead)
+	follow(ViewKind, m.onView, nil)
+	follow(m.Retirements.RetirementKind(), m.onRetirements, nil)
 	wg.Wait()
 	return ctx.Err()
 }
@@ -143,6 +147,12 @@
 	m.wake()
 }
 
+func (m *Membership) onRegistrationsRead(at time.Time) {
+	m.mu.Lock()
+	m.heard = at
+	m.mu.Unlock()
+}
+
 func (m *Membership) onView(objects map[string]platform.Object) {
 	o, ok := objects[ViewName]
 	if !ok {
@@ -314,7 +324,9 @@
 	m.mu.Unlock()
 	v.Tolerate = m.Tolerate()
 	rank, may := replica.ProposerRank(v, f, m.Self.VM)
-	if _, due := replica.Propose(v, f); !due || !may {
+	_, due := replica.Propose(v, f)
+	m.noteMembers(v, f, due && may)
+	if !due || !may {
 		m.dueSince = time.Time{}
 		return
 	}
@@ -330,6 +342,42 @@
 	})
 }
 
+// standing is what a replica believes of a member of the current set.
+type standing string
+
+const (
+	answers standing = "answers"
+	silent  standing = "silent"
+	overdue standing = "overdue" // Silent for longer than a successor waits to take its place.
+)
+
+// noteMembers logs each change of what is believed of a member of the current set, with the inputs of the decision to
+// replace it.
+func (m *Membership) noteMembers(v replica.View, f replica.Fleet, proposes bool) {
+	m.mu.Lock()
+	age := time.Since(m.heard)
+	m.mu.Unlock()
+	noted := map[string]standing{}
+	for _, member := range v.Current() {
+		now, quiet := answers, f.SilentFor(member.VM)
+		switch {
+		case f.Answers(member.VM):
+		case quiet > replica.ReplaceAfter:
+			now = overdue
+		default:
+			now = silent
+		}
+		noted[member.Key()] = now
+		before, known := m.noted[member.Key()]
+		if now == before || !known && now == answers {
+			continue
+		}
+		m.Log.Info("member of the view", "member", member.VM, "disk", member.Disk, "standing", now, "before", before,
+			"silent_for", quiet, "view", v.Version, "registered", len(f.Registered), "registrations_age", age, "proposes", proposes)
+	}
+	m.noted = noted
+}
+
 func (m *Membership) fleet() replica.Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
