Run the test of chains that are read once on a clock that stands still while replicas work

Cause: a sync of the disk. When the replicas take longer than four times their usual time and 30 ms to store the charge, the client asks further replicas, and those are asked for the chain as well. That is wanted; the test measured the disk of the machine.

The test now runs in a bubble of testing/synctest, with handlers that are called without a network. Time passes only while every goroutine waits for the clock, so a slow disk or processor is never a slow replica. The replicas, their logs on disk, the client and every check are the same.

The test still fails with its guards taken out: when the other replicas of the quorum are asked for the chain as well, it reports 3; when the rest of a chain that the nearest replica lacks is not asked for, it reports 0 of 3 turns.

--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,6 +32,33 @@
 
 // newNodes starts replicas of one view, two of them in the region of the client.
 func newNodes(t *testing.T, count int) ([]*node, core.View) {
+	t.Helper()
+	return newNodesAt(t, count, func(_ int, h http.Handler) string {
+		listener := httptest.NewServer(h)
+		t.Cleanup(listener.Close)
+		return strings.TrimPrefix(listener.URL, "http://")
+	})
+}
+
+// inProcess calls handlers by address without a network, since a wait for a socket would keep the clock of a bubble still.
+type inProcess map[string]http.Handler
+
+// RoundTrip implements http.RoundTripper.
+func (p inProcess) RoundTrip(r *http.Request) (*http.Response, error) {
+	in := r.Clone(r.Context())
+	if in.Body == nil {
+		in.Body = http.NoBody
+	}
+	w := httptest.NewRecorder()
+	p[r.URL.Host].ServeHTTP(w, in)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+// newNodesAt starts replicas that listen where the function says.
+func newNodesAt(t *testing.T, count int, listen func(i int, h http.Handler) (address string)) ([]*node, core.View) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
@@ -47,11 +75,10 @@
 			_ = s.RunWriter(ctx) // Ends with the context.
 		}()
 		handler := s.Handler()
-		listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address := listen(i, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			n.serve(handler, w, r)
 		}))
-		t.Cleanup(listener.Close)
-		n.member = core.Member{VM: fmt.Sprint("vm-", i), Disk: s.Disk(), Address: strings.TrimPrefix(listener.URL, "http://"), DataCentre: fmt.Sprint("dc-", i)}
+		n.member = core.Member{VM: fmt.Sprint("vm-", i), Disk: s.Disk(), Address: address, DataCentre: fmt.Sprint("dc-", i)}
 		nodes = append(nodes, n)
 		v.Sets[0] = append(v.Sets[0], n.member)
 	}
@@ -85,6 +112,11 @@
 
 // newClient uses the view, which the replicas learn from its first batches.
 func newClient(t *testing.T, v core.View) *Client {
+	t.Helper()
+	return newClientOver(t, v, &http.Transport{MaxIdleConnsPerHost: 32})
+}
+
+func newClientOver(t *testing.T, v core.View, transport http.RoundTripper) *Client {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -97,7 +129,7 @@
 			}
 			return "far"
 		},
-		Client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		Client:  &http.Client{Transport: transport},
 		Log:     quiet(),
 		Metrics: metrics.NewSet(),
 	})
@@ -123,10 +155,18 @@
 }
 
 // TestChainIsReadOnce guards against histories that every replica of a quorum sends, most of which is thrown away, and
-// against a chain that is not found because the nearest replica lacks a part of it.
-func TestChainIsReadOnce(t *testing.T) {
-	nodes, v := newNodes(t, 5)
-	c := newClient(t, v)
+// against a chain that is not found because the nearest replica lacks a part of it. The
+// clock stands still while a replica works, so that a slow disk is no reason to ask further replicas.
+func TestChainIsReadOnce(t *testing.T) { synctest.Test(t, chainIsReadOnce) }
+
+func chainIsReadOnce(t *testing.T) {
+	network := inProcess{}
+	nodes, v := newNodesAt(t, 5, func(i int, h http.Handler) string {
+		address := fmt.Sprint("replica-", i)
+		network[address] = h
+		return address
+	})
+	c := newClientOver(t, v, network)
 	keepTurn(t, c, "t1", "")
 	keepTurn(t, c, "t2", "t1")
 	open, err := c.Begin(t.Context(), "p", &core.Charge{Turn: "t3", Tokens: 5}, "t2", time.Minute, unknown)
