Log refused requests of a replica once a second for each caller

The log already limits a message to 400 lines a second and counts what it leaves out. It now has a second, narrower limit: logging.PerSource names what a line is about, and one line a second is written for each value and reason. The next line bears left_out; counts of callers that have stopped go into the line `lines left out`. At most 512 sources are held, further ones share a limit, and one that would be admitted again is forgotten. jackdawbay_replica_refused_total has the reason as a label, which it lacked, and jackdawbay_view_version is the view that the replica uses.

TestSourcesAreLimitedApart is new with the limit.

--- a/daemon/logging/logging.go
+++ b/daemon/logging/logging.go
@@ -1,11 +1,13 @@
 // Package logging writes structured log lines without ever blocking the work that logs: lines wait in a bounded ring, lines
-// of one message are limited in rate, and what is left out is counted in a line of its own.
+// of one message are limited in rate, those about one source further, and what is left out is counted in a line of its own or
+// in the next one about the source.
 package logging
 
 import (
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +21,8 @@
 	linesPerSecond = 400                    // Lines of one message a second.
 	burstLines     = 800                    // Lines of one message at once.
 	maxMessages    = 512                    // Messages with a limit of their own; further ones share one.
+	sourceInterval = time.Second            // Time between two lines of one message about one source.
+	maxSources     = 512                    // Sources with a limit of their own, above the daemons of the target; further ones share one.
 	flushInterval  = 100 * time.Millisecond // Longest time that a line waits.
 	reportInterval = 5 * time.Second        // Time between two lines that count what was left out.
 	flushBytes     = 32 << 10               // Lines are written together up to this size.
@@ -89,15 +93,36 @@
 	}
 }
 
-// limits are the limiters by message, shared by all handlers that derive from one.
+// limits are the limiters by message and by source, shared by all handlers that derive from one.
 type limits struct {
 	mu       sync.Mutex
 	byName   map[string]*rate.Limiter
+	bySource map[sourceKey]*sourceLimit
 	left     map[string]int64
 	reported time.Time
+	swept    time.Time // When the sources were swept last.
 	writer   *Writer
 }
 
+// source is the value of an attribute that limits its line.
+type source struct{ shown, key string }
+
+// LogValue implements slog.LogValuer.
+func (s source) LogValue() slog.Value { return slog.StringValue(s.shown) }
+
+// PerSource returns an attribute that limits lines of its message to one a second for each value, or for each value and
+// detail. The next line has the number of those that were left out as left_out.
+func PerSource(name, value string, detail ...string) slog.Attr {
+	return slog.Any(name, source{shown: value, key: strings.Join(append(detail, value), "\x00")})
+}
+
+type sourceKey struct{ message, key string }
+
+type sourceLimit struct {
+	next time.Time // Earliest time of the next line.
+	left int64     // Lines left out since the last one.
+}
+
 // Handler limits the rate of each message.
 type Handler struct {
 	inner  slog.Handler
@@ -107,7 +132,9 @@
 // NewHandler returns a text handler, one line of key=value pairs for each event, in front of the writer.
 func NewHandler(w *Writer, level slog.Leveler) *Handler {
 	inner := slog.NewTextHandler(w, &slog.HandlerOptions{Level: level, ReplaceAttr: ShortErrors})
-	return &Handler{inner: inner, limits: &limits{byName: map[string]*rate.Limiter{}, left: map[string]int64{}, writer: w}}
+	return &Handler{inner: inner, limits: &limits{
+		byName: map[string]*rate.Limiter{}, bySource: map[sourceKey]*sourceLimit{}, left: map[string]int64{}, writer: w,
+	}}
 }
 
 // ShortErrors logs the message of an error without its stack, so that an event stays on one line.
@@ -133,7 +160,14 @@
 
 // Handle implements slog.Handler.
 func (h *Handler) Handle(ctx context.Context, r slog.Record) error {
-	ok, report := h.limits.admit(r.Message, r.Time)
+	var about source
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Value.Kind() == slog.KindLogValuer {
+			about, _ = a.Value.Any().(source)
+		}
+		return about.key == ""
+	})
+	ok, before, report := h.limits.admit(r.Message, about.key, r.Time)
 	for message, n := range report {
 		line := slog.NewRecord(r.Time, slog.LevelWarn, "lines left out", 0)
 		line.AddAttrs(slog.String("message", message), slog.Int64("left_out", n))
@@ -144,12 +178,84 @@
 	if !ok {
 		return nil
 	}
+	if before > 0 {
+		r = r.Clone()
+		r.AddAttrs(slog.Int64("left_out", before))
+	}
 	return h.inner.Handle(ctx, r)
 }
 
-func (l *limits) admit(message string, now time.Time) (ok bool, report map[string]int64) {
+// admit decides about a line. Before is the number of lines about its source that were left out since the last one, report
+// the lines that were left out by message, once in a reportInterval.
+func (l *limits) admit(message, about string, now time.Time) (ok bool, before int64, report map[string]int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	ok = true
+	if about != "" {
+		ok, before = l.admitSource(sourceKey{message, about}, now)
+	}
+	if ok {
+		if ok = l.admitMessage(message, now); !ok && before > 0 {
+			l.left[message] += before
+		}
+	}
+	if now.Sub(l.reported) < reportInterval {
+		return ok, before, nil
+	}
+	l.reported = now
+	l.swept = time.Time{}
+	if n := l.writer.dropped.Swap(0); n > 0 {
+		l.left["ring full"] += n
+	}
+	l.sweep(now)
+	if len(l.left) > 0 {
+		report, l.left = l.left, map[string]int64{}
+	}
+	return ok, before, report
+}
+
+func (l *limits) admitSource(key sourceKey, now time.Time) (ok bool, before int64) {
+	s, known := l.bySource[key]
+	if !known && len(l.bySource) >= maxSources {
+		l.sweep(now)
+	}
+	if !known && len(l.bySource) >= maxSources {
+		key = sourceKey{}
+		s, known = l.bySource[key]
+	}
+	if !known {
+		s = &sourceLimit{}
+		l.bySource[key] = s
+	}
+	if now.Before(s.next) {
+		s.left++
+		return false, 0
+	}
+	before = s.left
+	*s = sourceLimit{next: now.Add(sourceInterval)}
+	return true, before
+}
+
+// sweep forgets the sources whose next line would be admitted, and enters what was left out about them under the message. It
+// does so once in a sourceInterval, so that many new sources do not make each line cost a sweep.
+func (l *limits) sweep(now time.Time) {
+	if now.Sub(l.swept) < sourceInterval {
+		return
+	}
+	l.swept = now
+	for key, s := range l.bySource {
+		if now.Before(s.next) {
+			continue
+		}
+		if s.left > 0 {
+			l.left[key.message] += s.left
+		}
+		delete(l.bySource, key)
+	}
+}
+
+// admitMessage counts a line that it does not admit.
+func (l *limits) admitMessage(message string, now time.Time) bool {
 	limiter, known := l.byName[message]
 	if !known {
 		if len(l.byName) >= maxMessages {
@@ -161,19 +267,9 @@
 		limiter = rate.NewLimiter(linesPerSecond, burstLines)
 		l.byName[message] = limiter
 	}
-	ok = limiter.AllowN(now, 1)
-	if !ok {
-		l.left[message]++
-	}
-	if now.Sub(l.reported) < reportInterval {
-		return ok, nil
-	}
-	l.reported = now
-	if n := l.writer.dropped.Swap(0); n > 0 {
-		l.left["ring full"] += n
-	}
-	if len(l.left) > 0 {
-		report, l.left = l.left, map[string]int64{}
+	if limiter.AllowN(now, 1) {
+		return true
 	}
-	return ok, report
+	l.left[message]++
+	return false
 }
--- a/daemon/logging/logging_test.go
+++ b/daemon/logging/logging_test.go
@@ -42,3 +42,37 @@
 	}
 	test.EqOp(t, 5, w.dropped.Load())
 }
+
+// Guards against a caller that fills the log with one line for each of its requests, against counts that are lost when it
+// stops, and against a table of callers that grows without bound.
+func TestSourcesAreLimitedApart(t *testing.T) {
+	var out bytes.Buffer
+	w := NewWriter(&out)
+	h := NewHandler(w, slog.LevelInfo)
+	now := time.Unix(1_000_000, 0)
+	line := func(at time.Time, caller, reason string) {
+		r := slog.NewRecord(at, slog.LevelWarn, "refused", 0)
+		r.AddAttrs(slog.String("reason", reason), PerSource("caller", caller, reason))
+		test.NoError(t, h.Handle(t.Context(), r))
+	}
+	for range 50 {
+		line(now, "vm-a", "full")
+		line(now, "vm-b", "full")
+		line(now, "vm-a", "broken")
+	}
+	line(now.Add(sourceInterval), "vm-a", "full")
+	w.Drain()
+	test.EqOp(t, 4, strings.Count(out.String(), "msg=refused"))
+	test.StrContains(t, out.String(), "reason=full caller=vm-a left_out=49\n")
+	out.Reset()
+	line(now.Add(reportInterval), "vm-c", "full")
+	w.Drain()
+	test.StrContains(t, out.String(), "message=refused left_out=98", test.Sprint("vm-b, and vm-a as broken, have no further line"))
+	out.Reset()
+	for i := range 10 * maxSources {
+		line(now.Add(2*reportInterval), fmt.Sprint("vm-", i), "full")
+	}
+	w.Drain()
+	test.EqOp(t, maxSources+1, strings.Count(out.String(), "msg=refused"), test.Sprint("further sources share one limit"))
+	test.MapLen(t, maxSources+1, h.limits.bySource)
+}
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -9,8 +9,10 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -19,6 +21,7 @@
 	"github.com/gorilla/mux"
 
 	"jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/logging"
 )
 
 // Bounds of the replica's work.
@@ -39,8 +42,8 @@
 
 	adopting sync.Mutex // Held while a view is made durable.
 
+	set         *metrics.Set
 	batches     *metrics.Counter
-	refused     *metrics.Counter
 	writeErrors *metrics.Counter
 	syncSeconds *metrics.Histogram
 }
@@ -65,10 +68,11 @@
 		log:         log,
 		writes:      make(chan *writeJob, writeRing),
 		batches:     set.NewCounter("jackdawbay_replica_batches_total"),
-		refused:     set.NewCounter("jackdawbay_replica_refused_total"),
+		set:         set,
 		writeErrors: set.NewCounter("jackdawbay_replica_write_errors_total"),
 		syncSeconds: set.NewHistogram("jackdawbay_replica_sync_seconds"),
 	}
+	set.NewGauge(`jackdawbay_view_version`, func() float64 { return float64(s.View().Version) })
 	log.Info("replica opened", "disk", st.log.Identity, "turns", len(st.turns), "programs", len(st.programs), "view", st.view.Version)
 	return s, nil
 }
@@ -233,24 +237,24 @@
 	}
 	b, err := DecodeBatch(raw)
 	if err != nil {
-		s.refuse(w, http.StatusBadRequest, "body cannot be decoded", "error", err)
+		s.refuse(w, r, http.StatusBadRequest, reasonDecode, "error", err)
 		return
 	}
 	if b.Disk != s.Disk() {
-		s.refuse(w, http.StatusMisdirectedRequest, "other disk", "wanted", b.Disk)
+		s.refuse(w, r, http.StatusMisdirectedRequest, reasonOtherDisk, "wanted", b.Disk)
 		return
 	}
 	if b.View.Version > s.state.currentView().Version {
 		s.adopt(r.Context(), b.View)
 	}
 	if v := s.state.currentView(); v.Epoch != b.Epoch {
-		s.refused.Inc()
+		s.countRefused(reasonOtherView)
 		s.replyBatch(w, BatchAnswer{View: &v})
 		return
 	}
 	results, ok := s.perform(r.Context(), b.Ops)
 	if !ok {
-		s.refuse(w, http.StatusServiceUnavailable, "too many writes wait", "waiting", len(s.writes))
+		s.refuse(w, r, http.StatusServiceUnavailable, reasonFull, "waiting", len(s.writes))
 		return
 	}
 	s.replyBatch(w, BatchAnswer{Results: results})
@@ -274,7 +278,7 @@
 		body.Grow(int(n) + bytes.MinRead) // Without the spare part, the buffer grows once more to find the end.
 	}
 	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
-		s.refuse(w, http.StatusBadRequest, "body is not whole", "error", err)
+		s.refuse(w, r, http.StatusBadRequest, reasonNotWhole, "error", err)
 		return nil, false
 	}
 	return body.Bytes(), true
@@ -400,27 +404,45 @@
 // replica after it has been read.
 func (s *Server) admitCopy(w http.ResponseWriter, r *http.Request, req CopyRequest) bool {
 	if req.Disk != s.Disk() {
-		s.refuse(w, http.StatusMisdirectedRequest, "other disk", "wanted", req.Disk)
+		s.refuse(w, r, http.StatusMisdirectedRequest, reasonOtherDisk, "wanted", req.Disk)
 		return false
 	}
 	if !s.adopt(r.Context(), req.View) {
 		v := s.state.currentView()
-		s.refused.Inc()
+		s.countRefused(reasonOtherView)
 		reply(w, CopyAnswer{View: &v})
 		return false
 	}
 	return true
 }
 
-func (s *Server) refuse(w http.ResponseWriter, status int, reason string, args ...any) {
-	s.refused.Inc()
-	s.log.Warn("request refused", append([]any{"reason", reason}, args...)...)
+// Reasons to refuse a request.
+const (
+	reasonDecode    = "body cannot be decoded"
+	reasonNotWhole  = "body is not whole"
+	reasonOtherDisk = "other disk"
+	reasonOtherView = "other view"
+	reasonFull      = "too many writes wait"
+)
+
+// refuse counts a refusal by its reason. It logs one line a caller, reason and second.
+func (s *Server) refuse(w http.ResponseWriter, r *http.Request, status int, reason string, args ...any) {
+	s.countRefused(reason)
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
+	}
+	s.log.Warn("request refused", append([]any{"reason", reason, logging.PerSource("caller", caller, reason)}, args...)...)
 	w.WriteHeader(status)
 }
 
+func (s *Server) countRefused(reason string) {
+	s.set.GetOrCreateCounter(`jackdawbay_replica_refused_total{reason="` + strings.ReplaceAll(reason, " ", "_") + `"}`).Inc()
+}
+
 func (s *Server) decode(w http.ResponseWriter, r *http.Request, into any) bool {
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into); err != nil {
-		s.refuse(w, http.StatusBadRequest, "body cannot be decoded", "error", err)
+		s.refuse(w, r, http.StatusBadRequest, reasonDecode, "error", err)
 		return false
 	}
 	return true
