End the lanes of members that have left the view

The client of the replicas held a lane, with its senders and its probe, for every member that it had ever seen, and sent requests to the address that a member had when its lane was made. An operation that had asked a member went on waiting for it after the view had dropped the member, up to the time-out of 700 ms.

A new view now ends the lanes of members that it does not hold at their address: what waits there is answered with an error, and the operation goes on in the new view. Lanes are bounded by the members of the view.

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -27,6 +28,9 @@
 // ErrNoQuorum means that too few replicas answered. A write may have been stored by some of them.
 var ErrNoQuorum = errors.New("too few replicas answered")
 
+// errLaneEnded means that no requests are sent to the member any more.
+var errLaneEnded = errors.New("no requests are sent to the replica any more")
+
 // Bounds of the client.
 const (
 	laneQueue    = 512 // Operations that wait for one replica.
@@ -98,12 +102,22 @@
 }
 
 func (c *Client) adopt(v core.View, source string) {
+	var left []*lane
 	c.mu.Lock()
 	newer := v.Version > c.view.Version
 	if newer {
 		c.view = v
+		for key, l := range c.lanes {
+			if !has(v, l.member) {
+				left = append(left, l)
+				delete(c.lanes, key)
+			}
+		}
 	}
 	c.mu.Unlock()
+	for _, l := range left {
+		l.end()
+	}
 	if newer {
 		c.cfg.Log.Info("view in force", "view", v.Version, "sets", len(v.Sets), "members", len(v.Current()), "source", source)
 	}
@@ -160,6 +174,9 @@
 	for range viewRetries {
 		v := c.View()
 		if v.Version == 0 || !c.reachable(v) {
+			if c.View().Version > v.Version {
+				continue // The lanes of an earlier view have ended.
+			}
 			break // Waiting would only delay a refusal that the caller can act on.
 		}
 		done, again := c.runView(ctx, v, r)
@@ -321,14 +338,27 @@
 func (c *Client) lane(m core.Member) *lane {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l, ok := c.lanes[m.Key()]
-	if !ok {
-		l = newLane(c, m)
-		c.lanes[m.Key()] = l
+	if l, ok := c.lanes[m.Key()]; ok && l.member == m {
+		return l
+	}
+	if !has(c.view, m) {
+		return &lane{client: c, member: m, silent: true, ended: true} // For an operation of an earlier view.
 	}
+	l := newLane(c, m)
+	c.lanes[m.Key()] = l
 	return l
 }
 
+// has reports whether a set of the view holds a member at its address.
+func has(v core.View, m core.Member) bool {
+	for _, set := range v.Sets {
+		if slices.Contains(set, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin charges the worst case of a turn to its program and, where from is set, reads the chain that the turn continues.
 // It returns all charges of the program that completed before, and the chain, newest turn first. Known reports which turns
 // the caller has, so that they need not be found.
@@ -462,14 +492,17 @@
 	}
 }
 
-// lane is the ordered path to one replica.
+// lane is the ordered path to one replica. It ends when the view drops the member.
 type lane struct {
 	client *Client
 	member core.Member
 	jobs   chan *job
+	ctx    context.Context // Ends with the lane.
+	stop   context.CancelFunc
 
 	mu        sync.Mutex
 	silent    bool // The last request failed, and no probe has been answered since.
+	ended     bool
 	usualTime time.Duration
 	open      int       // Requests under way.
 	progress  time.Time // When the replica last answered, or when the first of the requests under way was sent.
@@ -485,13 +518,28 @@
 
 func newLane(c *Client, m core.Member) *lane {
 	l := &lane{client: c, member: m, jobs: make(chan *job, laneQueue)}
+	l.ctx, l.stop = context.WithCancel(c.ctx)
 	for range laneSenders {
 		go l.send()
 	}
 	return l
 }
 
+// end answers the operations that wait with an error, and those that come later.
+func (l *lane) end() {
+	l.mu.Lock()
+	l.silent, l.ended = true, true
+	l.mu.Unlock()
+	l.stop()
+}
+
 func (l *lane) submit(j *job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		j.answers <- answer{member: l.member, ops: j.ops, err: errLaneEnded}
+		return
+	}
 	select {
 	case l.jobs <- j:
 	default:
@@ -528,7 +576,8 @@
 	for {
 		var first *job
 		select {
-		case <-l.client.ctx.Done():
+		case <-l.ctx.Done():
+			l.drain()
 			return
 		case first = <-l.jobs:
 		}
@@ -548,6 +597,18 @@
 	}
 }
 
+// drain answers what still waits when the lane has ended.
+func (l *lane) drain() {
+	for {
+		select {
+		case j := <-l.jobs:
+			j.answers <- answer{member: l.member, ops: j.ops, err: errLaneEnded}
+		default:
+			return
+		}
+	}
+}
+
 // deliver sends the jobs of one epoch together, and the jobs of another epoch after them.
 func (l *lane) deliver(jobs []*job) {
 	for len(jobs) > 0 {
@@ -607,22 +668,22 @@
 		return
 	}
 	if l.silent {
-		return
+		return // Ended lanes count as silent as well.
 	}
 	l.silent = true
 	l.client.cfg.Log.Warn("replica does not answer", "replica", l.member.VM, "took", took, "error", err)
 	go l.probe()
 }
 
-// probe asks a replica that did not answer until it does.
+// probe asks a replica that did not answer until it does, or until the lane ends.
 func (l *lane) probe() {
 	start := time.Now()
-	for clock.Sleep(l.client.ctx, probePause) {
+	for clock.Sleep(l.ctx, probePause) {
 		if err := l.askProbe(); err != nil {
 			continue // The start of the silence was logged.
 		}
 		l.mu.Lock()
-		l.silent = false
+		l.silent = l.ended
 		l.mu.Unlock()
 		l.client.cfg.Log.Info("replica answers again", "replica", l.member.VM, "after", time.Since(start))
 		return
@@ -630,7 +691,7 @@
 }
 
 func (l *lane) askProbe() error {
-	ctx, cancel := context.WithTimeout(l.client.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.member.Address+replica.PathProbe+"?disk="+url.QueryEscape(l.member.Disk), nil)
 	if err != nil {
@@ -650,7 +711,7 @@
 }
 
 func (l *lane) post(b replica.Batch) (replica.BatchAnswer, error) {
-	ctx, cancel := context.WithTimeout(l.client.ctx, batchTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, batchTimeout)
 	defer cancel()
 	raw, err := b.Encode()
 	if err != nil {
