Stop asking a replica whose disk is gone

A VM whose disk was lost answers requests for the old disk with 421.

The identity of a disk is drawn when the disk is empty, so a member whose address answers for another disk is lost for good. The client ends its lane then, with one line in the log; the member counts as one that does not answer until the view drops it.

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -28,6 +28,10 @@
 // ErrNoQuorum means that too few replicas answered. A write may have been stored by some of them.
 var ErrNoQuorum = errors.New("too few replicas answered")
 
+// errOtherDisk means that another disk is at the address of a member. The identity of a disk is drawn when it is empty, so the
+// member's disk does not come back there.
+var errOtherDisk = errors.New("another disk is at the address of the replica")
+
 // errLaneEnded means that no requests are sent to the member any more.
 var errLaneEnded = errors.New("no requests are sent to the replica any more")
 
@@ -492,7 +496,7 @@
 	}
 }
 
-// lane is the ordered path to one replica. It ends when the view drops the member.
+// lane is the ordered path to one replica. It ends when the view drops the member, or when the member's disk is gone.
 type lane struct {
 	client *Client
 	member core.Member
@@ -502,6 +506,7 @@
 
 	mu        sync.Mutex
 	silent    bool // The last request failed, and no probe has been answered since.
+	gone      bool // The member's disk is gone.
 	ended     bool
 	usualTime time.Duration
 	open      int       // Requests under way.
@@ -533,6 +538,19 @@
 	l.stop()
 }
 
+// markGone ends the lane of a member whose disk is gone.
+func (l *lane) markGone() {
+	l.mu.Lock()
+	first := !l.gone && !l.ended
+	l.gone = true
+	l.mu.Unlock()
+	l.end()
+	if first {
+		l.client.cfg.Log.Warn("replica's disk is gone", "replica", l.member.VM, "disk", l.member.Disk, "address", l.member.Address,
+			"view", l.client.View().Version)
+	}
+}
+
 func (l *lane) submit(j *job) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -659,6 +677,9 @@
 }
 
 func (l *lane) note(took time.Duration, err error) {
+	if errors.Is(err, errOtherDisk) {
+		l.markGone()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
@@ -679,7 +700,12 @@
 func (l *lane) probe() {
 	start := time.Now()
 	for clock.Sleep(l.ctx, probePause) {
-		if err := l.askProbe(); err != nil {
+		err := l.askProbe()
+		if errors.Is(err, errOtherDisk) {
+			l.markGone()
+			return
+		}
+		if err != nil {
 			continue // The start of the silence was logged.
 		}
 		l.mu.Lock()
@@ -704,6 +730,9 @@
 	if err := resp.Body.Close(); err != nil {
 		return err
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return errOtherDisk
+	}
 	if resp.StatusCode != http.StatusNoContent {
 		return errors.Newf("status %d", resp.StatusCode)
 	}
@@ -726,6 +755,9 @@
 		return replica.BatchAnswer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return replica.BatchAnswer{}, errOtherDisk
+	}
 	if resp.StatusCode != http.StatusOK {
 		return replica.BatchAnswer{}, errors.Newf("status %d", resp.StatusCode)
 	}
--- a/daemon/quorum/lanes_test.go
+++ b/daemon/quorum/lanes_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
 
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/replica"
@@ -110,6 +111,44 @@
 	})
 }
 
+// TestReplacedDiskIsAskedNoMore guards against requests to a disk that is gone, for ever: gateways probed the VM every 200 ms,
+// and the VM logged each refusal (issue 17).
+func TestReplacedDiskIsAskedNoMore(t *testing.T) {
+	inBubble(t, viewOf(1, 1, "a", "b", "c"), func(t *testing.T, c *Client, h *hosts, log *bytes.Buffer) {
+		h.set("a", otherDisk)
+		for i := range 20 {
+			keepTurn(t, c, fmt.Sprint("t", i), "")
+			time.Sleep(time.Second)
+		}
+		test.EqOp(t, 1, h.count("a"))
+		synctest.Wait()
+		test.EqOp(t, 1, strings.Count(log.String(), "replica's disk is gone"))
+		test.True(t, c.Reachable(), test.Sprint("two of three are a quorum"))
+		h.set("b", otherDisk)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		must.ErrorIs(t, c.Keep(ctx, &replica.Turn{ID: "t"}, "p", nil, time.Minute), ErrNoQuorum)
+		test.False(t, c.Reachable(), test.Sprint("a member whose disk is gone does not answer"))
+	})
+}
+
+// TestReplacedDiskIsNoticedByProbes guards against probes of a VM that was silent and came back with an empty disk.
+func TestReplacedDiskIsNoticedByProbes(t *testing.T) {
+	inBubble(t, viewOf(1, 1, "a", "b", "c"), func(t *testing.T, c *Client, h *hosts, log *bytes.Buffer) {
+		h.set("a", hangs)
+		keepTurn(t, c, "t", "")
+		time.Sleep(5 * time.Second)
+		test.Greater(t, 5, h.count("a"), test.Sprint("a silent member is probed"))
+		h.set("a", otherDisk)
+		time.Sleep(time.Second)
+		before := h.count("a")
+		time.Sleep(time.Minute)
+		test.EqOp(t, before, h.count("a"))
+		synctest.Wait()
+		test.EqOp(t, 1, strings.Count(log.String(), "replica's disk is gone"))
+	})
+}
+
 // TestLanesEndWithTheirMembers guards against lanes to members that are in no set any more, which were held and probed for the
 // life of the process.
 func TestLanesEndWithTheirMembers(t *testing.T) {
