Bound the answer of a replica

An answer without end took memory until the time-out of the request; nothing but the link bounded it. Answers are now read up to 32 MiB, and a longer one counts as no answer.

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -7,7 +7,6 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
@@ -23,6 +22,7 @@
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/replica"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // ErrNoQuorum means that too few replicas answered. A write may have been stored by some of them.
@@ -51,6 +51,10 @@
 	hedgeBurst   = 20  // Such operations at once, after a time without.
 )
 
+// maxAnswerBytes bounds an answer of a replica. One turn has 16 MiB at most; maxBatchOps chains of eight turns of 19 KB, the
+// longest that the deployments describe, have 10 MB.
+const maxAnswerBytes = 32 << 20
+
 // Config describes a Client.
 type Config struct {
 	DataCentre string
@@ -761,7 +765,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return replica.BatchAnswer{}, errors.Newf("status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := transport.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return replica.BatchAnswer{}, errors.Wrap(err, "read an answer")
 	}
--- a/daemon/quorum/lanes_test.go
+++ b/daemon/quorum/lanes_test.go
@@ -203,3 +203,29 @@
 		test.EqOp(t, 1, h.count("elsewhere"))
 	})
 }
+
+// TestEndlessAnswerIsCutOff guards against an answer without end, which took memory until the time-out of the request.
+func TestEndlessAnswerIsCutOff(t *testing.T) {
+	inBubble(t, viewOf(1, 1, "a", "b", "c"), func(t *testing.T, c *Client, h *hosts, _ *bytes.Buffer) {
+		var read int64
+		h.set("a", func(*http.Request) (*http.Response, error) {
+			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(endless{&read})}, nil
+		})
+		keepTurn(t, c, "t", "")
+		time.Sleep(time.Second)
+		test.LessEq(t, 2*64<<20, read)
+		test.True(t, c.lane(c.View().Sets[0][0]).suspect())
+	})
+}
+
+// endless is a body that does not end. It fails at a size that a test must not reach, so that it needs no memory bound.
+type endless struct{ read *int64 }
+
+// Read implements io.Reader.
+func (e endless) Read(p []byte) (int, error) {
+	*e.read += int64(len(p))
+	if *e.read > 256<<20 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return len(p), nil
+}
