Log why a turn has no quorum, in one line for the turns of one decision

That the view was old, which members were silent and that the store had not been heard of had to be read from the figures of the store.

The client of the replicas now returns the reason with the error: the cause (no view, members silent, time-out, answers short, view changes), the view with its age and source, the first set that lacks a quorum with its members, those that answer, and what a write and a read need, the silent members with the age of their silence, and the age of the store's last answer about the view. The gateway writes one line for the turns that were refused by the same decision within 250 ms, 64 at most; it names each request with its program, and `jackdawbay trace` finds them there. Counter and gauges: jackdawbay_turns_refused_total by cause, jackdawbay_view_version, jackdawbay_quorum_members by state and jackdawbay_store_answer_age_seconds for the view.

TestShortSetIsNamed compares the numbers with the decision of the view, and TestRefusalSaysWhy checks ages with a clock that it holds.

--- a/cli/command/trace.go
+++ b/cli/command/trace.go
@@ -80,18 +80,50 @@
 		return
 	}
 	l := parseLogLine(text)
-	if l.values["request"] != r.ID && l.values["program"] != r.ID {
+	refused := l.refused(r.ID)
+	if l.values["request"] != r.ID && l.values["program"] != r.ID && len(refused) == 0 {
 		return
 	}
 	r.Lines = append(r.Lines, text)
-	if l.values["msg"] != "request" {
-		return
+	for _, id := range refused {
+		r.tell(id, l.refusal())
+	}
+	if l.values["msg"] == "request" {
+		r.tell(l.values["request"], l.story())
 	}
-	id := l.values["request"]
+}
+
+func (r *traceReport) tell(id, story string) {
 	if _, seen := r.Requests[id]; !seen {
 		r.order = append(r.order, id)
 	}
-	r.Requests[id] = l.story()
+	r.Requests[id] = story
+}
+
+// refused returns the requests in a line about several turns, each REQUEST:PROGRAM, that a request or program is meant by.
+func (l logLine) refused(wanted string) []string {
+	var ids []string
+	for _, pair := range strings.Fields(l.values["requests"]) {
+		if request, program, _ := strings.Cut(pair, ":"); request == wanted || program == wanted {
+			ids = append(ids, request)
+		}
+	}
+	return ids
+}
+
+// refusal says why several turns were refused together.
+func (l logLine) refusal() string {
+	v := l.values
+	s := fmt.Sprintf("%s at gateway %s: status %s after %s at most. It was not sent to an upstream.", v["outcome"], v["vm"], v["status"], v["longest"])
+	if a := errkind.Lookup(errkind.Kind(v["outcome"])); a.Status == statusOf(v["status"]) {
+		s += " " + a.Meaning
+	}
+	s += fmt.Sprintf(" Cause %s: of set %s of view %s, %s members answered; a write needs %s and a read %s.",
+		v["cause"], v["set"], v["view"], v["answering"], v["write"], v["read"])
+	if v["silent"] != "" {
+		s += " Silent: " + v["silent"] + "."
+	}
+	return s + fmt.Sprintf(" The gateway learned the view %s before; the store had answered about it %s before.", v["view_age"], v["store_answer_age"])
 }
 
 // story says in short sentences what happened to a request.
--- a/cli/command/trace_test.go
+++ b/cli/command/trace_test.go
@@ -13,6 +13,7 @@
 const gatewayLog = `time=2026-03-03T06:11:54Z level=INFO msg="budget does not hold the turn" role=gateway vm=front-1 request=aa11 program=p1 spent=900 worst=570 budget=1140 charges=3
 time=2026-03-03T06:11:54Z level=INFO msg=request role=gateway vm=front-1 request=aa11 program=p1 route=r version=4 upstream="" running=0 report_age=0s missing=0 sends=0 events=0 status=402 outcome=program_budget_exhausted begin=41ms keep=0s first=0s took=41ms
 time=2026-03-03T06:11:55Z level=INFO msg=request role=gateway vm=front-2 request=bb22 program=p2 route=r version=4 upstream=i-9 running=2 report_age=30ms missing=0 sends=1 events=0 status=502 outcome=response_lost begin=0s keep=0s first=0s took=48ms
+time=2026-03-03T06:11:56Z level=WARN msg="turns refused" role=gateway vm=front-2 status=503 outcome=history_unavailable version=4 cause=members_silent view=3 set=1/2 answering=1/3 write=0 read=2 silent="store-1/d1 4.2s, store-2/d2 9s disk gone" owing="" view_age=2s view_source=store store_answer_age=1.5s longest=1ms turns=3 requests="cc33:p3 dd44:p4 ee55:p3"
 `
 
 // Guards against a trace that misses lines, mixes requests, or says nothing of the cause.
@@ -29,6 +30,13 @@
 	must.Eq(t, command.ExitOK, code)
 	must.StrContains(t, out, "last to upstream i-9")
 	must.StrContains(t, out, "may have run")
+	code, out, _ = run(t, "trace", "p3", file)
+	must.Eq(t, command.ExitOK, code)
+	must.StrContains(t, out, "Request cc33: history_unavailable at gateway front-2: status 503")
+	must.StrContains(t, out, "Request ee55:")
+	must.StrNotContains(t, out, "Request dd44:")
+	must.StrContains(t, out, "Cause members_silent: of set 1/2 of view 3, 1/3 members answered; a write needs 0 and a read 2.")
+	must.StrContains(t, out, "Silent: store-1/d1 4.2s, store-2/d2 9s disk gone.")
 	code, _, errs := run(t, "trace", "a", file)
 	must.Eq(t, command.ExitFault, code, must.Sprint("a part of an id is no id"))
 	must.StrContains(t, errs, "No line")
--- a/daemon/gateway/answer.go
+++ b/daemon/gateway/answer.go
@@ -58,6 +58,11 @@
 	return &stats{set: set, settleDropped: set.NewCounter("jackdawbay_settlements_dropped_total")}
 }
 
+// refusedTurn counts a turn whose charge or history had no quorum.
+func (s *stats) refusedTurn(cause string) {
+	s.set.GetOrCreateCounter(`jackdawbay_turns_refused_total{cause="` + cause + `"}`).Inc()
+}
+
 // observe counts a request by the kind and the priority of its route, which are few.
 func (s *stats) observe(r *route.Route, outcome string, took time.Duration) {
 	class := `kind="none"`
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -16,6 +16,7 @@
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/quorum"
 )
 
 // Bounds of a call.
@@ -54,8 +55,9 @@
 	rejected  int
 	choice    placement.Choice
 	firstByte time.Duration
-	beginTook time.Duration // Time for the charge and the history.
-	keepTook  time.Duration // Time for the turn to be stored.
+	beginTook time.Duration    // Time for the charge and the history.
+	keepTook  time.Duration    // Time for the turn to be stored.
+	shortage  *quorum.Shortage // Set where the charge and the history have no quorum.
 
 	stream   streamState
 	headSent bool
@@ -154,8 +156,7 @@
 		if c.r.Context().Err() != nil {
 			c.abort("caller_gone")
 		}
-		c.w.Header().Set("Connection", "close") // The next connection may lead to a gateway that reaches a quorum.
-		c.refuse(errkind.HistoryUnavailable, "", retryHistory)
+		c.refuseHistory(err)
 		return false
 	}
 	if hasBudget && !open.Ledger.Admits(c.meta.RequestID, c.meta.MaxTokens, c.meta.Budget) {
@@ -419,12 +420,5 @@
 	c.settle()
 	took := time.Since(c.arrived)
 	c.g.stats.observe(c.route, c.outcome, took)
-	name := ""
-	if c.route != nil {
-		name = c.route.Name
-	}
-	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.version,
-		"upstream", c.choice.Upstream.ID, "running", int(c.choice.Running), "report_age", c.choice.ReportAge.Round(time.Millisecond),
-		"missing", c.choice.Missing, "sends", c.sends, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
-		"begin", c.beginTook.Round(time.Millisecond), "keep", c.keepTook.Round(time.Millisecond), "first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
+	c.logLine(took)
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -85,16 +85,18 @@
 	turns     *turnCache
 	settle    chan settlement
 	stats     *stats
+	refused   *refusedTurns
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
-		cfg:    cfg,
-		groups: newGroups(cfg),
-		turns:  newTurnCache(cfg.CacheBytes),
-		settle: make(chan settlement, settleRing),
-		stats:  newStats(cfg.Metrics),
+		cfg:     cfg,
+		groups:  newGroups(cfg),
+		turns:   newTurnCache(cfg.CacheBytes),
+		settle:  make(chan settlement, settleRing),
+		stats:   newStats(cfg.Metrics),
+		refused: &refusedTurns{log: cfg.Log},
 	}
 	g.lastSeen.Store(time.Now().UnixNano())
 	return g
--- /dev/null
+++ b/daemon/gateway/refusal.go
@@ -0,0 +1,110 @@
+package gateway
+
+import (
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/daemon/quorum"
+)
+
+// causeOther is the cause of a failure that is no lack of a quorum.
+const causeOther quorum.Cause = "other"
+
+// refuseHistory refuses a turn whose charge or history cannot be reached.
+func (c *call) refuseHistory(err error) {
+	shortage, known := quorum.ShortageOf(err)
+	if !known {
+		shortage.Cause = causeOther
+		c.g.cfg.Log.Error("history cannot be reached", "request", c.meta.RequestID, "error", err)
+	}
+	c.shortage = &shortage
+	c.g.stats.refusedTurn(string(shortage.Cause))
+	c.w.Header().Set("Connection", "close") // The next connection may lead to a gateway that reaches a quorum.
+	c.refuse(errkind.HistoryUnavailable, "", retryHistory)
+}
+
+// logLine writes the line of a request.
+func (c *call) logLine(took time.Duration) {
+	if c.shortage != nil {
+		c.g.refused.add(refusedTurn{
+			request: c.meta.RequestID, program: c.meta.Program, version: c.version, status: c.status, outcome: c.outcome,
+			shortage: *c.shortage, took: took,
+		})
+		return
+	}
+	name := ""
+	if c.route != nil {
+		name = c.route.Name
+	}
+	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.version,
+		"upstream", c.choice.Upstream.ID, "running", int(c.choice.Running), "report_age", c.choice.ReportAge.Round(time.Millisecond),
+		"missing", c.choice.Missing, "sends", c.sends, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
+		"begin", c.beginTook.Round(time.Millisecond), "keep", c.keepTook.Round(time.Millisecond), "first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
+}
+
+// Bounds of a line of refused turns.
+const (
+	refusedPerLine = 64                     // Turns; a line has about 2.5 KB then.
+	refusedWait    = 250 * time.Millisecond // Longest time that a turn waits for others.
+)
+
+// refusedTurn is a turn that was refused because its charge or history had no quorum.
+type refusedTurn struct {
+	request, program string
+	version          uint64
+	status           int
+	outcome          string
+	shortage         quorum.Shortage
+	took             time.Duration
+}
+
+// refusedTurns writes one line for turns that were refused by one decision within a short time. A gateway refuses up to 100 turns a
+// second while there is no quorum, all for the same reason, and logs are collected up to a size: a line for each would push the
+// lines about the cause out.
+type refusedTurns struct {
+	log *slog.Logger
+
+	mu      sync.Mutex
+	first   refusedTurn
+	ids     []string // Each REQUEST:PROGRAM.
+	longest time.Duration
+	timer   *time.Timer
+}
+
+func (r *refusedTurns) add(t refusedTurn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ids) > 0 && r.first.shortage.Decision() != t.shortage.Decision() {
+		r.write()
+	}
+	if len(r.ids) == 0 {
+		r.first = t
+		r.timer = time.AfterFunc(refusedWait, r.flush)
+	}
+	r.ids = append(r.ids, t.request+":"+t.program)
+	r.longest = max(r.longest, t.took)
+	if len(r.ids) >= refusedPerLine {
+		r.write()
+	}
+}
+
+func (r *refusedTurns) flush() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.write()
+}
+
+func (r *refusedTurns) write() {
+	if len(r.ids) == 0 {
+		return
+	}
+	r.timer.Stop()
+	t := r.first
+	attrs := append([]any{"status", t.status, "outcome", t.outcome, "version", t.version}, t.shortage.Attrs()...)
+	r.log.Warn("turns refused", append(attrs, "longest", r.longest.Round(time.Millisecond), "turns", len(r.ids),
+		"requests", strings.Join(r.ids, " "))...)
+	r.ids, r.longest = r.ids[:0], 0
+}
--- /dev/null
+++ b/daemon/gateway/refusal_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/logging"
+	"jackdawbay.dev/daemon/quorum"
+)
+
+// plainCodec adds nothing to a refusal.
+type plainCodec struct{ Codec }
+
+func (plainCodec) EncodeRetryAfter(http.Header, time.Duration) {}
+
+// TestRefusedTurnsShareLines guards against refused turns whose lines do not say why, and against logs that are so long that the
+// first seconds of an incident are missing from the 180 KB that are collected of a process: a gateway refused 100 turns a second,
+// each with a line of 290 bytes.
+func TestRefusedTurnsShareLines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var out bytes.Buffer
+		lines := logging.NewWriter(&out)
+		set := metrics.NewSet()
+		log := slog.New(logging.NewHandler(lines, slog.LevelInfo)).With("role", "gateway", "vm", "front-warszawa-a-2")
+		replicas := quorum.New(ctx, quorum.Config{RegionOf: func(string) string { return "" }, Log: log, Metrics: set})
+		g := New(Config{Codec: plainCodec{}, Replicas: replicas, Log: log, Metrics: set})
+		const (
+			seconds   = 30        // From the loss of the quorum to the end of the incident.
+			perSecond = 100       // Turns that a gateway refused.
+			collected = 180 << 10 // Bytes of a process's log.
+		)
+		for i := range seconds * perSecond {
+			w := httptest.NewRecorder()
+			c := &call{
+				g: g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: ctx, arrived: time.Now(), version: 4,
+				meta:  Meta{RequestID: fmt.Sprintf("cfd235d37223%04x", i), Program: "e7e0c74c90c9f", Previous: "before"},
+				route: &route.Route{Name: "r-7sf9rcp", Kind: route.Stream, KeepTurns: true},
+			}
+			must.False(t, c.beginTurn())
+			c.finish()
+			must.EqOp(t, http.StatusServiceUnavailable, w.Code)
+			time.Sleep(time.Second / perSecond)
+		}
+		time.Sleep(time.Second)
+		synctest.Wait()
+		lines.Drain()
+		test.LessEq(t, collected, out.Len())
+		for i := range seconds * perSecond {
+			must.EqOp(t, 1, strings.Count(out.String(), fmt.Sprintf("cfd235d37223%04x", i)), must.Sprint("each turn is named once"))
+		}
+		for line := range strings.Lines(out.String()) {
+			test.StrContains(t, line, `msg="turns refused" `)
+			test.StrContains(t, line, "outcome=history_unavailable version=4 cause=no_view view=0 ")
+		}
+		var figures bytes.Buffer
+		set.WritePrometheus(&figures)
+		test.StrContains(t, figures.String(), `jackdawbay_turns_refused_total{cause="no_view"} 3000`)
+	})
+}
+
+// TestRefusedTurnsByDecision guards against a line that gives turns a cause that was not theirs, and against lines without bound.
+func TestRefusedTurnsByDecision(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		r := &refusedTurns{log: slog.New(slog.NewTextHandler(&out, nil))}
+		add := func(id string, view uint64, answering int) {
+			r.add(refusedTurn{request: id, program: "p", shortage: quorum.Shortage{
+				Cause: quorum.CauseSilent, View: view, Short: quorum.Counts{Set: 1, Members: 3, Answering: answering},
+			}})
+		}
+		add("a1", 1, 1)
+		add("a2", 1, 1)
+		add("a3", 2, 1)
+		add("a4", 2, 0)
+		time.Sleep(2 * refusedWait)
+		synctest.Wait()
+		test.EqOp(t, 3, strings.Count(out.String(), "turns refused"))
+		test.StrContains(t, out.String(), `turns=2 requests="a1:p a2:p"`)
+		test.StrContains(t, out.String(), `turns=1 requests=a3:p`)
+		out.Reset()
+		for i := range 2*refusedPerLine + 1 {
+			add(fmt.Sprint("b", i), 1, 1)
+		}
+		test.EqOp(t, 2, strings.Count(out.String(), fmt.Sprintf("turns=%d ", refusedPerLine)))
+		time.Sleep(2 * refusedWait)
+		synctest.Wait()
+		test.EqOp(t, 3, strings.Count(out.String(), "turns refused"))
+	})
+}
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -73,6 +73,11 @@
 	lanes map[string]*lane
 	ctx   context.Context
 
+	started time.Time
+	learned time.Time // When the view was learned.
+	source  string    // Who told of the view: a VM, or the store.
+	heard   time.Time // When the store last answered about the view; zero before its first answer.
+
 	hedges float64 // Requests to further replicas that may still be sent while all replicas answer.
 
 	opSeconds *metrics.Histogram
@@ -82,19 +87,27 @@
 
 // New returns a client. Its senders end with the context.
 func New(ctx context.Context, cfg Config) *Client {
-	return &Client{
+	c := &Client{
 		cfg:       cfg,
+		started:   time.Now(),
 		lanes:     map[string]*lane{},
 		ctx:       ctx,
 		opSeconds: cfg.Metrics.NewHistogram("jackdawbay_quorum_operation_seconds"),
 		noQuorum:  cfg.Metrics.NewCounter("jackdawbay_quorum_failed_total"),
 		hedged:    cfg.Metrics.NewCounter("jackdawbay_quorum_hedged_total"),
 	}
+	c.register()
+	return c
 }
 
 // FollowView keeps the view up to date from the platform's store until the context ends.
 func (c *Client) FollowView(ctx context.Context, store platform.Store) error {
-	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Log: c.cfg.Log}, func(objects map[string]platform.Object) {
+	heard := func(at time.Time) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.heard = at
+	}
+	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Log: c.cfg.Log, OnRead: heard}, func(objects map[string]platform.Object) {
 		o, ok := objects[replica.ViewName]
 		if !ok {
 			return
@@ -114,7 +127,7 @@
 	c.mu.Lock()
 	newer := v.Version > c.view.Version
 	if newer {
-		c.view = v
+		c.view, c.learned, c.source = v, time.Now(), source
 		for key, l := range c.lanes {
 			if !has(v, l.member) {
 				left = append(left, l)
@@ -174,32 +187,50 @@
 	enough func(v core.View, got map[string][]replica.Result) bool
 }
 
-// run sends a request to a quorum of the view. It returns ErrNoQuorum when the answers are not enough.
+// run sends a request to a quorum of the view. Where the answers are not enough it returns an ErrNoQuorum with a Shortage.
 func (c *Client) run(ctx context.Context, r request) error {
 	start := time.Now()
 	defer c.opSeconds.UpdateDuration(start)
 	c.earnHedge()
+	cause := CauseNewViews
+	var owing []string
 	for range viewRetries {
 		v := c.View()
-		if v.Version == 0 || !c.reachable(v) {
+		if v.Version == 0 {
+			cause = CauseNoView
+			break
+		}
+		if !c.reachable(v) {
 			if c.View().Version > v.Version {
 				continue // The lanes of an earlier view have ended.
 			}
+			cause = CauseSilent
 			break // Waiting would only delay a refusal that the caller can act on.
 		}
-		done, again := c.runView(ctx, v, r)
+		var done, again bool
+		done, again, owing = c.runView(ctx, v, r)
 		if done {
 			return nil
 		}
-		if !again || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			cause = CauseTimeout
+			break
+		}
+		if !again {
+			cause = CauseAnswers
+			if !c.reachable(v) {
+				cause = CauseSilent
+			}
 			break
 		}
 	}
 	c.noQuorum.Inc()
-	return ErrNoQuorum
+	return &noQuorumError{c.shortage(cause, owing)}
 }
 
-func (c *Client) runView(ctx context.Context, v core.View, r request) (done, again bool) {
+// runView sends a request to the members of a view. Where it is not done, again reports whether a newer view is known, and
+// owing has the VMs that had not answered when the context ended.
+func (c *Client) runView(ctx context.Context, v core.View, r request) (done, again bool, owing []string) {
 	members := c.order(v, r.key)
 	answers := make(chan answer, 2*len(members))
 	got := map[string][]replica.Result{}
@@ -229,7 +260,12 @@
 	for len(waiting) > 0 {
 		select {
 		case <-ctx.Done():
-			return false, false
+			for _, m := range members {
+				if waiting[m.Key()] {
+					owing = append(owing, m.VM)
+				}
+			}
+			return false, false, owing
 		case <-hedge.C:
 			if c.mayHedge(members[:sent], waiting) {
 				more()
@@ -242,7 +278,7 @@
 				more()
 			case a.view != nil && a.view.Version > v.Version:
 				c.adopt(*a.view, a.member.VM)
-				return false, true
+				return false, true, nil
 			case a.view != nil && behind[a.member.Key()]:
 				more() // It has the view and still refuses: its disk does not take it.
 			case a.view != nil:
@@ -252,7 +288,7 @@
 			default:
 				got[a.member.Key()] = a.results
 				if r.enough(v, got) {
-					return true, false
+					return true, false, nil
 				}
 				if len(waiting) == 0 {
 					more() // What the nearest were asked was not enough.
@@ -260,7 +296,7 @@
 			}
 		}
 	}
-	return false, c.View().Epoch > v.Epoch
+	return false, c.View().Epoch > v.Epoch, nil
 }
 
 // earnHedge counts an operation towards the requests to further replicas.
@@ -509,8 +545,9 @@
 	stop   context.CancelFunc
 
 	mu        sync.Mutex
-	silent    bool // The last request failed, and no probe has been answered since.
-	gone      bool // The member's disk is gone.
+	silent    bool      // The last request failed, and no probe has been answered since.
+	since     time.Time // When the silence was noticed.
+	gone      bool      // The member's disk is gone.
 	ended     bool
 	usualTime time.Duration
 	open      int       // Requests under way.
@@ -537,6 +574,9 @@
 // end answers the operations that wait with an error, and those that come later.
 func (l *lane) end() {
 	l.mu.Lock()
+	if !l.silent {
+		l.since = time.Now()
+	}
 	l.silent, l.ended = true, true
 	l.mu.Unlock()
 	l.stop()
@@ -695,7 +735,7 @@
 	if l.silent {
 		return // Ended lanes count as silent as well.
 	}
-	l.silent = true
+	l.silent, l.since = true, time.Now()
 	l.client.cfg.Log.Warn("replica does not answer", "replica", l.member.VM, "took", took, "error", err)
 	go l.probe()
 }
--- /dev/null
+++ b/daemon/quorum/shortage_test.go
@@ -0,0 +1,89 @@
+package quorum
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/replica"
+)
+
+// TestShortSetIsNamed guards against a refusal whose log names another set, or other numbers, than the ones that decided it.
+func TestShortSetIsNamed(t *testing.T) {
+	set := func(vms ...string) []core.Member { return viewOf(1, 1, vms...).Sets[0] }
+	for name, c := range map[string]struct {
+		sets      [][]core.Member
+		answering []string
+		want      Counts
+	}{
+		"too few for a write":         {[][]core.Member{set("a", "b", "c")}, []string{"a"}, Counts{1, 3, 1, 2, 2}},
+		"a set of two":                {[][]core.Member{set("a", "b")}, []string{"b"}, Counts{1, 2, 1, 2, 1}},
+		"an earlier set is not known": {[][]core.Member{set("a", "b", "c"), set("a", "d", "e")}, []string{"a", "d", "e"}, Counts{1, 3, 1, 0, 2}},
+		"the last set":                {[][]core.Member{set("a", "b", "c"), set("a", "d", "e")}, []string{"a", "b"}, Counts{2, 3, 1, 2, 2}},
+		"all have quorums":            {[][]core.Member{set("a", "b", "c"), set("a", "d", "e")}, []string{"a", "b", "d"}, Counts{2, 3, 2, 2, 2}},
+		"no view":                     {nil, nil, Counts{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answering := map[string]bool{}
+			for _, vm := range c.answering {
+				answering[vm+"/d"] = true
+			}
+			v := core.View{Version: 1, Tolerate: 1, Sets: c.sets}
+			got := shortSet(v, answering)
+			test.Eq(t, c.want, got)
+			enough := len(c.sets) > 0 && v.Holds(answering) && v.Knows(answering)
+			test.EqOp(t, enough, got.Set > 0 && got.Answering >= max(got.Read, got.Write), test.Sprint("it is the decision of the view"))
+		})
+	}
+}
+
+// TestRefusalSaysWhy guards against refused turns whose log does not say which member is silent since when, how old the view is
+// and when the store was heard of: in the incident, only the figures of the store told it.
+func TestRefusalSaysWhy(t *testing.T) {
+	inBubble(t, viewOf(7, 1, "a", "b", "c"), func(t *testing.T, c *Client, h *hosts, _ *bytes.Buffer) {
+		begin := func() Shortage {
+			t.Helper()
+			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+			defer cancel()
+			_, err := c.Begin(ctx, "p", &core.Charge{Turn: "t"}, "", time.Minute, unknown)
+			must.ErrorIs(t, err, ErrNoQuorum)
+			s, ok := ShortageOf(err)
+			must.True(t, ok)
+			return s
+		}
+		h.set("a", hangs)
+		h.set("b", hangs)
+		s := begin()
+		test.EqOp(t, CauseTimeout, s.Cause)
+		test.Eq(t, []string{"a", "b"}, s.Owing)
+		time.Sleep(batchTimeout - 300*time.Millisecond)
+		h.set("b", otherDisk)
+		time.Sleep(10 * time.Second)
+		s = begin()
+		test.EqOp(t, CauseSilent, s.Cause)
+		test.EqOp(t, 7, s.View)
+		test.Eq(t, Counts{1, 3, 1, 2, 2}, s.Short)
+		test.EqOp(t, "[cause members_silent view 7 set 1/1 answering 1/3 write 2 read 2 silent a/d 10s, b/d 9.94s disk gone owing  "+
+			"view_age 10.7s view_source test store_answer_age never]", fmt.Sprint(s.Attrs()))
+		var figures bytes.Buffer
+		c.cfg.Metrics.WritePrometheus(&figures)
+		for _, line := range []string{
+			"jackdawbay_view_version 7\n", "jackdawbay_quorum_members{state=\"answering\"} 1\n", "jackdawbay_quorum_members{state=\"silent\"} 1\n",
+			"jackdawbay_quorum_members{state=\"gone\"} 1\n", "jackdawbay_store_answer_age_seconds{kind=\"" + replica.ViewKind + "\"} 10.7\n",
+		} {
+			test.StrContains(t, figures.String(), line)
+		}
+	})
+	inBubble(t, core.View{}, func(t *testing.T, c *Client, _ *hosts, _ *bytes.Buffer) {
+		_, err := c.Begin(t.Context(), "p", &core.Charge{Turn: "t"}, "", time.Minute, unknown)
+		s, ok := ShortageOf(err)
+		must.True(t, ok)
+		test.EqOp(t, CauseNoView, s.Cause)
+	})
+}
