Serve the metrics at a port that the deploy file can name

It takes a number as port, and the ports of the roles' listeners are drawn anew for each deployment.

A port that is taken costs the metrics and not the role.

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -102,6 +102,6 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	r.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.WritePrometheus(w) })
+	r.HandleFunc("/metrics", p.writeMetrics)
 	return r
 }
--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -35,6 +35,8 @@
 	LogLevel   string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
 	Advertise  string `help:"Address at which others reach the replica listener. Default: the listener." env:"JACKDAWBAY_ADVERTISE"`
 	CacheBytes int64  `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
+	// A monitoring system that knows one port for all VMs cannot follow the ports of the settings file, which differ by deployment.
+	MetricsPort uint16 `help:"Port at which /metrics is served besides the role's own listener; 0 for none." default:"0" env:"JACKDAWBAY_METRICS_PORT"`
 }
 
 func main() {
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -6,7 +6,6 @@
 	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
-	"github.com/gorilla/mux"
 
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/replica"
@@ -50,9 +49,7 @@
 	p.tree.Add(duty{"watchers", members.RunWatchers})
 	p.tree.Add(duty{"membership", members.Run})
 	p.tree.Add(serve("replica", &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}, l))
-	metricsHandler := mux.NewRouter()
-	metricsHandler.HandleFunc("/metrics", func(w http.ResponseWriter, _ *http.Request) { p.metrics.WritePrometheus(w) })
-	p.tree.Add(serve("metrics", &http.Server{Handler: metricsHandler, ReadHeaderTimeout: headerTimeout}, ops))
+	p.tree.Add(serve("metrics", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, ops))
 	p.tree.ServeBackground(root)
 
 	term, cancel := terminated()
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -9,12 +9,14 @@
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
+	"github.com/gorilla/mux"
 	"github.com/thejerf/suture/v4"
 
 	"jackdawbay.dev/daemon/logging"
@@ -109,6 +111,7 @@
 		_ = writer.Run(root) // Ends with the context.
 	}()
 	p.tree.Add(duty{"settings", p.followSettings})
+	p.addMetricsPort()
 	log.Info("start", "data_centre", set.DataCentre, "region", set.Region, "memory_bytes", set.MemoryBytes, "tolerate", set.Tolerate)
 	err = start(root, p)
 	if err != nil {
@@ -123,6 +126,30 @@
 	return 0
 }
 
+// addMetricsPort serves the metrics at the port of the flags. Another process may have the port; the role is worth more than its
+// metrics, so it starts without.
+func (p *process) addMetricsPort() {
+	if p.flags.MetricsPort == 0 {
+		return
+	}
+	address := net.JoinHostPort(p.site.IP, strconv.Itoa(int(p.flags.MetricsPort)))
+	l, err := listen(address)
+	if err != nil {
+		p.log.Warn("metrics are not served at their port", "address", address, "error", err)
+		return
+	}
+	p.tree.Add(serve("metrics port", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, l))
+}
+
+// metricsHandler serves /metrics and nothing else.
+func (p *process) metricsHandler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/metrics", p.writeMetrics)
+	return r
+}
+
+func (p *process) writeMetrics(w http.ResponseWriter, _ *http.Request) { p.metrics.WritePrometheus(w) }
+
 // terminated returns a context that ends with SIGTERM or an interrupt.
 func terminated() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
