Gather refused turns by decision, so that two causes at a time do not split the lines

Turns now wait with those of their own decision, for eight decisions at a time.

TestRefusedTurnsByDecision has decisions that alternate: three turns of one decision were in two lines before.

--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -96,7 +96,7 @@
 		turns:   newTurnCache(cfg.CacheBytes),
 		settle:  make(chan settlement, settleRing),
 		stats:   newStats(cfg.Metrics),
-		refused: &refusedTurns{log: cfg.Log},
+		refused: newRefusedTurns(cfg.Log),
 	}
 	g.lastSeen.Store(time.Now().UnixNano())
 	return g
--- a/daemon/gateway/refusal.go
+++ b/daemon/gateway/refusal.go
@@ -45,9 +45,10 @@
 		"begin", c.beginTook.Round(time.Millisecond), "keep", c.keepTook.Round(time.Millisecond), "first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
 }
 
-// Bounds of a line of refused turns.
+// Bounds of the lines of refused turns.
 const (
 	refusedPerLine = 64                     // Turns; a line has about 2.5 KB then.
+	refusedLines   = 8                      // Decisions that gather turns at the same time; there are mostly one or two.
 	refusedWait    = 250 * time.Millisecond // Longest time that a turn waits for others.
 )
 
@@ -67,44 +68,58 @@
 type refusedTurns struct {
 	log *slog.Logger
 
-	mu      sync.Mutex
+	mu    sync.Mutex
+	lines map[string]*refusedLine // By decision.
+}
+
+// refusedLine gathers the turns of one decision.
+type refusedLine struct {
 	first   refusedTurn
 	ids     []string // Each REQUEST:PROGRAM.
 	longest time.Duration
 	timer   *time.Timer
 }
 
+func newRefusedTurns(log *slog.Logger) *refusedTurns {
+	return &refusedTurns{log: log, lines: map[string]*refusedLine{}}
+}
+
 func (r *refusedTurns) add(t refusedTurn) {
+	decision := t.shortage.Decision()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if len(r.ids) > 0 && r.first.shortage.Decision() != t.shortage.Decision() {
-		r.write()
+	l, ok := r.lines[decision]
+	if !ok {
+		if len(r.lines) >= refusedLines {
+			for other := range r.lines {
+				r.write(other)
+			}
+		}
+		l = &refusedLine{first: t}
+		l.timer = time.AfterFunc(refusedWait, func() { r.flush(decision, l) })
+		r.lines[decision] = l
 	}
-	if len(r.ids) == 0 {
-		r.first = t
-		r.timer = time.AfterFunc(refusedWait, r.flush)
-	}
-	r.ids = append(r.ids, t.request+":"+t.program)
-	r.longest = max(r.longest, t.took)
-	if len(r.ids) >= refusedPerLine {
-		r.write()
+	l.ids = append(l.ids, t.request+":"+t.program)
+	l.longest = max(l.longest, t.took)
+	if len(l.ids) >= refusedPerLine {
+		r.write(decision)
 	}
 }
 
-func (r *refusedTurns) flush() {
+func (r *refusedTurns) flush(decision string, l *refusedLine) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.write()
+	if r.lines[decision] == l {
+		r.write(decision)
+	}
 }
 
-func (r *refusedTurns) write() {
-	if len(r.ids) == 0 {
-		return
-	}
-	r.timer.Stop()
-	t := r.first
+func (r *refusedTurns) write(decision string) {
+	l := r.lines[decision]
+	delete(r.lines, decision)
+	l.timer.Stop()
+	t := l.first
 	attrs := append([]any{"status", t.status, "outcome", t.outcome, "version", t.version}, t.shortage.Attrs()...)
-	r.log.Warn("turns refused", append(attrs, "longest", r.longest.Round(time.Millisecond), "turns", len(r.ids),
-		"requests", strings.Join(r.ids, " "))...)
-	r.ids, r.longest = r.ids[:0], 0
+	r.log.Warn("turns refused", append(attrs, "longest", l.longest.Round(time.Millisecond), "turns", len(l.ids),
+		"requests", strings.Join(l.ids, " "))...)
 }
--- a/daemon/gateway/refusal_test.go
+++ b/daemon/gateway/refusal_test.go
@@ -77,28 +77,41 @@
 func TestRefusedTurnsByDecision(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
-		r := &refusedTurns{log: slog.New(slog.NewTextHandler(&out, nil))}
+		r := newRefusedTurns(slog.New(slog.NewTextHandler(&out, nil)))
 		add := func(id string, view uint64, answering int) {
 			r.add(refusedTurn{request: id, program: "p", shortage: quorum.Shortage{
 				Cause: quorum.CauseSilent, View: view, Short: quorum.Counts{Set: 1, Members: 3, Answering: answering},
 			}})
 		}
+		written := func() string {
+			r.mu.Lock() // Timers write as well.
+			defer r.mu.Unlock()
+			return out.String()
+		}
 		add("a1", 1, 1)
 		add("a2", 1, 1)
 		add("a3", 2, 1)
 		add("a4", 2, 0)
+		add("a5", 1, 1)
 		time.Sleep(2 * refusedWait)
 		synctest.Wait()
-		test.EqOp(t, 3, strings.Count(out.String(), "turns refused"))
-		test.StrContains(t, out.String(), `turns=2 requests="a1:p a2:p"`)
-		test.StrContains(t, out.String(), `turns=1 requests=a3:p`)
+		test.EqOp(t, 3, strings.Count(written(), "turns refused"))
+		test.StrContains(t, written(), `turns=3 requests="a1:p a2:p a5:p"`)
+		test.StrContains(t, written(), `turns=1 requests=a3:p`)
+		r.mu.Lock()
 		out.Reset()
+		r.mu.Unlock()
 		for i := range 2*refusedPerLine + 1 {
 			add(fmt.Sprint("b", i), 1, 1)
 		}
-		test.EqOp(t, 2, strings.Count(out.String(), fmt.Sprintf("turns=%d ", refusedPerLine)))
+		for view := range 10 * refusedLines {
+			test.LessEq(t, refusedLines, len(r.lines))
+			add(fmt.Sprint("c", view), uint64(view+2), 1)
+		}
+		test.EqOp(t, 2, strings.Count(written(), fmt.Sprintf("turns=%d ", refusedPerLine)))
 		time.Sleep(2 * refusedWait)
 		synctest.Wait()
-		test.EqOp(t, 3, strings.Count(out.String(), "turns refused"))
+		test.EqOp(t, 3+10*refusedLines, strings.Count(written(), "turns refused"))
+		test.MapEmpty(t, r.lines)
 	})
 }
