Let relays silence connections for good, as a store that stops answering does

The modes so far reset their connections when they are lifted, which tells the owner at once that it has to ask again.

--- a/testbed/relay/relay.go
+++ b/testbed/relay/relay.go
@@ -28,6 +28,7 @@
 	Blackhole Mode = "blackhole" // No bytes and no close; the connections are reset when the blackhole is lifted.
 	Refuse    Mode = "refuse"    // Connections are reset.
 	Mute      Mode = "mute"      // Bytes reach the target and none come back; the connections are reset when it is lifted.
+	Silent    Mode = "silent"    // No bytes and no close, for good: the connections stay silent after it is lifted, and new ones work.
 )
 
 // Rule applies to connections whose source address starts with From and whose target starts with To.
@@ -138,11 +139,12 @@
 	r.work.Wait()
 }
 
-// SetRules replaces the rules. Connections that leave a blackhole, or that a rule now refuses, are reset.
+// SetRules replaces the rules. Connections that leave a blackhole, or that a rule now refuses, are reset. A connection that
+// has been silent stays so until its source closes it.
 func (r *Relay) SetRules(rules []Rule) error {
 	active := make([]activeRule, len(rules))
 	for i, rule := range rules {
-		if !slices.Contains([]Mode{Pass, Blackhole, Refuse, Mute}, rule.Mode) {
+		if !slices.Contains([]Mode{Pass, Blackhole, Refuse, Mute, Silent}, rule.Mode) {
 			return errors.Newf("rule %d has the unknown mode %q", i, rule.Mode)
 		}
 		if rule.LatencyMillis < 0 || rule.BytesPerSecond < 0 {
@@ -162,6 +164,9 @@
 			c.blackholed = true
 		case mode == Mute:
 			c.muted = true
+		case mode == Silent && !c.blackholed:
+			c.silent = true
+		case c.silent && mode != Refuse:
 		case mode == Refuse || c.blackholed || c.muted:
 			c.reset()
 		}
@@ -242,6 +247,7 @@
 	end        context.CancelFunc
 	blackholed bool // It met a blackhole. Guarded by the lock of the relay.
 	muted      bool // It lost bytes to the source. Guarded by the lock of the relay.
+	silent     bool // It forwards nothing any more. Guarded by the lock of the relay.
 	targetMu   sync.Mutex
 	target     *net.TCPConn
 	pair       *Pair
@@ -280,6 +286,10 @@
 	if _, ok := r.await(c); !ok {
 		return
 	}
+	if r.isSilent(c) {
+		_, _ = io.Copy(io.Discard, source) // Ends when the source has gone.
+		return
+	}
 	if !c.connect() {
 		return
 	}
@@ -296,7 +306,7 @@
 	if mode == Refuse || len(r.conns) >= maxConnections || r.ctx.Err() != nil {
 		return false
 	}
-	c.blackholed, c.muted = mode == Blackhole, mode == Mute
+	c.blackholed, c.muted, c.silent = mode == Blackhole, mode == Mute, mode == Silent
 	key := [2]string{c.from, c.to}
 	if r.pairs[key] == nil {
 		r.pairs[key] = &Pair{From: c.from, To: c.to}
@@ -338,6 +348,12 @@
 	return rule, c.ended.Err() == nil
 }
 
+func (r *Relay) isSilent(c *conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return c.silent
+}
+
 type chunk struct {
 	due  time.Time
 	data []byte // Empty at the end of the stream.
@@ -358,6 +374,15 @@
 		if !ok {
 			return
 		}
+		if r.isSilent(c) {
+			if err == nil {
+				continue
+			}
+			if direction == 0 {
+				c.reset()
+			}
+			return // The source does not see an end of the target.
+		}
 		if err != nil && !errors.Is(err, io.EOF) {
 			c.reset()
 			return
@@ -393,7 +418,7 @@
 		if _, ok := r.await(c); !ok {
 			continue
 		}
-		if rule.Mode == Mute && direction == 1 {
+		if rule.Mode == Mute && direction == 1 || r.isSilent(c) {
 			continue
 		}
 		if len(k.data) == 0 {
--- a/testbed/relay/relay_test.go
+++ b/testbed/relay/relay_test.go
@@ -166,6 +166,41 @@
 	}
 }
 
+// Guards against a silence that ends for connections which met it: an answer, a reset or an end of the target would show
+// their owner that it has to ask again.
+func TestSilenceOutlastsItsRule(t *testing.T) {
+	r, _, _ := start(t)
+	idle, busy := dial(t, r, "127.0.2.1"), dial(t, r, "127.0.2.2")
+	for _, c := range []net.Conn{idle, busy} {
+		_, err := exchange(c, []byte("hello"))
+		must.NoError(t, err)
+	}
+	must.NoError(t, r.SetRules([]Rule{{Mode: Silent}}))
+	during := dial(t, r, "127.0.2.3")
+	test.True(t, blocked(t, busy))
+	test.True(t, blocked(t, during))
+	must.NoError(t, r.SetRules(nil))
+	for _, c := range []net.Conn{idle, busy, during} {
+		test.True(t, blocked(t, c))
+	}
+	got, err := exchange(dial(t, r, "127.0.2.3"), []byte("hello"))
+	test.NoError(t, err)
+	test.Eq(t, "hello", string(got))
+	for _, c := range []net.Conn{idle, busy, during} {
+		must.NoError(t, c.Close())
+	}
+	open := func() int {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		return len(r.conns)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for open() > 1 && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	test.EqOp(t, 1, open(), test.Sprint("connections that their source has closed are given up"))
+}
+
 func TestRefusalResetsOpenConnections(t *testing.T) {
 	r, _, _ := start(t)
 	c, other := dial(t, r, "127.0.2.1"), dial(t, r, "127.0.4.1")
