Bound the head of an upstream's response

An upstream that sent a status line, a header line, header lines or interim responses without end held its caller until the deadline, and the gateway took memory for all of it: nothing bounds a head in http.ReadResponse, and interim responses were skipped in a loop without a bound.

A head, with the interim responses before it, may now have 32 KiB, twice what the users' configurations allow to callers, and 8 interim responses may precede a response. Bytes that cannot begin a response are noticed as they arrive, so that a slow line does not hold the caller either. The exchange ends at once, its connection is closed, and the outcome is the one for garbage: repeatable requests go on to another upstream.

--- a/daemon/forward/exchange.go
+++ b/daemon/forward/exchange.go
@@ -34,11 +34,22 @@
 	smallBody = 8 << 10
 	// staleBodyBytes bounds the body of a response that is skipped.
 	staleBodyBytes = 1 << 20
+	// maxHeadBytes bounds a head, the interim responses before it included. It is twice what the users' configurations allow
+	// to callers.
+	maxHeadBytes = 32 << 10
+	// maxInterim is the number of interim responses (status 1xx) that are skipped before a response.
+	maxInterim = 8
 	// writeWait is how long the end of a large body is awaited once the response is complete.
 	writeWait = 20 * time.Millisecond
 )
 
-// ErrNoResponse means that bytes arrived that are no response.
+// responseStart is how every response begins.
+const responseStart = "HTTP/1."
+
+// past is a deadline that ends reads and writes at once.
+var past = time.Unix(1, 0)
+
+// ErrNoResponse means that bytes arrived that are no response, or that a head is larger than allowed.
 var ErrNoResponse = errors.New("bytes of the upstream are no response")
 
 // ErrLost means that the connection ended before a response began. The request may have run.
@@ -59,7 +70,7 @@
 // Send writes a request and reads the head of its response. The context ends the exchange at any point, including the read
 // of the body. The error is ErrNotSent, ErrLost, ErrNoResponse, or that of the context.
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) }) // Fails only on a closed connection.
 	fail := func(err error) (*Response, error) {
 		stop()
 		_ = c.Close() // The error that ended the exchange is reported instead.
@@ -89,7 +100,7 @@
 		}()
 	}
 	for range staleResponses {
-		h, err := readHead(c.br, r.Method)
+		h, err := readHead(c, r.Method)
 		if err != nil {
 			return fail(err)
 		}
@@ -120,23 +131,48 @@
 	return append(b, "\r\n"...)
 }
 
-func readHead(br *bufio.Reader, method string) (*http.Response, error) {
-	for {
-		if _, err := br.Peek(1); err != nil {
-			return nil, errors.Mark(errors.Wrap(err, "read"), ErrLost)
+// readHead reads the head of a response and skips the interim responses before it.
+func readHead(c *Conn, method string) (*http.Response, error) {
+	c.in.bound(maxHeadBytes)
+	defer c.in.unbound()
+	for range maxInterim + 1 {
+		if err := checkStart(c.br); err != nil {
+			return nil, headError(err)
 		}
-		h, err := http.ReadResponse(br, &http.Request{Method: method})
+		h, err := http.ReadResponse(c.br, &http.Request{Method: method})
 		if err != nil {
-			var network net.Error
-			if errors.As(err, &network) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
-				return nil, errors.Mark(errors.Wrap(err, "read the head"), ErrLost)
-			}
-			return nil, errors.Mark(errors.Wrap(err, "read the head"), ErrNoResponse)
+			return nil, headError(err)
 		}
 		if h.StatusCode >= 200 {
 			return h, nil
 		}
 	}
+	return nil, errors.Wrap(ErrNoResponse, "too many interim responses")
+}
+
+var errNoStart = errors.New("bytes do not begin a response")
+
+// checkStart reports bytes that begin no response as they arrive: their line may never end.
+func checkStart(br *bufio.Reader) error {
+	for n := 1; n <= len(responseStart); n++ {
+		b, err := br.Peek(n)
+		if !strings.HasPrefix(responseStart, string(b)) {
+			return errNoStart
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// headError tells a connection that ended from bytes that are no response.
+func headError(err error) error {
+	var network net.Error
+	if errors.As(err, &network) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+		return errors.Mark(errors.Wrap(err, "read the head"), ErrLost)
+	}
+	return errors.Mark(errors.Wrap(err, "read the head"), ErrNoResponse)
 }
 
 // Close ends the exchange. Whole says that the body was read to its end; then the connection is kept, if nothing speaks
--- /dev/null
+++ b/daemon/forward/exchange_test.go
@@ -0,0 +1,142 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+// Bounds of the tests.
+const (
+	endlessTime  = 3 * time.Second // Time after which an upstream of a test stops by itself.
+	endlessBytes = 64 << 20        // Bytes after which it only holds its connection open.
+	promptly     = time.Second     // Time within which an exchange must end, well before endlessTime.
+	// mostAllocated is the memory that one exchange may take.
+	mostAllocated = 4 << 20
+)
+
+// upstream serves one connection: it reads a request, sends the start and then the rest over and over, at a pace. It reports
+// when the connection has been closed by the other side.
+func upstream(t *testing.T, start, rest string, pace time.Duration) (address string, closed <-chan struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // The test is over.
+	gone := make(chan struct{})
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }() // The test is over.
+		_ = c.SetDeadline(time.Now().Add(endlessTime))
+		br := bufio.NewReader(c)
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(io.Discard, br) // Ends when the connection does.
+			close(gone)
+		}()
+		if _, err := io.WriteString(c, start); err != nil {
+			return
+		}
+		piece := []byte(rest) // Made once, so that the test measures the memory of the reader.
+		if pace == 0 && rest != "" {
+			piece = bytes.Repeat(piece, max((64<<10)/len(rest), 1))
+		}
+		for sent := 0; sent < endlessBytes && rest != ""; sent += len(piece) {
+			if _, err := c.Write(piece); err != nil {
+				return
+			}
+			time.Sleep(pace)
+		}
+		<-gone
+	}()
+	return l.Addr().String(), gone
+}
+
+func send(t *testing.T, address string) (*Response, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), endlessTime)
+	t.Cleanup(cancel)
+	p := NewPool(time.Second, 4, metrics.NewSet())
+	c, err := p.Get(ctx, address)
+	must.NoError(t, err)
+	return p.Send(ctx, c, Request{Method: http.MethodGet, Target: "/", Host: "h", Own: func(h http.Header) bool { return h.Get("Id") == "mine" }})
+}
+
+// Guards against an upstream that sends bytes without end before a response: an exchange that lasts until its deadline, takes
+// memory without bound, or leaves the connection open.
+func TestNoResponseWithoutEnd(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nId: other\r\n"
+	cases := map[string]struct {
+		start, rest string
+		pace        time.Duration
+		want        error
+	}{
+		"line":                            {"HTTP/1.1 200 ", "x", 0, ErrNoResponse},
+		"slow line that is no response":   {"", "x", 10 * time.Millisecond, ErrNoResponse},
+		"header line":                     {"HTTP/1.1 200 OK\r\nA: ", "x", 0, ErrNoResponse},
+		"header lines":                    {"HTTP/1.1 200 OK\r\n", "A: b\r\n", 0, ErrNoResponse},
+		"interim responses":               {"", "HTTP/1.1 100 Continue\r\n\r\n", 0, ErrNoResponse},
+		"slow interim responses":          {"", "HTTP/1.1 102 Processing\r\n\r\n", 20 * time.Millisecond, ErrNoResponse},
+		"responses to other requests":     {"", other + "Content-Length: 0\r\n\r\n", 0, ErrLost},
+		"header lines of an interim head": {"HTTP/1.1 103 Early Hints\r\n", "Link: </a>\r\n", 0, ErrNoResponse},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, closed := upstream(t, c.start, c.rest, c.pace)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			began := time.Now()
+			_, err := send(t, address)
+			took := time.Since(began)
+			runtime.ReadMemStats(&after)
+			test.True(t, errors.Is(err, c.want), test.Sprintf("got error %v", err))
+			test.Less(t, promptly, took)
+			test.Less(t, uint64(mostAllocated), after.TotalAlloc-before.TotalAlloc)
+			select {
+			case <-closed:
+			case <-time.After(promptly):
+				t.Error("the connection is still open")
+			}
+		})
+	}
+}
+
+// Guards against a bound that refuses a proper response: a large head, interim responses and late responses to other requests
+// before it.
+func TestResponseWithinTheBounds(t *testing.T) {
+	own := "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n"
+	cases := map[string]string{
+		"plain":             own + "\r\nok",
+		"large head":        own + "A: " + strings.Repeat("x", maxHeadBytes-1024) + "\r\n\r\nok",
+		"interim responses": strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterim) + own + "\r\nok",
+		"other responses": strings.Repeat("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 100000\r\nA: "+strings.Repeat("x", 20<<10)+"\r\n\r\n"+
+			strings.Repeat("y", 100_000), staleResponses-1) + own + "\r\nok",
+	}
+	for name, text := range cases {
+		t.Run(name, func(t *testing.T) {
+			address, _ := upstream(t, text, "", 0)
+			resp, err := send(t, address)
+			must.NoError(t, err)
+			body, err := io.ReadAll(resp.Body)
+			test.NoError(t, err)
+			test.EqOp(t, "ok", string(body))
+			resp.Close(true)
+		})
+	}
+}
--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -35,7 +36,8 @@
 type Conn struct {
 	net.Conn
 	address   string
-	br        *bufio.Reader
+	in        *boundedReader
+	br        *bufio.Reader // Reads from in.
 	idleUntil time.Time
 	Reused    bool
 	DialTime  time.Duration // Zero for a reused connection.
@@ -84,7 +86,34 @@
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
 	}
 	p.dials.Inc()
-	return &Conn{Conn: raw, address: address, br: bufio.NewReaderSize(raw, readBufferBytes), DialTime: time.Since(start)}, nil
+	in := &boundedReader{Reader: raw}
+	return &Conn{Conn: raw, address: address, in: in, br: bufio.NewReaderSize(in, readBufferBytes), DialTime: time.Since(start)}, nil
+}
+
+// boundedReader ends with errTooLarge at a bound, where one is set.
+type boundedReader struct {
+	io.Reader
+	bounded bool
+	left    int
+}
+
+var errTooLarge = errors.New("head is too large")
+
+func (r *boundedReader) bound(n int) { r.bounded, r.left = true, n }
+
+func (r *boundedReader) unbound() { r.bounded = false }
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(b []byte) (int, error) {
+	if !r.bounded {
+		return r.Reader.Read(b)
+	}
+	if r.left <= 0 {
+		return 0, errTooLarge
+	}
+	n, err := r.Reader.Read(b[:min(len(b), r.left)])
+	r.left -= n
+	return n, err
 }
 
 func (p *Pool) takeIdle(address string) *Conn {
