Give up a copy whose connection has gone silent

Callers would see kept turns refused for good: a successor counts as caught up 4.8 s after its start, and the next lost disk may then be the last other copy. Cause: a request for an inventory or for turns was bounded by the 10 s of the whole transfer only, so one connection that goes silent held the copy for 10 s, and the attempt after it may meet another. Fix: a request also ends when no byte arrives for 1.5 s. A transfer that goes on keeps its 10 s, so that nothing is sent twice over a busy link.

--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -33,6 +33,7 @@
 	probeTimeout       = 400 * time.Millisecond  // Well above a round trip between regions.
 	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
 	copyTimeout        = 10 * time.Second        // An inventory of megabytes over a busy link between regions.
+	copyStall          = 1500 * time.Millisecond // Time without a byte after which a connection counts as silent; above a slow sync.
 	lateInventory      = 500 * time.Millisecond  // Wait for further inventories when those that are needed have been read.
 	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
 	youngFor           = 15 * time.Second        // Time for which a newly registered VM may be a successor.
@@ -647,8 +648,6 @@
 
 // fetchTurns reads turns from another replica as they stand in its log.
 func (m *Membership) fetchTurns(ctx context.Context, member replica.Member, v replica.View, ids []string) ([]record, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	resp, err := m.send(ctx, member.Address, PathTurns, CopyRequest{View: v, Disk: member.Disk, IDs: ids})
 	if err != nil {
 		return nil, err
@@ -661,8 +660,6 @@
 }
 
 func (m *Membership) post(ctx context.Context, address, path string, body, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	resp, err := m.send(ctx, address, path, body)
 	if err != nil {
 		return err
@@ -679,8 +676,49 @@
 	return errors.Wrap(json.NewDecoder(from).Decode(into), "decode an answer")
 }
 
-// send posts a body and returns an answer with status 200.
+// errStalled ends a request whose answer does not go on.
+var errStalled = errors.Newf("no byte for %s", copyStall)
+
+// copyBody is the body of an answer to a copy request. It ends the request when it stalls.
+type copyBody struct {
+	io.ReadCloser
+	stall  *time.Timer
+	cancel context.CancelFunc
+}
+
+// Read implements io.Reader.
+func (b *copyBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.stall.Reset(copyStall)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *copyBody) Close() error {
+	b.stall.Stop()
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// send posts a body and returns an answer with status 200. The request ends after copyTimeout, and before when nothing arrives
+// for copyStall.
 func (m *Membership) send(ctx context.Context, address, path string, body any) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	ctx, stalled := context.WithCancelCause(ctx)
+	stall := time.AfterFunc(copyStall, func() { stalled(errStalled) })
+	resp, err := m.request(ctx, address, path, body)
+	if err != nil {
+		stall.Stop()
+		cancel()
+		return nil, err
+	}
+	resp.Body = &copyBody{ReadCloser: resp.Body, stall: stall, cancel: cancel}
+	return resp, nil
+}
+
+func (m *Membership) request(ctx context.Context, address, path string, body any) (*http.Response, error) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a request")
