--- /dev/null
+++ b/daemon/gateway/bench_test.go
@@ -0,0 +1,40 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/logging"
+	"jackdawbay.dev/daemon/quorum"
+)
+
+// BenchmarkRefusedTurn measures a turn that is refused for want of a quorum, with its part of a log line.
+func BenchmarkRefusedTurn(b *testing.B) {
+	for name, log := range map[string]*slog.Logger{
+		"logged": slog.New(logging.NewHandler(logging.NewWriter(io.Discard), slog.LevelInfo)).With("role", "gateway", "vm", "front-1"),
+		"silent": slog.New(slog.DiscardHandler),
+	} {
+		b.Run(name, func(b *testing.B) {
+			set := metrics.NewSet()
+			replicas := quorum.New(b.Context(), quorum.Config{RegionOf: func(string) string { return "" }, Log: log, Metrics: set})
+			g := New(Config{Codec: plainCodec{}, Replicas: replicas, Log: log, Metrics: set})
+			for i := 0; b.Loop(); i++ {
+				c := &call{
+					g: g, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: b.Context(), arrived: time.Now(),
+					meta:  Meta{RequestID: fmt.Sprintf("%016x", i), Program: "e7e0c74c90c9f", Previous: "before"},
+					route: &route.Route{Name: "r", Kind: route.Stream, KeepTurns: true},
+				}
+				c.beginTurn()
+				c.finish()
+			}
+		})
+	}
+}
--- a/daemon/logging/logging_test.go
+++ b/daemon/logging/logging_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"log/slog"
 	"strings"
 	"testing"
@@ -76,3 +77,23 @@
 	test.EqOp(t, maxSources+1, strings.Count(out.String(), "msg=refused"), test.Sprint("further sources share one limit"))
 	test.MapLen(t, maxSources+1, h.limits.bySource)
 }
+
+// BenchmarkLine measures a line as long as the line of a request, and one that is limited by its source.
+func BenchmarkLine(b *testing.B) {
+	attrs := []any{"request", "cfd235d3722340fa", "program", "e7e0c74c90c9f", "route", "r", "version", 4, "upstream", "i-76dc073b53",
+		"running", 2, "report_age", 30 * time.Millisecond, "missing", 0, "sends", 1, "events", 4, "status", 200, "outcome", "complete",
+		"begin", time.Millisecond, "keep", time.Millisecond, "first", time.Millisecond, "took", 44 * time.Millisecond}
+	for name, more := range map[string][]any{"request": attrs, "source": append(attrs, PerSource("caller", "10.0.0.1"))} {
+		b.Run(name, func(b *testing.B) {
+			w := NewWriter(io.Discard)
+			log := slog.New(NewHandler(w, slog.LevelInfo)).With("role", "gateway", "vm", "front-1")
+			for i := 0; b.Loop(); i++ {
+				if i%burstLines == 0 {
+					w = NewWriter(io.Discard)
+					log = slog.New(NewHandler(w, slog.LevelInfo)).With("role", "gateway", "vm", "front-1")
+				}
+				log.Info("request", more...)
+			}
+		})
+	}
+}
