Bound the turns of one answer to a copy

A source of copied turns that sends turns without end had all of them held in memory, up to the time-out of the copy of 10 s. An answer has 200 turns at most, as many as are asked for; a longer one now fails the copy, which is tried again.

TestCopyWithoutEndIsCutOff reported no error on the code before, for 200,000 turns.

--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -361,7 +361,7 @@
 // lengthBytes is the size of the length before a copied payload.
 const lengthBytes = 4
 
-// readPayloads reads copied turns.
+// readPayloads reads the copied turns of one answer, maxTurnsPerCopy at most.
 func readPayloads(r io.Reader) ([]record, error) {
 	in := bufio.NewReader(r)
 	var records []record
@@ -372,6 +372,9 @@
 		} else if err != nil {
 			return nil, errors.Wrap(err, "read the length of a turn")
 		}
+		if len(records) >= maxTurnsPerCopy {
+			return nil, errors.Newf("an answer has more than %d turns", maxTurnsPerCopy)
+		}
 		n := binary.LittleEndian.Uint32(length[:])
 		if n > maxFrameBytes {
 			return nil, errors.Newf("a turn of %d bytes is too large", n)
--- a/daemon/replica/state_test.go
+++ b/daemon/replica/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net/http/httptest"
 	"strings"
@@ -161,3 +162,18 @@
 		}
 	}
 }
+
+// TestCopyWithoutEndIsCutOff guards against a source of copied turns that sends turns without end: all of them were held in memory,
+// up to the time-out of the copy.
+func TestCopyWithoutEndIsCutOff(t *testing.T) {
+	payload, err := encodeEntry(entry{At: time.Unix(1, 0), Turn: &Turn{ID: "t", Input: []byte("said")}})
+	must.NoError(t, err)
+	frame := append(binary.LittleEndian.AppendUint32(nil, uint32(len(payload))), payload...)
+	records, err := readPayloads(bytes.NewReader(bytes.Repeat(frame, maxTurnsPerCopy)))
+	must.NoError(t, err)
+	test.SliceLen(t, maxTurnsPerCopy, records)
+	sent := bytes.NewReader(bytes.Repeat(frame, 1000*maxTurnsPerCopy))
+	_, err = readPayloads(sent)
+	must.Error(t, err)
+	test.Greater(t, 900*maxTurnsPerCopy*len(frame), sent.Len(), test.Sprint("bytes that were not read"))
+}
