--- a/testbed/standin/backend/backend.go
+++ b/testbed/standin/backend/backend.go
@@ -1,6 +1,6 @@
 // Package backend is a stand-in of the engines and plain services of the users' platform. It counts the runs of each request
-// and brings about the faults of an upstream: lost, cut, late, extra and unframed responses, refusals, early answers, and
-// addresses that another upstream has taken over.
+// and brings about the faults of an upstream: lost, cut, late, extra, unframed and endless responses, refusals, early answers,
+// and addresses that another upstream has taken over.
 package backend
 
 import (
@@ -44,7 +44,8 @@
 	Header                                  http.Header
 	Body                                    string
 	At                                      time.Time
-	Cancelled                               bool // The connection ended while the request ran.
+	Cancelled                               bool      // The connection ended while the request ran.
+	Ended                                   time.Time // End of the connection of a cancelled run.
 }
 
 // Upstream is one engine or service process.
@@ -196,8 +197,15 @@
 		_, err := io.WriteString(c, u.head("503 Service Unavailable", r, "X-Jackdawbay-Not-Executed: 1\r\nContent-Length: 0\r\n"))
 		return err == nil
 	}
+	if f == EndlessRefusal {
+		u.endlessRefusal(c, r)
+		return false
+	}
 	index := u.begin(r, body)
 	defer u.end()
+	if u.endless(c, r, index, f) {
+		return false
+	}
 	stamp := "X-Jackdawbay-Server-Stamp: " + u.ID + "\r\n"
 	switch f {
 	case LoseAnswer:
@@ -266,7 +274,7 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.runs[index].Cancelled = true
+	u.runs[index].Cancelled, u.runs[index].Ended = true, time.Now()
 	return false
 }
 
