Bound the inventory that a copy reads, and the body of a probe

An inventory was decoded without a bound, also after decompression, so a source that sends bytes without end took a replica over its memory bound. It is now read up to 32 MiB; what is longer fails the copy, which is tried again. Of a probe's body, which is empty, one byte is read.

--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -634,6 +634,10 @@
 	return nil
 }
 
+// maxInventoryBytes bounds an inventory as it is decoded. The turns and ledgers of a minute and a half at 600 turns a second, the
+// most that one group of replicas carries, have 10 MB.
+const maxInventoryBytes = 32 << 20
+
 // copyGroup bounds the entries that a copy hands to the disk at once.
 const copyGroup = 500
 
@@ -646,7 +650,7 @@
 	if err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, resp.Body) // An empty body; a failure shows in the next use of the connection.
+	_, _ = io.CopyN(io.Discard, resp.Body, 1) // An empty body; of any other, the connection is not used again.
 	return resp.Body.Close()
 }
 
@@ -677,7 +681,7 @@
 		}
 		from = z
 	}
-	return errors.Wrap(json.NewDecoder(from).Decode(into), "decode an answer")
+	return errors.Wrapf(json.NewDecoder(io.LimitReader(from, maxInventoryBytes)).Decode(into), "decode the first %d bytes of an answer", maxInventoryBytes)
 }
 
 // errStalled ends a request whose answer does not go on.
