Bound unacknowledged data on connections to the store

A request that is written into a connection that has gone silent was noticed by its own time-out only, 3.3 s for a watch: keep-alive probes, which find a waiting watch within 2 s, are not sent while data is unacknowledged. Fix: clients with short keep-alive probes also set TCP_USER_TIMEOUT, to the time in which the probes notice.

The effect on a silent connection is not tested: it takes dropped packets.

--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -19,8 +19,10 @@
 	SourceAddress string        // IP address that outgoing connections bind to; empty leaves the choice to the system.
 	DialTimeout   time.Duration // Bound of connecting.
 	MaxPerHost    int           // Connections to one host; zero sets no bound.
-	KeepAlive     time.Duration // Time between probes of a silent connection; zero takes 15 s.
-	NoReuse       bool          // Each request takes a new connection, so that a send on a dead one cannot be in doubt.
+	// KeepAlive is the time between probes of a silent connection; zero takes 15 s. If set, data that stays unacknowledged for
+	// twice as long ends the connection as well, since no probes are sent meanwhile.
+	KeepAlive time.Duration
+	NoReuse   bool // Each request takes a new connection, so that a send on a dead one cannot be in doubt.
 }
 
 // ErrNotSent is returned when a request certainly did not reach the other side.
@@ -34,6 +36,9 @@
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
 	if o.KeepAlive > 0 {
 		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: 1}
+		dialer.Control = func(_, _ string, c syscall.RawConn) error {
+			return errors.Wrap(setUserTimeout(c, 2*o.KeepAlive), "bound unacknowledged data")
+		}
 	}
 	if o.SourceAddress != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(o.SourceAddress)}
