--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -487,6 +487,10 @@
 	if inUse && r.Running {
 		return
 	}
+	if !inUse && !slices.Contains(v.Emptied, m.Self.VM) {
+		m.change(ctx, "emptied", func(v replica.View) (replica.View, bool) { return replica.MarkEmptied(v, m.Self.VM) })
+		return
+	}
 	version, err := m.Retirements.ReportRetirement(ctx, r, !inUse)
 	if err != nil {
 		m.Log.Warn("retirement is not reported", "done", !inUse, "error", err)
@@ -565,7 +569,7 @@
 func knowsEarlier(v replica.View, answered map[string]bool) bool {
 	earlier := v
 	earlier.Sets = v.Sets[:len(v.Sets)-1]
-	return earlier.Knows(answered)
+	return earlier.Readable(answered)
 }
 
 // copyTurns fetches the turns that this replica lacks and that the last set does not hold on a write quorum without it, from
