Let the soak lose replica VMs in series, beside a store that falls silent

TestLossesInSeries draws, one after the other, VMs that are emptied and removed, disks that are wiped, VMs that are replaced for good or added, and VMs that freeze. Each loss comes 8.8 s (catchUpS 4.8 s and contactMs 4 s of the sites) after the one before and after the store answers again. The store falls silent for 1 to 8 s before, across or after losses, also while a successor registers, and answers to writes are lost. Gateways, upstreams and configurations go on failing meanwhile. TestSoak draws the silent store as well.

After the last fault, first turns, new programs that are kept and turns that continue 12 kept ones, spread over the run, have to be served within the recovery bound of 15 s. Every earlier check stays.

Time limits do not count the time of slow syncs of the machine's disk. A thread syncs a file of its own and adds up what took over 150 ms, at most 60 s for a limit.

--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,6 +84,9 @@
 	version uint64
 	nextVM  int
 	front   map[*backend.Upstream]*relay.Relay
+
+	storeMu    sync.Mutex // Held while VMs are added or removed, and while the rules of their links to the store change.
+	storeRules []relay.Rule
 }
 
 // Start starts everything and waits until the gateways are ready.
@@ -262,15 +267,27 @@
 // AddVM starts a VM with a role. Each VM has a loopback address of its own, so that faults can tell them apart.
 func (d *Deployment) AddVM(role string) (*VM, error) {
 	d.mu.Lock()
-	d.nextVM++
-	n := d.nextVM
-	list := &d.Gateways
+	zone := d.Options.Zones[len(*d.list(role))%len(d.Options.Zones)]
+	d.mu.Unlock()
+	return d.AddVMIn(role, zone)
+}
+
+func (d *Deployment) list(role string) *[]*VM {
 	if role == "replica" {
-		list = &d.Replicas
+		return &d.Replicas
 	}
-	zone := d.Options.Zones[len(*list)%len(d.Options.Zones)]
+	return &d.Gateways
+}
+
+// AddVMIn is AddVM in a data centre.
+func (d *Deployment) AddVMIn(role, zone string) (*VM, error) {
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	d.mu.Lock()
+	d.nextVM++
+	n := d.nextVM
 	d.mu.Unlock()
-	vm := &VM{Name: fmt.Sprintf("%s-%d", role, n), Role: role, Zone: zone, IP: fmt.Sprintf("127.0.%d.%d", 10+os.Getpid()%200, n)}
+	vm := &VM{Name: fmt.Sprintf("%s-%d", role, n), Role: role, Zone: zone, IP: newIP()}
 	ports, err := freePorts(vm.IP, 4)
 	if err != nil {
 		return nil, err
@@ -296,15 +313,62 @@
 		return nil, err
 	}
 	d.mu.Lock()
+	list := d.list(role)
 	*list = append(*list, vm)
 	d.mu.Unlock()
 	return vm, nil
 }
 
+// Remove ends a VM for good, with its disk.
+func (d *Deployment) Remove(vm *VM) error {
+	d.Kill(vm)
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	d.mu.Lock()
+	list := d.list(vm.Role)
+	*list = slices.DeleteFunc(slices.Clone(*list), func(o *VM) bool { return o == vm })
+	d.mu.Unlock()
+	for _, r := range []*relay.Relay{vm.ToStore, vm.ToReplica} {
+		if r != nil {
+			r.Close()
+		}
+	}
+	return errors.Wrap(os.RemoveAll(vm.Dir), "remove the data directory")
+}
+
+// SetStoreRules sets the rules of the links between all VMs and the store, also of VMs that are added later. It needs relays.
+func (d *Deployment) SetStoreRules(rules []relay.Rule) error {
+	d.storeMu.Lock()
+	defer d.storeMu.Unlock()
+	d.storeRules = rules
+	d.mu.Lock()
+	vms := d.vms()
+	d.mu.Unlock()
+	for _, vm := range vms {
+		if err := vm.ToStore.SetRules(rules); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addresses counts the VMs of all deployments of this process, which may run side by side.
+var addresses atomic.Int64
+
+// newIP returns a loopback address that no other VM of this process has.
+func newIP() string {
+	const last = 250 // Addresses that end in 0 or 255 are left out.
+	n := int(addresses.Add(1)) - 1
+	return fmt.Sprintf("127.%d.%d.%d", n/last, 10+os.Getpid()%200, 1+n%last)
+}
+
 func (d *Deployment) addRelays(vm *VM) (err error) {
 	if vm.ToStore, err = relay.Start([]relay.Link{{Listen: "127.0.0.1:0", Target: d.Store.Addr()}}); err != nil {
 		return err
 	}
+	if err := vm.ToStore.SetRules(d.storeRules); err != nil {
+		return err
+	}
 	if vm.Role == "replica" {
 		target := net.JoinHostPort(vm.IP, strconv.Itoa(vm.PortBase))
 		vm.ToReplica, err = relay.Start([]relay.Link{{Listen: "127.0.0.1:0", Target: target}})
--- a/testbed/soak/checks_test.go
+++ b/testbed/soak/checks_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test"
 
@@ -71,3 +72,19 @@
 		})
 	}
 }
+
+// Guards against a time limit that a fast disk extends, and against one that a slow disk extends without end.
+func TestLimitCountsNoSlowSyncs(t *testing.T) {
+	s := &soak{}
+	s.disk.add(time.Hour)
+	l := s.within(0)
+	s.disk.add(slowSync)
+	test.EqOp(t, 0, l.extension())
+	test.True(t, l.passed())
+	s.disk.add(2 * slowSync)
+	s.disk.add(3 * slowSync)
+	test.EqOp(t, 5*slowSync, l.extension())
+	test.False(t, l.passed())
+	s.disk.add(time.Hour)
+	test.EqOp(t, longestStall, l.extension())
+}
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -20,11 +20,19 @@
 	stopWait      = 6 * time.Second // The grace of a planned stop and a margin.
 )
 
-// injectFaults starts faults one after the other until the time is over. They overlap.
+// injectFaults starts faults one after the other until the time, or the series of losses, is over. They overlap.
 func (s *soak) injectFaults(r *rand.Rand) {
-	end := time.Now().Add(s.cfg.Duration)
+	over, end := context.WithTimeout(context.Background(), s.cfg.Duration)
 	busy := newClaims()
-	for time.Now().Before(end) {
+	if s.cfg.Losses > 0 {
+		over, end = context.WithCancel(context.Background())
+		s.live.Go(func() {
+			defer end()
+			s.loseInSeries(rand.New(rand.NewPCG(s.cfg.Seed, 2)))
+		})
+	}
+	defer end()
+	for over.Err() == nil {
 		time.Sleep(between(r, shortestPause, longestPause))
 		s.fault(r, busy)
 	}
@@ -54,9 +62,11 @@
 	return true
 }
 
-func (c *claims) release(name string) {
+func (c *claims) release(names ...string) {
 	held := <-c.held
-	delete(held, name)
+	for _, name := range names {
+		delete(held, name)
+	}
 	c.held <- held
 }
 
@@ -77,6 +87,10 @@
 func (s *soak) fault(r *rand.Rand, busy *claims) {
 	d := between(r, 200*time.Millisecond, longestFault)
 	gateway := s.d.Gateways[r.IntN(len(s.d.Gateways))]
+	if s.cfg.Losses > 0 {
+		s.faultBesideLosses(r, busy, gateway, d)
+		return
+	}
 	replica := s.d.Replicas[r.IntN(len(s.d.Replicas))]
 	any := gateway
 	if r.IntN(2) == 0 {
@@ -100,7 +114,7 @@
 	case 9:
 		s.rule(r, busy, "link to "+replica.Name, replica.ToReplica, d)
 	case 10:
-		s.rule(r, busy, "link to the store of "+any.Name, any.ToStore, d)
+		s.rule(r, busy, linkToStore(any), any.ToStore, d)
 	case 11:
 		u := s.upstream(r)
 		s.rule(r, busy, "link to "+u.ID, s.d.RelayOf(u), d)
@@ -211,7 +225,7 @@
 
 func (s *soak) storeFault(r *rand.Rand, busy *claims, d time.Duration) {
 	outages := []objectstore.Outage{objectstore.Busy, objectstore.Many, objectstore.Reset, objectstore.Silent}
-	switch r.IntN(4) {
+	switch r.IntN(5) {
 	case 0:
 		s.note("the store forgets its history")
 		s.d.Store.Forget()
@@ -221,6 +235,8 @@
 		s.d.Store.LoseAnswers(1+r.IntN(4), late)
 	case 2:
 		s.during(busy, "the store", "slow", d, func() { s.d.Store.Delay(200 * time.Millisecond) }, func() { s.d.Store.Delay(0) })
+	case 3:
+		s.silenceFreeStore(busy, between(r, shortestSilence, longestSilence))
 	default:
 		o := outages[r.IntN(len(outages))]
 		s.during(busy, "the store", string(o), d, func() { s.d.Store.Fail(o, nil) }, func() { s.d.Store.Fail(objectstore.None, nil) })
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -19,7 +19,8 @@
 // Config describes a run.
 type Config struct {
 	Seed     uint64
-	Duration time.Duration // Time with faults.
+	Duration time.Duration // Time with faults of any kind.
+	Losses   int           // Losses of replica VMs and disks in series. Where positive, it replaces the duration.
 	Binaries string
 	Dir      string
 	Gateways int
@@ -31,8 +32,11 @@
 const (
 	events      = 5
 	most        = events * deployment.TokensPerEvent
-	retainS     = 60
+	retainS     = 600              // Longer than a run, so that a 404 for a kept turn is always a fault.
 	recoverTime = 15 * time.Second // Time after the last fault within which everything is served again.
+
+	continued      = 12 // Kept turns that have to be continued within the time to recover.
+	historyWorkers = 4
 )
 
 // Report is what a run has found.
@@ -58,18 +62,22 @@
 		return Report{Seed: cfg.Seed}, errors.Wrap(err, "start the deployment")
 	}
 	s := &soak{cfg: cfg, d: d, checks: newChecks(), started: time.Now(), stop: make(chan struct{})}
+	watched := make(chan error, 1)
+	ended := make(chan struct{})
+	go func() { watched <- s.disk.watch(cfg.Dir, ended) }()
 	var callers sync.WaitGroup
 	for i := range cfg.Callers {
 		callers.Go(func() { s.caller(rand.New(rand.NewPCG(cfg.Seed, uint64(i)+100))) })
 	}
 	s.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 1)))
 	s.heal()
-	s.awaitRecovery()
+	s.awaitRecovery(s.within(recoverTime))
 	close(s.stop)
 	callers.Wait()
 	s.checkHistories()
 	s.checkRuns()
-	return s.report(), nil
+	close(ended)
+	return s.report(), <-watched
 }
 
 type soak struct {
@@ -78,6 +86,7 @@
 	checks  *checks
 	started time.Time
 	stop    chan struct{}
+	disk    diskWatch
 
 	mu     sync.Mutex
 	faults []string
@@ -110,12 +119,59 @@
 	}
 }
 
-// awaitRecovery waits until every gateway serves, with all faults healed.
-func (s *soak) awaitRecovery() {
-	if err := s.d.AwaitServing(recoverTime); err != nil {
+// awaitRecovery waits until every gateway serves, with all faults healed: first turns, new programs that are kept, and
+// programs that go on.
+func (s *soak) awaitRecovery(l limit) {
+	err := s.d.AwaitServing(time.Until(l.end()))
+	for err != nil && !l.passed() {
+		err = s.d.AwaitServing(time.Until(l.end()))
+	}
+	if err != nil {
 		text := err.Error()
 		s.checks.violate("not served %v after the last fault: %s", recoverTime, text[:min(len(text), 200)])
 	}
+	kept := append([]*turn{nil}, s.sample(continued)...)
+	for i, t := range kept {
+		program := deployment.NewID()
+		if t != nil {
+			program = t.program
+		}
+		if !s.serveWithin(l, s.d.Gateways[i%len(s.d.Gateways)], program, t) {
+			return
+		}
+	}
+}
+
+// serveWithin sends a turn until it is served or the limit has passed.
+func (s *soak) serveWithin(l limit, g *deployment.VM, program string, previous *turn) bool {
+	for {
+		a := s.sendTurn(g, nil, program, previous, 1<<20)
+		if a.Status == 200 && a.Err == nil {
+			return true
+		}
+		if l.passed() {
+			id := "none"
+			if previous != nil {
+				id = previous.id
+			}
+			s.checks.violate("%s: a turn of program %s after turn %s is not served %v after the last fault (%v more with a slow disk): status %d, %v, %.120s",
+				g.Name, program, id, recoverTime, l.extension(), a.Status, a.Err, a.Body)
+			return false
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// sample returns up to n acknowledged turns, spread over the run, the newest among them.
+func (s *soak) sample(n int) []*turn {
+	s.checks.mu.Lock()
+	defer s.checks.mu.Unlock()
+	all := s.checks.turns
+	var out []*turn
+	for i := len(all) - 1; i >= 0 && len(out) < n; i -= max(1, len(all)/n) {
+		out = append(out, all[i])
+	}
+	return out
 }
 
 // checkHistories continues each chain once more: what was acknowledged must be known at every gateway, whole.
@@ -123,24 +179,21 @@
 	s.checks.mu.Lock()
 	turns := append([]*turn{}, s.checks.turns...)
 	s.checks.mu.Unlock()
-	deadline := time.Now().Add(recoverTime)
-	for i, t := range turns {
-		if i%7 != 0 && i < len(turns)-20 {
-			continue // A sample bounds the time.
-		}
-		g := s.d.Gateways[i%len(s.d.Gateways)]
-		for {
-			a := s.sendTurn(g, nil, t.program, t, 1<<20)
-			if a.Status == 200 && a.Err == nil {
-				break
+	l := s.within(recoverTime)
+	var workers sync.WaitGroup
+	for w := range historyWorkers {
+		workers.Go(func() {
+			for i := w; i < len(turns); i += historyWorkers {
+				if i%7 != 0 && i < len(turns)-20 {
+					continue // A sample bounds the time.
+				}
+				if !s.serveWithin(l, s.d.Gateways[i%len(s.d.Gateways)], turns[i].program, turns[i]) {
+					return
+				}
 			}
-			if time.Now().After(deadline) {
-				s.checks.violate("turn %s cannot be continued at the end: status %d, %v", t.id, a.Status, a.Err)
-				return
-			}
-			time.Sleep(100 * time.Millisecond)
-		}
+		})
 	}
+	workers.Wait()
 }
 
 // checkRuns compares what upstreams ran with what callers were told.
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -16,14 +16,21 @@
 	seeds    = flag.Int("seeds", 2, "Number of seeds to play after the regression cases.")
 	first    = flag.Uint64("first", 1, "First seed.")
 	duration = flag.Duration("faults", 6*time.Second, "Time with faults for each seed.")
-	large    = flag.Bool("large", false, "Use 12 gateways, 5 replicas and 60 callers.")
+	losses   = flag.Int("losses", 3, "Losses of replica VMs in series for each seed.")
+	large    = flag.Bool("large", false, "Use 30 gateways, 5 replicas and 60 callers.")
+	together = flag.Int("together", 3, "Seeds that are played at the same time.")
 )
 
-// regressions are the seeds that have failed, each with its cause.
-var regressions = []struct {
+// regression is a seed that has failed, with its cause.
+type regression struct {
 	seed  uint64
 	cause string
-}{}
+}
+
+var (
+	regressions       []regression // Of TestSoak.
+	seriesRegressions []regression // Of TestLossesInSeries.
+)
 
 var binaries string
 
@@ -37,28 +44,44 @@
 
 // Guards against every broken promise that callers and upstreams can see while processes are killed, stopped, frozen and
 // wiped, links break, and the store and the upstreams fail, one after the other and at the same time.
-func TestSoak(t *testing.T) {
-	play := func(seed uint64, cause string) {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			cfg := Config{Seed: seed, Duration: *duration, Binaries: binaries, Dir: t.TempDir(), Gateways: 3, Replicas: 3, Callers: 10}
-			if *large {
-				cfg.Gateways, cfg.Replicas, cfg.Callers = 12, 5, 60
-			}
-			if keep := os.Getenv("JACKDAWBAY_SOAK_DIR"); keep != "" {
-				cfg.Dir = fmt.Sprintf("%s/seed-%d", keep, seed)
-				must.NoError(t, os.MkdirAll(cfg.Dir, 0o700))
-			}
-			r, err := Run(cfg)
-			must.NoError(t, err)
-			t.Log(r.String())
-			must.Positive(t, r.Turns, must.Sprint("a run without a kept turn proves nothing"))
-			must.SliceEmpty(t, r.Violations, must.Sprint(cause))
+func TestSoak(t *testing.T) { play(t, regressions, Config{Duration: *duration}) }
+
+// Guards against service that ends for good, and against lost turns, when replica VMs are emptied, wiped and replaced one
+// after the other while the store falls silent: no more disks are lost at once than tolerated, and each VM had its time to
+// catch up.
+func TestLossesInSeries(t *testing.T) { play(t, seriesRegressions, Config{Losses: *losses}) }
+
+func play(t *testing.T, regressions []regression, cfg Config) {
+	places := make(chan struct{}, *together)
+	cases := regressions[:len(regressions):len(regressions)]
+	for i := range *seeds {
+		cases = append(cases, regression{seed: *first + uint64(i)})
+	}
+	for _, c := range cases {
+		cfg := cfg
+		cfg.Seed = c.seed
+		t.Run(fmt.Sprint("seed ", c.seed), func(t *testing.T) {
+			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
+			playSeed(t, cfg, c.cause)
 		})
 	}
-	for _, c := range regressions {
-		play(c.seed, c.cause)
+}
+
+func playSeed(t *testing.T, cfg Config, cause string) {
+	cfg.Binaries, cfg.Dir = binaries, t.TempDir()
+	cfg.Gateways, cfg.Replicas, cfg.Callers = 3, 3, 10
+	if *large {
+		cfg.Gateways, cfg.Replicas, cfg.Callers = 30, 5, 60
 	}
-	for i := range *seeds {
-		play(*first+uint64(i), "")
+	if keep := os.Getenv("JACKDAWBAY_SOAK_DIR"); keep != "" {
+		cfg.Dir = fmt.Sprintf("%s/seed-%d", keep, cfg.Seed)
+		must.NoError(t, os.MkdirAll(cfg.Dir, 0o700))
 	}
+	r, err := Run(cfg)
+	must.NoError(t, err)
+	t.Log(r.String())
+	must.Positive(t, r.Turns, must.Sprint("a run without a kept turn proves nothing"))
+	must.SliceEmpty(t, r.Violations, must.Sprint(cause))
 }
