--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -3,6 +3,7 @@
 package replica
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -26,6 +27,9 @@
 	Tolerate int        `json:"tolerate"` // VMs with a disk that may be lost at the same time.
 	Sets     [][]Member `json:"sets"`
 	Copied   []string   `json:"copied"` // Keys of the members of the last set that have copied the earlier sets.
+
+	// VMs that hold nothing that is needed and may be removed. No set takes them in again.
+	Emptied []string `json:"emptied,omitempty"`
 }
 
 // Current returns the set that takes the writes.
@@ -75,8 +79,9 @@
 	return len(set) - WriteQuorum(set, tolerate) + 1
 }
 
-// Knows reports whether the members that answered know every completed write of all sets of the view.
-func (v View) Knows(answered map[string]bool) bool {
+// Readable reports whether the members that answered are a read quorum of every set, so that what they hold can be copied
+// without a loss. No write that one of them takes at an earlier epoch may complete afterwards.
+func (v View) Readable(answered map[string]bool) bool {
 	for _, set := range v.Sets {
 		if count(set, answered) < ReadQuorum(set, v.Tolerate) {
 			return false
@@ -85,8 +90,21 @@
 	return len(v.Sets) > 0
 }
 
-// Holds reports whether the members that stored a write are enough to acknowledge it.
+// Knows reports whether the members that answered at the epoch of the view know every completed write, also of views that
+// the reader has not heard of: a later view takes a read quorum of each set to its epoch before a write in it completes, and
+// a write quorum of the last set has a member of it.
+func (v View) Knows(answered map[string]bool) bool {
+	return v.Readable(answered) && v.held(answered)
+}
+
+// Holds reports whether the members that stored a write are enough to acknowledge it. A read quorum of each earlier set has to
+// be among them, so that readers of an earlier view do not miss the write before the copies have ended.
 func (v View) Holds(stored map[string]bool) bool {
+	return v.Readable(stored) && v.held(stored)
+}
+
+// held reports whether members are a write quorum of the last set.
+func (v View) held(stored map[string]bool) bool {
 	current := v.Current()
 	return len(current) > 0 && count(current, stored) >= WriteQuorum(current, v.Tolerate)
 }
@@ -98,7 +116,7 @@
 	for _, m := range holders {
 		keys[m.Key()] = true
 	}
-	return v.Holds(keys)
+	return v.held(keys)
 }
 
 func count(set []Member, keys map[string]bool) int {
@@ -183,7 +201,7 @@
 	changed := false
 	var lost []Member
 	patience := ReplaceBySpareAfter
-	for _, s := range candidates(f, current) {
+	for _, s := range candidates(v, f) {
 		if f.Young[s.VM] {
 			patience = ReplaceAfter
 		}
@@ -206,7 +224,7 @@
 			next = append(next, m)
 		}
 	}
-	spare := candidates(f, current)
+	spare := candidates(v, f)
 	for _, m := range lost {
 		if s, ok := take(&spare, next, m.DataCentre); ok {
 			next = append(next, s)
@@ -232,15 +250,15 @@
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
 	sets := append(append([][]Member{}, v.Sets...), next)
-	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets}, true
+	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets, Emptied: v.Emptied}, true
 }
 
 // candidates are the registered VMs that answer, are not to be emptied and are in no place of the current set.
-func candidates(f Fleet, current []Member) []Member {
+func candidates(v View, f Fleet) []Member {
 	var out []Member
 	for _, m := range f.Registered {
-		inUse := false
-		for _, c := range current {
+		inUse := slices.Contains(v.Emptied, m.VM)
+		for _, c := range v.Current() {
 			inUse = inUse || c.VM == m.VM
 		}
 		if !inUse && !f.Retiring[m.VM] && f.Answers(m.VM) {
@@ -324,3 +342,20 @@
 	next.Copied = nil
 	return next, true
 }
+
+// MarkEmptied returns the view after a VM that is to be emptied has found itself in no set. It must be in force before the VM
+// may be removed, since another replica may be about to take the VM in.
+func MarkEmptied(v View, vm string) (View, bool) {
+	for _, m := range Union(v.Sets) {
+		if m.VM == vm {
+			return v, false
+		}
+	}
+	if slices.Contains(v.Emptied, vm) {
+		return v, false
+	}
+	next := v
+	next.Version = v.Version + 1
+	next.Emptied = append(slices.Clone(v.Emptied), vm)
+	return next, true
+}
--- a/daemon/platform/follow.go
+++ b/daemon/platform/follow.go
@@ -15,17 +15,23 @@
 
 // FollowOptions describe how a kind is followed.
 type FollowOptions struct {
-	Wait   time.Duration // Longest time of one watch.
 	Pause  time.Duration // Time between two watches, in which changes gather; each call is priced.
 	Log    *slog.Logger
 	OnRead func(at time.Time) // Called after each answer of the store; may be nil.
 	OnLost func(at time.Time) // Called after each call that failed; may be nil.
 }
 
-// Pauses after a failed call.
+// WatchWait is the longest time of one watch. A watch that waits when the store falls silent may never be answered, also when
+// the store is back, so this bounds how long a follower hears of nothing. Together with the time-out of a call and the pauses
+// of Follow it stays below the 4 s after which a VM counts as in touch with the store again.
+const WatchWait = 2500 * time.Millisecond
+
+// Times after a failed call.
 const (
 	followPauseMin = 50 * time.Millisecond
-	followPauseMax = 500 * time.Millisecond // A returning store is noticed within this time.
+	followPauseMax = 500 * time.Millisecond
+	// checkWait is the wait of a watch until the store has answered again, so that its return is noticed soon.
+	checkWait = 100 * time.Millisecond
 )
 
 // Follow keeps a copy of all objects of a kind until the context ends. A gap in the history or an answer that cannot be
@@ -48,16 +54,20 @@
 	revision uint64 // Zero asks for a list.
 	pause    time.Duration
 	lost     bool
+	answered time.Time // When the store last answered; zero before the first answer.
 }
 
 func (f *follower) step(ctx context.Context) error {
 	if f.revision == 0 {
 		return f.list(ctx)
 	}
-	if f.options.Pause > 0 && !clock.Sleep(ctx, f.options.Pause) {
+	wait := WatchWait
+	if f.lost {
+		wait = checkWait
+	} else if f.options.Pause > 0 && !clock.Sleep(ctx, f.options.Pause) {
 		return ctx.Err()
 	}
-	revision, events, err := f.store.Watch(ctx, f.kind, f.revision, f.options.Wait)
+	revision, events, err := f.store.Watch(ctx, f.kind, f.revision, wait)
 	if errors.Is(err, ErrGap) {
 		f.options.Log.Info("history of the store is gone, listing again", "kind", f.kind, "revision", f.revision)
 		f.revision = 0
@@ -100,25 +110,35 @@
 }
 
 func (f *follower) read(revision uint64) {
+	now := time.Now()
 	if f.lost {
-		f.options.Log.Info("store answers again", "kind", f.kind, "revision", revision)
+		f.options.Log.Info("store answers again", "kind", f.kind, "revision", revision, "after", f.age(now))
 	}
-	f.lost, f.pause = false, followPauseMin
+	f.lost, f.pause, f.answered = false, followPauseMin, now
 	if revision > f.revision {
 		f.revision = revision
 	}
 	if f.options.OnRead != nil {
-		f.options.OnRead(time.Now())
+		f.options.OnRead(now)
+	}
+}
+
+// age is the time since the store last answered, or zero before its first answer.
+func (f *follower) age(now time.Time) time.Duration {
+	if f.answered.IsZero() {
+		return 0
 	}
+	return now.Sub(f.answered)
 }
 
 func (f *follower) failed(ctx context.Context, err error) {
+	now := time.Now()
 	if !f.lost {
 		f.lost = true
-		f.options.Log.Warn("store does not answer", "kind", f.kind, "revision", f.revision, "error", err)
+		f.options.Log.Warn("store does not answer", "kind", f.kind, "revision", f.revision, "last_answer", f.age(now), "error", err)
 	}
 	if f.options.OnLost != nil {
-		f.options.OnLost(time.Now())
+		f.options.OnLost(now)
 	}
 	clock.Sleep(ctx, f.pause)
 	f.pause = min(f.pause*2, followPauseMax)
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -7,10 +7,10 @@
 	"context"
 	"encoding/json"
 	"hash/fnv"
-	"io"
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -22,11 +22,19 @@
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/replica"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // ErrNoQuorum means that too few replicas answered. A write may have been stored by some of them.
 var ErrNoQuorum = errors.New("too few replicas answered")
 
+// errOtherDisk means that another disk is at the address of a member. The identity of a disk is drawn when it is empty, so the
+// member's disk does not come back there.
+var errOtherDisk = errors.New("another disk is at the address of the replica")
+
+// errLaneEnded means that no requests are sent to the member any more.
+var errLaneEnded = errors.New("no requests are sent to the replica any more")
+
 // Bounds of the client.
 const (
 	laneQueue    = 512 // Operations that wait for one replica.
@@ -39,11 +47,14 @@
 	probeTimeout = 300 * time.Millisecond // Well above a round trip between regions.
 	keepPause    = 50 * time.Millisecond  // Time between two tries to store a turn while no quorum can be reached.
 	viewRetries  = 4
-	hedgeShare   = 0.1              // Part of the operations for which one more replica may be asked while all replicas answer.
-	hedgeBurst   = 20               // Such operations at once, after a time without.
-	viewWait     = 25 * time.Second // Longest time of one watch for the view.
+	hedgeShare   = 0.1 // Part of the operations for which one more replica may be asked while all replicas answer.
+	hedgeBurst   = 20  // Such operations at once, after a time without.
 )
 
+// maxAnswerBytes bounds an answer of a replica. One turn has 16 MiB at most; maxBatchOps chains of eight turns of 19 KB, the
+// longest that the deployments describe, have 10 MB.
+const maxAnswerBytes = 32 << 20
+
 // Config describes a Client.
 type Config struct {
 	DataCentre string
@@ -62,6 +73,11 @@
 	lanes map[string]*lane
 	ctx   context.Context
 
+	started time.Time
+	learned time.Time // When the view was learned.
+	source  string    // Who told of the view: a VM, or the store.
+	heard   time.Time // When the store last answered about the view; zero before its first answer.
+
 	hedges float64 // Requests to further replicas that may still be sent while all replicas answer.
 
 	opSeconds *metrics.Histogram
@@ -71,19 +87,27 @@
 
 // New returns a client. Its senders end with the context.
 func New(ctx context.Context, cfg Config) *Client {
-	return &Client{
+	c := &Client{
 		cfg:       cfg,
+		started:   time.Now(),
 		lanes:     map[string]*lane{},
 		ctx:       ctx,
 		opSeconds: cfg.Metrics.NewHistogram("jackdawbay_quorum_operation_seconds"),
 		noQuorum:  cfg.Metrics.NewCounter("jackdawbay_quorum_failed_total"),
 		hedged:    cfg.Metrics.NewCounter("jackdawbay_quorum_hedged_total"),
 	}
+	c.register()
+	return c
 }
 
 // FollowView keeps the view up to date from the platform's store until the context ends.
 func (c *Client) FollowView(ctx context.Context, store platform.Store) error {
-	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Wait: viewWait, Log: c.cfg.Log}, func(objects map[string]platform.Object) {
+	heard := func(at time.Time) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.heard = at
+	}
+	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Log: c.cfg.Log, OnRead: heard}, func(objects map[string]platform.Object) {
 		o, ok := objects[replica.ViewName]
 		if !ok {
 			return
@@ -99,12 +123,22 @@
 }
 
 func (c *Client) adopt(v core.View, source string) {
+	var left []*lane
 	c.mu.Lock()
 	newer := v.Version > c.view.Version
 	if newer {
-		c.view = v
+		c.view, c.learned, c.source = v, time.Now(), source
+		for key, l := range c.lanes {
+			if !has(v, l.member) {
+				left = append(left, l)
+				delete(c.lanes, key)
+			}
+		}
 	}
 	c.mu.Unlock()
+	for _, l := range left {
+		l.end()
+	}
 	if newer {
 		c.cfg.Log.Info("view in force", "view", v.Version, "sets", len(v.Sets), "members", len(v.Current()), "source", source)
 	}
@@ -153,29 +187,50 @@
 	enough func(v core.View, got map[string][]replica.Result) bool
 }
 
-// run sends a request to a quorum of the view. It returns ErrNoQuorum when the answers are not enough.
+// run sends a request to a quorum of the view. Where the answers are not enough it returns an ErrNoQuorum with a Shortage.
 func (c *Client) run(ctx context.Context, r request) error {
 	start := time.Now()
 	defer c.opSeconds.UpdateDuration(start)
 	c.earnHedge()
+	cause := CauseNewViews
+	var owing []string
 	for range viewRetries {
 		v := c.View()
-		if v.Version == 0 || !c.reachable(v) {
+		if v.Version == 0 {
+			cause = CauseNoView
+			break
+		}
+		if !c.reachable(v) {
+			if c.View().Version > v.Version {
+				continue // The lanes of an earlier view have ended.
+			}
+			cause = CauseSilent
 			break // Waiting would only delay a refusal that the caller can act on.
 		}
-		done, again := c.runView(ctx, v, r)
+		var done, again bool
+		done, again, owing = c.runView(ctx, v, r)
 		if done {
 			return nil
 		}
-		if !again || ctx.Err() != nil {
+		if ctx.Err() != nil {
+			cause = CauseTimeout
+			break
+		}
+		if !again {
+			cause = CauseAnswers
+			if !c.reachable(v) {
+				cause = CauseSilent
+			}
 			break
 		}
 	}
 	c.noQuorum.Inc()
-	return ErrNoQuorum
+	return &noQuorumError{c.shortage(cause, owing)}
 }
 
-func (c *Client) runView(ctx context.Context, v core.View, r request) (done, again bool) {
+// runView sends a request to the members of a view. Where it is not done, again reports whether a newer view is known, and
+// owing has the VMs that had not answered when the context ended.
+func (c *Client) runView(ctx context.Context, v core.View, r request) (done, again bool, owing []string) {
 	members := c.order(v, r.key)
 	answers := make(chan answer, 2*len(members))
 	got := map[string][]replica.Result{}
@@ -205,7 +260,12 @@
 	for len(waiting) > 0 {
 		select {
 		case <-ctx.Done():
-			return false, false
+			for _, m := range members {
+				if waiting[m.Key()] {
+					owing = append(owing, m.VM)
+				}
+			}
+			return false, false, owing
 		case <-hedge.C:
 			if c.mayHedge(members[:sent], waiting) {
 				more()
@@ -218,7 +278,7 @@
 				more()
 			case a.view != nil && a.view.Version > v.Version:
 				c.adopt(*a.view, a.member.VM)
-				return false, true
+				return false, true, nil
 			case a.view != nil && behind[a.member.Key()]:
 				more() // It has the view and still refuses: its disk does not take it.
 			case a.view != nil:
@@ -228,7 +288,7 @@
 			default:
 				got[a.member.Key()] = a.results
 				if r.enough(v, got) {
-					return true, false
+					return true, false, nil
 				}
 				if len(waiting) == 0 {
 					more() // What the nearest were asked was not enough.
@@ -236,7 +296,7 @@
 			}
 		}
 	}
-	return false, c.View().Epoch > v.Epoch
+	return false, c.View().Epoch > v.Epoch, nil
 }
 
 // earnHedge counts an operation towards the requests to further replicas.
@@ -322,14 +382,27 @@
 func (c *Client) lane(m core.Member) *lane {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	l, ok := c.lanes[m.Key()]
-	if !ok {
-		l = newLane(c, m)
-		c.lanes[m.Key()] = l
+	if l, ok := c.lanes[m.Key()]; ok && l.member == m {
+		return l
 	}
+	if !has(c.view, m) {
+		return &lane{client: c, member: m, silent: true, ended: true} // For an operation of an earlier view.
+	}
+	l := newLane(c, m)
+	c.lanes[m.Key()] = l
 	return l
 }
 
+// has reports whether a set of the view holds a member at its address.
+func has(v core.View, m core.Member) bool {
+	for _, set := range v.Sets {
+		if slices.Contains(set, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // Begin charges the worst case of a turn to its program and, where from is set, reads the chain that the turn continues.
 // It returns all charges of the program that completed before, and the chain, newest turn first. Known reports which turns
 // the caller has, so that they need not be found.
@@ -463,14 +536,19 @@
 	}
 }
 
-// lane is the ordered path to one replica.
+// lane is the ordered path to one replica. It ends when the view drops the member, or when the member's disk is gone.
 type lane struct {
 	client *Client
 	member core.Member
 	jobs   chan *job
+	ctx    context.Context // Ends with the lane.
+	stop   context.CancelFunc
 
 	mu        sync.Mutex
-	silent    bool // The last request failed, and no probe has been answered since.
+	silent    bool      // The last request failed, and no probe has been answered since.
+	since     time.Time // When the silence was noticed.
+	gone      bool      // The member's disk is gone.
+	ended     bool
 	usualTime time.Duration
 	open      int       // Requests under way.
 	progress  time.Time // When the replica last answered, or when the first of the requests under way was sent.
@@ -486,13 +564,44 @@
 
 func newLane(c *Client, m core.Member) *lane {
 	l := &lane{client: c, member: m, jobs: make(chan *job, laneQueue)}
+	l.ctx, l.stop = context.WithCancel(c.ctx)
 	for range laneSenders {
 		go l.send()
 	}
 	return l
 }
 
+// end answers the operations that wait with an error, and those that come later.
+func (l *lane) end() {
+	l.mu.Lock()
+	if !l.silent {
+		l.since = time.Now()
+	}
+	l.silent, l.ended = true, true
+	l.mu.Unlock()
+	l.stop()
+}
+
+// markGone ends the lane of a member whose disk is gone.
+func (l *lane) markGone() {
+	l.mu.Lock()
+	first := !l.gone && !l.ended
+	l.gone = true
+	l.mu.Unlock()
+	l.end()
+	if first {
+		l.client.cfg.Log.Warn("replica's disk is gone", "replica", l.member.VM, "disk", l.member.Disk, "address", l.member.Address,
+			"view", l.client.View().Version)
+	}
+}
+
 func (l *lane) submit(j *job) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ended {
+		j.answers <- answer{member: l.member, ops: j.ops, err: errLaneEnded}
+		return
+	}
 	select {
 	case l.jobs <- j:
 	default:
@@ -529,7 +638,8 @@
 	for {
 		var first *job
 		select {
-		case <-l.client.ctx.Done():
+		case <-l.ctx.Done():
+			l.drain()
 			return
 		case first = <-l.jobs:
 		}
@@ -549,6 +659,18 @@
 	}
 }
 
+// drain answers what still waits when the lane has ended.
+func (l *lane) drain() {
+	for {
+		select {
+		case j := <-l.jobs:
+			j.answers <- answer{member: l.member, ops: j.ops, err: errLaneEnded}
+		default:
+			return
+		}
+	}
+}
+
 // deliver sends the jobs of one epoch together, and the jobs of another epoch after them.
 func (l *lane) deliver(jobs []*job) {
 	for len(jobs) > 0 {
@@ -599,6 +721,9 @@
 }
 
 func (l *lane) note(took time.Duration, err error) {
+	if errors.Is(err, errOtherDisk) {
+		l.markGone()
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.open--
@@ -608,22 +733,27 @@
 		return
 	}
 	if l.silent {
-		return
+		return // Ended lanes count as silent as well.
 	}
-	l.silent = true
+	l.silent, l.since = true, time.Now()
 	l.client.cfg.Log.Warn("replica does not answer", "replica", l.member.VM, "took", took, "error", err)
 	go l.probe()
 }
 
-// probe asks a replica that did not answer until it does.
+// probe asks a replica that did not answer until it does, or until the lane ends.
 func (l *lane) probe() {
 	start := time.Now()
-	for clock.Sleep(l.client.ctx, probePause) {
-		if err := l.askProbe(); err != nil {
+	for clock.Sleep(l.ctx, probePause) {
+		err := l.askProbe()
+		if errors.Is(err, errOtherDisk) {
+			l.markGone()
+			return
+		}
+		if err != nil {
 			continue // The start of the silence was logged.
 		}
 		l.mu.Lock()
-		l.silent = false
+		l.silent = l.ended
 		l.mu.Unlock()
 		l.client.cfg.Log.Info("replica answers again", "replica", l.member.VM, "after", time.Since(start))
 		return
@@ -631,7 +761,7 @@
 }
 
 func (l *lane) askProbe() error {
-	ctx, cancel := context.WithTimeout(l.client.ctx, probeTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+l.member.Address+replica.PathProbe+"?disk="+url.QueryEscape(l.member.Disk), nil)
 	if err != nil {
@@ -644,6 +774,9 @@
 	if err := resp.Body.Close(); err != nil {
 		return err
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return errOtherDisk
+	}
 	if resp.StatusCode != http.StatusNoContent {
 		return errors.Newf("status %d", resp.StatusCode)
 	}
@@ -651,7 +784,7 @@
 }
 
 func (l *lane) post(b replica.Batch) (replica.BatchAnswer, error) {
-	ctx, cancel := context.WithTimeout(l.client.ctx, batchTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, batchTimeout)
 	defer cancel()
 	raw, err := b.Encode()
 	if err != nil {
@@ -666,10 +799,13 @@
 		return replica.BatchAnswer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return replica.BatchAnswer{}, errOtherDisk
+	}
 	if resp.StatusCode != http.StatusOK {
 		return replica.BatchAnswer{}, errors.Newf("status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(resp.Body)
+	body, err := transport.ReadAll(resp.Body, maxAnswerBytes)
 	if err != nil {
 		return replica.BatchAnswer{}, errors.Wrap(err, "read an answer")
 	}
