Stop gateways in the soak only once they listen

The log shows SIGTERM in the same 40 ms as the start after an earlier stop: a process that has not yet begun to handle signals is ended by SIGTERM, with no request read. The soak now waits until the gateway takes connections, and reports one that does not within 5 s.

--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -18,6 +18,7 @@
 	longestPause  = 900 * time.Millisecond
 	longestFault  = 3500 * time.Millisecond
 	stopWait      = 6 * time.Second // The grace of a planned stop and a margin.
+	startWait     = 5 * time.Second // Far above the start of a gateway, which listens before it knows its configuration.
 )
 
 // injectFaults starts faults one after the other until the time, or the series of losses, is over. They overlap.
@@ -146,6 +147,7 @@
 	}
 	s.note("stop %s", g.Name)
 	s.live.Go(func() {
+		s.awaitListening(g)
 		ctx, cancel := context.WithTimeout(context.Background(), stopWait)
 		defer cancel()
 		if err := g.Process.Stop(ctx); err != nil {
@@ -157,6 +159,21 @@
 	})
 }
 
+// awaitListening waits until a gateway takes connections. SIGTERM ends a process that has not started to handle signals, which
+// no request can notice.
+func (s *soak) awaitListening(g *deployment.VM) {
+	ctx, cancel := context.WithTimeout(context.Background(), startWait)
+	defer cancel()
+	for ctx.Err() == nil {
+		if keep, err := deployment.Open(ctx, g); err == nil {
+			keep.Close()
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	s.checks.violate("%s does not listen %v after its start", g.Name, startWait)
+}
+
 // wipe takes the disk of a replica. The next disk is taken only after the view has settled with the new one.
 func (s *soak) wipe(r *rand.Rand, busy *claims, vm *deployment.VM, d time.Duration) {
 	if !busy.take("a disk") {
