--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -83,12 +83,15 @@
 		"first view takes what is wanted":        {View{Tolerate: 1}, fleet(set("a", "b", "c", "d"), nil), "ad bd cd "},
 		"calm":                                   {settled, fleet(set("a", "b", "c"), nil), ""},
 		"added VM stays a spare":                 {settled, fleet(set("a", "b", "c", "d"), nil), ""},
-		"silent without a spare":                 {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": long}), ""},
+		"silent without a spare":                 {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": long}), "ad bd "},
+		"short silence without a spare":          {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": soon}), ""},
+		"short silence after its successor":      {settled, withYoung(fleet(set("a", "b", "c"), map[string]time.Duration{"b": soon}), "c"), "ad cd "},
+		"two silent without a spare":             {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"b": soon, "c": long}), ""},
 		"short silence beside an old spare":      {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": soon}), ""},
 		"short silence and a successor":          {settled, withYoung(fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": soon}), "d"), "ad bd dd "},
 		"silent with a spare":                    {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long}), "ad bd dd "},
-		"spare that never answered is not taken": {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": AnswersWithin}), ""},
-		"silent spare is not taken":              {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": long}), ""},
+		"spare that never answered is not taken": {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": AnswersWithin}), "ad bd "},
+		"silent spare is not taken":              {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": long, "d": long}), "ad bd "},
 		"restart is shorter":                     {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"c": time.Second}), ""},
 		"wiped disk":                             {settled, fleet([]Member{member("a", "new"), member("b", "d"), member("c", "d")}, nil), "anew bd cd "},
 		"retiring without a spare":               {settled, fleet(set("a", "b", "c"), nil, "b"), "ad cd "},
@@ -101,8 +104,21 @@
 		"retired VM does not come back": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}},
 			fleet(set("a", "b", "c"), nil, "b"), ""},
 		"missing member is filled": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "c")}}, fleet(set("a", "c", "e"), nil), "ad cd ed "},
+		"set of two, one gone and a successor": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "b")}},
+			withYoung(fleet(set("a", "b", "e"), map[string]time.Duration{"b": soon}), "e"), "ad ed "},
+		"set of two, one with a new disk": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "b")}},
+			fleet([]Member{member("a", "d"), member("b", "new")}, nil), "ad bnew "},
+		"set of two without its disks": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "b")}},
+			fleet([]Member{member("a", "new"), member("b", "new"), member("c", "d")}, nil), ""},
+		"set of two, one is to be emptied without a successor": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "b")}},
+			fleet(set("a", "b"), nil, "b"), ""},
+		"emptied while another is gone": {settled, fleet(set("a", "b", "c"), map[string]time.Duration{"c": long}, "b"), "ad bd "},
 		"emptied VM is no spare": {View{Version: 6, Tolerate: 1, Sets: [][]Member{set("a", "b")}, Emptied: []string{"c"}},
 			fleet(set("a", "b", "c"), nil), ""},
+		"gone before it has copied": {View{Version: 6, Epoch: 2, Tolerate: 1, Sets: [][]Member{set("a", "b"), set("a", "b", "c")}},
+			fleet(set("a", "b", "c"), map[string]time.Duration{"c": ReplaceWhileCopying + 1}), "ad bd "},
+		"gone after it has copied": {View{Version: 6, Epoch: 2, Tolerate: 1, Sets: [][]Member{set("a", "b"), set("a", "b", "c")}, Copied: []string{"c/d"}},
+			fleet(set("a", "b", "c"), map[string]time.Duration{"c": ReplaceWhileCopying + 1}), ""},
 		"observer that is cut off": {settled, fleet(set("a", "b", "c", "d"), map[string]time.Duration{"b": long, "c": long}), ""},
 		"change waits for the one before": {View{Version: 6, Epoch: 2, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b", "d")}},
 			fleet(set("a", "b", "c", "d", "e"), map[string]time.Duration{"d": long}), ""},
@@ -127,6 +143,25 @@
 	}
 }
 
+// Guards against a view that never settles, since nobody has to copy, when a member only answers at another address.
+func TestProposeRelocates(t *testing.T) {
+	v := View{Version: 6, Epoch: 2, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b", "d")}, Copied: []string{"a/d"}}
+	f := fleet(set("a", "b", "c", "d"), nil)
+	f.Registered[1].Address = "elsewhere:1"
+	next, due := Propose(v, f)
+	must.True(t, due)
+	test.EqOp(t, 7, next.Version)
+	test.EqOp(t, v.Epoch, next.Epoch)
+	test.SliceLen(t, 2, next.Sets)
+	for _, set := range next.Sets {
+		test.EqOp(t, "elsewhere:1", set[1].Address)
+	}
+	test.Eq(t, v.Copied, next.Copied)
+	test.EqOp(t, "b:1", v.Sets[0][1].Address, test.Sprint("the view before is not changed"))
+	_, due = Propose(next, f)
+	test.False(t, due)
+}
+
 // Guards against a VM that is removed while a set holds it, and against one that is marked for ever.
 func TestMarkEmptied(t *testing.T) {
 	v := View{Version: 7, Epoch: 3, Tolerate: 1, Sets: [][]Member{set("a", "b", "c"), set("a", "b")}}
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -142,6 +142,17 @@
 	Young      map[string]bool               // VMs that have registered lately; one of them may succeed a VM that is gone for good.
 }
 
+// answering returns the keys of the members that answer. A VM whose disk was lost answers as another member.
+func (f Fleet) answering() map[string]bool {
+	keys := map[string]bool{}
+	for _, m := range f.Registered {
+		if f.Answers(m.VM) {
+			keys[m.Key()] = true
+		}
+	}
+	return keys
+}
+
 // AnswersWithin is the time within which a VM must have answered to be taken into a set.
 const AnswersWithin = 1500 * time.Millisecond
 
@@ -158,19 +169,14 @@
 const ReplaceWhileCopying = ReplaceBySpareAfter + 3*time.Second
 
 // Propose returns the next view, if a change is due. The caller writes it under the condition that the view that it read
-// is still in force.
+// is still in force. Only members that are enough to read every completed write have to answer: what a change needs is the
+// store's conditional write, and sources for the copies. A write quorum may be more than what a tolerated loss leaves.
 func Propose(v View, f Fleet) (View, bool) {
 	if v.Version == 0 {
 		return propose(View{Tolerate: v.Tolerate}, f, nil)
 	}
-	answering := 0
-	for _, m := range v.Current() {
-		if f.Answers(m.VM) {
-			answering++
-		}
-	}
-	if answering < WriteQuorum(v.Current(), v.Tolerate) {
-		return v, false // The observer may be the one that is cut off.
+	if !v.Readable(f.answering()) {
+		return v, false // The observer may be the one that is cut off, and no copy could end.
 	}
 	return propose(v, f, v.Current())
 }
@@ -201,7 +207,12 @@
 	changed := false
 	var lost []Member
 	patience := ReplaceBySpareAfter
-	for _, s := range candidates(v, f) {
+	spare := candidates(v, f)
+	successors := spare
+	if len(spare) == 0 {
+		successors = current // One may be the successor of a member that is gone, taken in before that was known.
+	}
+	for _, s := range successors {
 		if f.Young[s.VM] {
 			patience = ReplaceAfter
 		}
@@ -217,21 +228,19 @@
 			changed = true
 		case f.Retiring[m.VM] || f.SilentFor(m.VM) > patience:
 			lost = append(lost, m)
-		case known && now.Address != m.Address:
-			next = append(next, now)
-			changed = true
 		default:
 			next = append(next, m)
 		}
 	}
-	spare := candidates(v, f)
 	for _, m := range lost {
 		if s, ok := take(&spare, next, m.DataCentre); ok {
 			next = append(next, s)
 			changed = true
 			continue
 		}
-		if f.Shrink[m.VM] && len(next) > 0 {
+		// A set without a member that is gone bears the next loss. The others must be able to serve without it.
+		gone := v.Settled() && f.SilentFor(m.VM) > patience || v.awaits(m)
+		if count(next, f.answering()) > v.Tolerate && (f.Shrink[m.VM] || gone) {
 			changed = true
 			continue
 		}
@@ -246,13 +255,35 @@
 		changed = true
 	}
 	if !changed {
-		return v, false
+		return relocate(v, present)
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
 	sets := append(append([][]Member{}, v.Sets...), next)
 	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, Tolerate: v.Tolerate, Sets: sets, Emptied: v.Emptied}, true
 }
 
+// relocate gives members that answer at another address their present one. They are the same members, so no set is added and
+// nothing is copied.
+func relocate(v View, present map[string]Member) (View, bool) {
+	sets := make([][]Member, len(v.Sets))
+	changed := false
+	for i, set := range v.Sets {
+		sets[i] = slices.Clone(set)
+		for k, m := range set {
+			if now, known := present[m.VM]; known && now.Disk == m.Disk && now.Address != m.Address {
+				sets[i][k] = now
+				changed = true
+			}
+		}
+	}
+	if !changed {
+		return v, false
+	}
+	v.Version++
+	v.Sets = sets
+	return v, true
+}
+
 // candidates are the registered VMs that answer, are not to be emptied and are in no place of the current set.
 func candidates(v View, f Fleet) []Member {
 	var out []Member
@@ -315,6 +346,11 @@
 	return !replaced || !stays(m)
 }
 
+// awaits reports whether the earlier sets cannot be dropped before a member has copied them.
+func (v View) awaits(m Member) bool {
+	return !v.Settled() && Contains(v.Current(), m.Key()) && v.MustCopy(m) && !slices.Contains(v.Copied, m.Key())
+}
+
 // MarkCopied returns the view after a member of the last set has copied every earlier set. When all that must have, the
 // earlier sets are dropped.
 func MarkCopied(v View, key string) (View, bool) {
