Bound the responses that a gateway holds, and never pass on a cut one

A response that is no stream was read up to 16 MiB, and what had been read then passed for the whole: the caller got the first 16 MiB of an endless body as a complete success with the upstream's signature, or as a complete failure of the upstream. Each call could take 16 MiB, several times over while its buffer grew, beside 112 MB that the smallest VM with a gateway has.

A response without a stated length may have 4 MiB, and one with a stated length 16 MiB; a larger one counts as no response at once: a repeatable request goes to another upstream, once more and not to the same one, and any other gets 502. All responses that are held share 16 MiB beside 64 KiB for each. Where that is taken, a body of a stated length is passed on as it arrives, since its caller notices an early end, and one of unknown length counts as no response. Small responses never wait for memory.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -26,7 +26,6 @@
 	keepTimeout    = 2500 * time.Millisecond // Time for the replicas to store a turn.
 	defaultTimeout = 30 * time.Second        // For a request without a deadline on a route without a timeout.
 	minLeft        = 5 * time.Millisecond    // With less time left a request is not sent.
-	maxAnswerBytes = 16 << 20                // Largest response that is not a stream.
 	busyPause      = 60 * time.Millisecond   // Time for which an upstream that refused a request is avoided.
 )
 
@@ -57,6 +56,8 @@
 	beginTook time.Duration // Time for the charge and the history.
 	keepTook  time.Duration // Time for the turn to be stored.
 
+	held     held // What is held of the response.
+	overrun  bool // The last response exceeded a bound. Its upstream does not get the request again.
 	stream   streamState
 	headSent bool
 	status   int
@@ -238,6 +239,9 @@
 	c.sends++
 	if len(c.sent) > 0 && !c.mayRunElsewhere() {
 		last := c.choice.Upstream
+		if c.overrun {
+			return last, false
+		}
 		if !c.avoid[last.ID] && c.g.groups.again(c.service, last.ID, c.meta.Prompt) {
 			return last, true
 		}
@@ -291,6 +295,9 @@
 	c.sent[u.ID] = true
 	c.firstByte = time.Since(start)
 	outcome := c.receive(resp, reply)
+	if c.overrun {
+		c.avoid[u.ID] = true
+	}
 	failed := outcome != route.Complete && c.ctx.Err() == nil
 	c.g.groups.ended(c.service, u.ID, failed, time.Since(start))
 	return outcome
@@ -346,29 +353,85 @@
 		resp.Discard()
 		return route.Interrupted
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	resp.Close(err == nil)
-	if err != nil {
-		if c.ctx.Err() != nil {
-			return route.Lost
+	return c.receiveWhole(resp)
+}
+
+// receiveWhole passes a response on once it is whole. One of a stated length is passed on as it arrives where it cannot be
+// held: its caller notices an early end.
+func (c *call) receiveWhole(resp *forward.Response) route.Outcome {
+	defer c.held.release()
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0 // The response to a HEAD request states the length of a body that is not sent.
+	}
+	var pieces [][]byte
+	var err error
+	switch {
+	case length > maxAnswerBytes:
+		err = errResponseTooLarge
+	case length < 0:
+		pieces, err = c.held.readUnmarked(resp.Body)
+	case c.held.grow(length):
+		pieces, err = readStated(resp.Body, length)
+	default:
+		c.sendHead(resp, length)
+		if _, err := io.Copy(c.w, resp.Body); err != nil {
+			resp.Close(false)
+			return route.Interrupted
 		}
+		resp.Close(true)
+		return c.delivered(resp)
+	}
+	resp.Close(err == nil)
+	switch {
+	case errors.Is(err, errResponseTooLarge) || errors.Is(err, errHeldFull):
+		c.overrun = true
+		c.logRefused(err)
+		return route.Spoiled
+	case err != nil && c.ctx.Err() != nil:
+		return route.Lost
+	case err != nil:
 		return route.Spoiled
 	}
+	length = 0
+	for _, p := range pieces {
+		length += int64(len(p))
+	}
+	c.sendHead(resp, length)
+	for _, p := range pieces {
+		if _, err := c.w.Write(p); err != nil {
+			c.abort("caller_gone")
+		}
+	}
+	return c.delivered(resp)
+}
+
+func (c *call) delivered(resp *forward.Response) route.Outcome {
+	c.outcome = "complete"
+	if resp.StatusCode/100 != 2 {
+		return route.UpstreamErr
+	}
+	return route.Complete
+}
+
+// sendHead passes the head of a response on. Length is negative for a stream.
+func (c *call) sendHead(resp *forward.Response, length int64) {
 	h := c.w.Header()
 	for name, values := range c.g.cfg.Codec.EncodeReply(resp.Header, true) {
 		h[name] = values
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	c.status, c.outcome = resp.StatusCode, "complete"
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	c.headSent = true
+	c.status = resp.StatusCode
 	c.w.WriteHeader(resp.StatusCode)
-	if _, err := c.w.Write(body); err != nil {
-		c.abort("caller_gone")
-	}
-	if !success {
-		return route.UpstreamErr
-	}
-	return route.Complete
+}
+
+// logRefused tells why bytes of an upstream are not taken for a response.
+func (c *call) logRefused(err error) {
+	c.g.cfg.Log.Info("response is not taken", "request", c.meta.RequestID, "upstream", c.choice.Upstream.ID, "reason", err,
+		"held", c.held.bytes, "held_by_all", c.g.held.taken.Load())
 }
 
 // promisesNotRun reports whether callers take a status as the promise that the request has not run.
@@ -418,6 +481,7 @@
 		return
 	}
 	c.finished = true
+	c.held.release()
 	c.settle()
 	took := time.Since(c.arrived)
 	c.g.stats.observe(c.route, c.outcome, took)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -83,6 +83,7 @@
 	lastSeen  atomic.Int64 // Time of the last request in Unix nanoseconds.
 	groups    *groups
 	turns     *turnCache
+	held      heldBytes
 	settle    chan settlement
 	stats     *stats
 }
@@ -147,7 +148,7 @@
 	if g.stopBy.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{g: g, w: w, r: r, arrived: arrived}
+	c := &call{g: g, w: w, r: r, arrived: arrived, held: held{all: &g.held}}
 	c.serve()
 }
 
--- /dev/null
+++ b/daemon/gateway/held_test.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/forward"
+)
+
+// Guards against memory that is counted twice, never given back, or held beyond the bound by calls side by side.
+func TestHeldBytesAreBounded(t *testing.T) {
+	all := &heldBytes{}
+	a, b := held{all: all}, held{all: all}
+	test.True(t, a.grow(freeHeld))
+	test.EqOp(t, 0, all.taken.Load())
+	test.True(t, a.grow(maxHeld))
+	test.False(t, a.grow(1))
+	test.True(t, b.grow(freeHeld))
+	test.False(t, b.grow(1))
+	a.release()
+	a.release()
+	test.EqOp(t, 0, all.taken.Load())
+	test.True(t, b.grow(maxHeld))
+	b.release()
+	var wg sync.WaitGroup
+	for range 50 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			h := held{all: all}
+			for range 1000 {
+				h.grow(heldPiece)
+				test.LessEq(t, maxHeld+50*heldPiece, all.taken.Load())
+			}
+			h.release()
+		}()
+	}
+	wg.Wait()
+	test.EqOp(t, 0, all.taken.Load())
+}
+
+// passing passes the headers of a response on as they are.
+type passing struct{ Codec }
+
+func (passing) EncodeReply(from http.Header, _ bool) http.Header { return from.Clone() }
+
+// exchange gets a response with the given bytes from an upstream that then closes its connection.
+func exchange(t *testing.T, method, response string) *forward.Response {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // The test is over.
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()                    // The response is over.
+		_ = c.SetDeadline(time.Now().Add(10 * time.Second)) // Fails only on a closed connection.
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, response) // The reader may close the connection before.
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	t.Cleanup(cancel)
+	p := forward.NewPool(time.Second, 1, metrics.NewSet())
+	conn, err := p.Get(ctx, l.Addr().String())
+	must.NoError(t, err)
+	resp, err := p.Send(ctx, conn, forward.Request{Method: method, Target: "/", Host: "h", Own: func(http.Header) bool { return true }})
+	must.NoError(t, err)
+	return resp
+}
+
+func newCall(t *testing.T) (*call, *httptest.ResponseRecorder) {
+	w := httptest.NewRecorder()
+	g := &Gateway{cfg: Config{Codec: passing{}, Log: slog.New(slog.DiscardHandler)}}
+	return &call{g: g, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), ctx: t.Context(), route: &route.Route{}, held: held{all: &g.held}}, w
+}
+
+// Guards against a cut response that passes for a whole one, a large one that is refused although it is proper, and responses
+// of unknown length that take all memory.
+func TestReceiveWhole(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n"
+	stated := func(length, sent int) string {
+		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", ok, length, strings.Repeat("x", sent))
+	}
+	chunks := func(size, count int) string {
+		return ok + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat(fmt.Sprintf("%x\r\n%s\r\n", size, strings.Repeat("x", size)), count)
+	}
+	end := "0\r\n\r\n"
+	const mib = 1 << 20
+	cases := map[string]struct {
+		response string
+		taken    int64 // Held by others.
+		method   string
+		want     route.Outcome
+		bytes    int // Of the body that reaches the caller.
+		overrun  bool
+	}{
+		"empty":                         {response: stated(0, 0), want: route.Complete},
+		"small":                         {response: stated(800, 800), want: route.Complete, bytes: 800},
+		"small in chunks":               {response: chunks(800, 1) + end, want: route.Complete, bytes: 800},
+		"small without a length":        {response: ok + "\r\n" + strings.Repeat("x", 800), want: route.Complete, bytes: 800},
+		"of one piece":                  {response: chunks(firstPiece, 1) + end, want: route.Complete, bytes: firstPiece},
+		"largest stated":                {response: stated(maxAnswerBytes, maxAnswerBytes), want: route.Complete, bytes: maxAnswerBytes},
+		"largest in chunks":             {response: chunks(mib, 4) + end, want: route.Complete, bytes: 4 * mib},
+		"larger than stated may be":     {response: stated(maxAnswerBytes+1, mib), want: route.Spoiled, overrun: true},
+		"larger than chunks may be":     {response: chunks(mib, 17) + end, want: route.Spoiled, overrun: true},
+		"larger without a length":       {response: ok + "\r\n" + strings.Repeat("x", 5*mib), want: route.Spoiled, overrun: true},
+		"cut":                           {response: stated(800, 700), want: route.Spoiled},
+		"cut before its first byte":     {response: stated(800, 0), want: route.Spoiled},
+		"cut in chunks":                 {response: chunks(800, 1), want: route.Spoiled},
+		"head only":                     {response: stated(800, 0), method: http.MethodHead, want: route.Complete},
+		"small while memory is taken":   {response: chunks(1000, 30) + end, taken: maxHeld, want: route.Complete, bytes: 30_000},
+		"chunks while memory is taken":  {response: chunks(1000, 100) + end, taken: maxHeld, want: route.Spoiled, overrun: true},
+		"stated while memory is taken":  {response: stated(mib, mib), taken: maxHeld, want: route.Complete, bytes: mib},
+		"cut while memory is taken":     {response: stated(mib, mib/2), taken: maxHeld, want: route.Interrupted, bytes: mib / 2},
+		"failure of a stated length":    {response: "HTTP/1.1 500 Oops\r\nContent-Length: 4\r\n\r\noops", want: route.UpstreamErr, bytes: 4},
+		"failure while memory is taken": {response: strings.Replace(stated(mib, mib), "200 OK", "500 Oops", 1), taken: maxHeld, want: route.UpstreamErr, bytes: mib},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			call, w := newCall(t)
+			call.g.held.taken.Store(c.taken)
+			if c.method == "" {
+				c.method = http.MethodGet
+			}
+			test.EqOp(t, c.want, call.receiveWhole(exchange(t, c.method, c.response)))
+			test.EqOp(t, c.overrun, call.overrun)
+			test.EqOp(t, c.bytes, w.Body.Len())
+			test.EqOp(t, c.want != route.Spoiled, call.headSent)
+			test.EqOp(t, c.taken, call.g.held.taken.Load())
+		})
+	}
+}
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -98,7 +98,7 @@
 			return c.brokenStream()
 		}
 		if !c.headSent {
-			c.sendStreamHead(resp)
+			c.sendHead(resp, -1)
 		}
 		if _, err := c.w.Write(e.raw); err != nil {
 			resp.Close(false)
@@ -114,16 +114,6 @@
 	}
 }
 
-func (c *call) sendStreamHead(resp *forward.Response) {
-	h := c.w.Header()
-	for name, values := range c.g.cfg.Codec.EncodeReply(resp.Header, true) {
-		h[name] = values
-	}
-	c.headSent = true
-	c.status = resp.StatusCode
-	c.w.WriteHeader(resp.StatusCode)
-}
-
 func (c *call) note(e event) {
 	c.stream.events++
 	if len(e.id) > 0 {
