Bound events, what stands between them, and the length of a stream

A line of an event was read without a bound, blank lines and comments were skipped without end, and events were passed on and kept as long as they came: the gateway's memory grew, and the caller waited for its deadline. Comments counted as events, so they began the response, which then could not come from another upstream, and were charged as tokens.

An event, and what stands between two events, may have 64 KiB, and a stream 16 MiB. A turn may have twice the events that its maximum of tokens allows and 16 more; its output counts as memory that is held. Before the first event such a stream is no response, and the route decides about another send. Afterwards the caller's connection is closed, and no upstream continues the stream, since what arrived is already more than there can be. Comments before the first event wait for it, and are no events. The log line "response is not taken" names the reason with the figures that decided.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -105,6 +105,7 @@
 	c.ctx = ctx
 	c.service = c.route.Service(c.meta.RequestID)
 	c.perEvent = max(table.Config.Services[c.service].TokensPerEvent, 1)
+	c.stream.mostEvents = mostEvents(c.meta.MaxTokens, c.perEvent)
 	c.avoid, c.sent = map[string]bool{}, map[string]bool{}
 	if !c.beginTurn() {
 		return
@@ -196,7 +197,7 @@
 
 // may reports whether another send is within the bounds of time, sends and upstreams.
 func (c *call) may() bool {
-	return c.sends < maxSends && c.rejected < maxRejections && c.ctx.Err() == nil && time.Until(c.deadline) > minLeft
+	return !c.stream.excess && c.sends < maxSends && c.rejected < maxRejections && c.ctx.Err() == nil && time.Until(c.deadline) > minLeft
 }
 
 // mayRunElsewhere reports whether the route allows one more upstream to run the request.
@@ -431,7 +432,8 @@
 // logRefused tells why bytes of an upstream are not taken for a response.
 func (c *call) logRefused(err error) {
 	c.g.cfg.Log.Info("response is not taken", "request", c.meta.RequestID, "upstream", c.choice.Upstream.ID, "reason", err,
-		"held", c.held.bytes, "held_by_all", c.g.held.taken.Load())
+		"held", c.held.bytes, "held_by_all", c.g.held.taken.Load(), "events", c.stream.events, "stream_bytes", c.stream.bytes,
+		"most_events", c.stream.mostEvents)
 }
 
 // promisesNotRun reports whether callers take a status as the promise that the request has not run.
--- a/daemon/gateway/held.go
+++ b/daemon/gateway/held.go
@@ -10,14 +10,15 @@
 // Bounds of what a gateway holds of the responses of upstreams. A caller gets a response that is not a stream once it is whole,
 // so that another upstream can replace one that breaks off.
 const (
-	// freeHeld is what every response may hold. The largest response of a plain service has 4.8 KB on the users' sites.
+	// freeHeld is what every response may hold. On the users' sites the largest response of a plain service has 4.8 KB and the
+	// largest output of a turn 30 KB.
 	freeHeld = 64 << 10
 	// maxHeld is what all responses together may hold beyond freeHeld: a seventh of the smallest VM with a gateway.
 	maxHeld = 16 << 20
 	// maxUnmarked is the largest response whose length the upstream does not state. It is the largest request body that the
 	// users' configurations allow.
 	maxUnmarked = 4 << 20
-	// maxAnswerBytes is the largest response whose length the upstream states.
+	// maxAnswerBytes is the largest response whose length the upstream states, and the largest stream.
 	maxAnswerBytes = 16 << 20
 	// firstPiece and heldPiece are the sizes in which a response of unknown length is read. Most fit into the first.
 	firstPiece = 4 << 10
--- a/daemon/gateway/held_test.go
+++ b/daemon/gateway/held_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
@@ -149,3 +150,133 @@
 		})
 	}
 }
+
+// Guards against bytes without end in place of an event, and against a bound that refuses a large event.
+func TestReadEventIsBounded(t *testing.T) {
+	endless := func(start, rest string) io.Reader {
+		return io.MultiReader(strings.NewReader(start), &repeat{text: rest, left: 100 << 20})
+	}
+	large := strings.Repeat("x", maxEventBytes-100)
+	cases := map[string]struct {
+		in   io.Reader
+		want error
+	}{
+		"event":              {strings.NewReader("id: 1\ndata: a\n\n"), nil},
+		"large event":        {strings.NewReader("id: 1\ndata: " + large + "\n\n"), nil},
+		"after blank lines":  {strings.NewReader(strings.Repeat("\n", maxEventBytes) + "data: a\n\n"), nil},
+		"end":                {strings.NewReader(""), io.EOF},
+		"end after blanks":   {strings.NewReader("\n\n"), io.EOF},
+		"cut":                {strings.NewReader("id: 1\ndata: a\n"), io.ErrUnexpectedEOF},
+		"endless line":       {endless("data: ", "x"), errEventTooLarge},
+		"endless first line": {endless("", "x"), errEventTooLarge},
+		"endless lines":      {endless("id: 1\n", "data: a\n"), errEventTooLarge},
+		"endless comments":   {endless("", ": a\n"), errEventTooLarge},
+		"endless blanks":     {endless("", "\n"), errNoEvents},
+		"endless returns":    {endless("", "\r\n"), errNoEvents},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			counted := &counting{Reader: c.in}
+			_, err := readEvent(bufio.NewReaderSize(counted, streamBuffer))
+			test.True(t, errors.Is(err, c.want), test.Sprintf("got error %v", err))
+			test.LessEq(t, maxEventBytes+2*streamBuffer, counted.n)
+		})
+	}
+}
+
+// repeat yields a text over and over.
+type repeat struct {
+	text string
+	at   int
+	left int
+}
+
+func (r *repeat) Read(b []byte) (int, error) {
+	n := 0
+	for ; n < len(b) && r.left > 0; n++ {
+		b[n] = r.text[r.at]
+		r.at, r.left = (r.at+1)%len(r.text), r.left-1
+	}
+	if n == 0 {
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+type counting struct {
+	io.Reader
+	n int
+}
+
+func (c *counting) Read(b []byte) (int, error) {
+	n, err := c.Reader.Read(b)
+	c.n += n
+	return n, err
+}
+
+// Guards against a stream that is longer than its request allows and looks complete or goes on elsewhere, against comments that
+// count as tokens or begin a response, and against the loss of comments before the first event.
+func TestReceiveStream(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	events := func(n int) string {
+		var b strings.Builder
+		for i := range n {
+			fmt.Fprintf(&b, "id: %d\ndata: a\n\n", i+1)
+		}
+		return b.String()
+	}
+	large := "id: 1\ndata: " + strings.Repeat("x", maxEventBytes-100) + "\n\n"
+	cases := map[string]struct {
+		body       string
+		mostEvents int64
+		taken      int64
+		want       route.Outcome
+		passed     string
+		events     int
+		keep       bool
+		excess     bool
+	}{
+		"whole":                    {body: events(3), mostEvents: 3, want: route.Complete, passed: events(3), events: 3},
+		"too long":                 {body: events(4), mostEvents: 3, want: route.Interrupted, passed: events(3), events: 3, excess: true},
+		"no maximum":               {body: events(400), want: route.Complete, passed: events(400), events: 400},
+		"comments":                 {body: ": a\n\n" + events(1) + ": b\n\n" + events(1), mostEvents: 2, want: route.Complete, passed: ": a\n\n" + events(1) + ": b\n\n" + events(1), events: 2},
+		"only comments":            {body: ": a\n\n", want: route.Spoiled},
+		"too many comments":        {body: strings.Repeat(": a\n\n", 20_000), want: route.Spoiled},
+		"too many comments later":  {body: events(1) + strings.Repeat(": a\n\n", 20_000) + events(1), want: route.Interrupted, events: 1},
+		"large events":             {body: large + large + large, want: route.Complete, passed: large + large + large, events: 3},
+		"output while it is taken": {body: large + large + large, taken: maxHeld, keep: true, want: route.Interrupted, passed: large, events: 1, excess: true},
+		"more bytes than allowed":  {body: strings.Repeat(large, 260), want: route.Interrupted, events: 256, excess: true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			call, w := newCall(t)
+			call.g.held.taken.Store(c.taken)
+			call.stream.mostEvents = c.mostEvents
+			resp := exchange(t, http.MethodGet, head+c.body)
+			call.route.KeepTurns = c.keep
+			test.EqOp(t, c.want, call.receiveStream(resp))
+			if c.passed != "" {
+				test.EqOp(t, c.passed, w.Body.String())
+			}
+			test.EqOp(t, c.events > 0, call.headSent)
+			test.EqOp(t, c.events, call.stream.events)
+			test.EqOp(t, c.excess, call.stream.excess)
+			call.held.release()
+			test.EqOp(t, c.taken, call.g.held.taken.Load())
+			if c.excess {
+				call.deadline = time.Now().Add(time.Minute)
+				test.False(t, call.may(), test.Sprint("another upstream could continue the stream"))
+			}
+		})
+	}
+}
+
+// Guards against a bound that is below what a request allows.
+func TestMostEvents(t *testing.T) {
+	cases := []struct{ maxTokens, perEvent, want int64 }{
+		{0, 32, 0}, {1, 32, 18}, {32, 32, 18}, {33, 32, 20}, {570, 30, 54}, {100, 1, 216}, {1e12, 1, 2e12 + 16},
+	}
+	for _, c := range cases {
+		test.EqOp(t, c.want, mostEvents(c.maxTokens, c.perEvent), test.Sprintf("%d tokens of %d", c.maxTokens, c.perEvent))
+	}
+}
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -16,8 +16,16 @@
 	"jackdawbay.dev/daemon/replica"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 1 << 20
+// Bounds of a stream.
+const (
+	// maxEventBytes bounds one event, and the blank lines and comments between two events. Events have 1.5 KB on the users'
+	// sites.
+	maxEventBytes = 64 << 10
+	// eventSlack and moreEvents are the events beyond what the maximum of tokens allows, as a factor and a number: an upstream
+	// may put fewer tokens into an event than the configuration says.
+	eventSlack = 2
+	moreEvents = 16
+)
 
 // streamBuffer is the size of the read buffer of a stream. Events are small.
 const streamBuffer = 2048
@@ -27,6 +35,18 @@
 	events int
 	lastID string
 	output []byte // Data of the events, each followed by a line feed; only for turns that are kept.
+
+	bytes      int64
+	mostEvents int64 // Zero where the caller states no maximum of tokens.
+	excess     bool  // More arrived than the response can have. No upstream can continue it.
+}
+
+// mostEvents returns the number of events that a turn can have, or zero where the caller states no maximum of tokens.
+func mostEvents(maxTokens, perEvent int64) int64 {
+	if maxTokens <= 0 {
+		return 0
+	}
+	return eventSlack*((maxTokens+perEvent-1)/perEvent) + moreEvents
 }
 
 // event is one event as it arrived, with the fields that matter here.
@@ -37,19 +57,29 @@
 	hasData bool
 }
 
-var errEventTooLarge = errors.New("event of a stream is too large")
+// isComment reports whether there is nothing for the caller in the lines.
+func (e event) isComment() bool { return !e.hasData && len(e.id) == 0 }
 
-// readEvent reads one whole event. io.EOF means that the stream ended between two events.
+var (
+	errEventTooLarge = errors.New("event of a stream is too large")
+	errNoEvents      = errors.New("blank lines and comments take the place of events")
+	errTooManyEvents = errors.New("stream is longer than its request allows")
+)
+
+// readEvent reads one whole event, or lines with nothing but comments. io.EOF means that the stream ended between two events.
 func readEvent(br *bufio.Reader) (event, error) {
 	var e event
+	blank := 0
 	for {
+		start := len(e.raw)
 		line, err := br.ReadSlice('\n')
 		e.raw = append(e.raw, line...)
-		if errors.Is(err, bufio.ErrBufferFull) {
-			rest, more := br.ReadBytes('\n')
-			line = append(append([]byte{}, line...), rest...)
-			e.raw = append(e.raw, rest...)
-			err = more
+		for errors.Is(err, bufio.ErrBufferFull) && len(e.raw) <= maxEventBytes {
+			line, err = br.ReadSlice('\n')
+			e.raw = append(e.raw, line...)
+		}
+		if len(e.raw) > maxEventBytes {
+			return event{}, errEventTooLarge
 		}
 		if err != nil {
 			if errors.Is(err, io.EOF) && len(bytes.TrimSpace(e.raw)) > 0 {
@@ -57,12 +87,12 @@
 			}
 			return event{}, err
 		}
-		if len(e.raw) > maxEventBytes {
-			return event{}, errEventTooLarge
-		}
-		text := bytes.TrimRight(line, "\r\n")
+		text := bytes.TrimRight(e.raw[start:], "\r\n")
 		if len(text) == 0 {
 			if len(bytes.TrimSpace(e.raw)) == 0 {
+				if blank += len(e.raw); blank > maxEventBytes {
+					return event{}, errNoEvents
+				}
 				e.raw = e.raw[:0]
 				continue
 			}
@@ -83,22 +113,38 @@
 	}
 }
 
-// receiveStream passes events on as they arrive. A turn that is kept is stored before its response ends.
+// receiveStream passes events on as they arrive. A turn that is kept is stored before its response ends. Comments before the
+// first event wait for it: until then the response can come from another upstream.
 func (c *call) receiveStream(resp *forward.Response) route.Outcome {
 	br := bufio.NewReaderSize(resp.Body, streamBuffer)
 	flusher := http.NewResponseController(c.w)
+	var comments []byte
+	idle := 0 // Bytes since the last event.
 	for {
 		e, err := readEvent(br)
 		if errors.Is(err, io.EOF) {
 			resp.Close(true)
 			return c.completeStream()
 		}
+		if idle += len(e.raw); err == nil && idle > maxEventBytes && e.isComment() {
+			err = errNoEvents
+		}
+		if err == nil {
+			err = c.admit(e)
+		}
 		if err != nil {
 			resp.Close(false)
-			return c.brokenStream()
+			return c.brokenStream(err)
+		}
+		if !e.isComment() {
+			idle = 0
+		} else if !c.headSent {
+			comments = append(comments, e.raw...)
+			continue
 		}
 		if !c.headSent {
 			c.sendHead(resp, -1)
+			e.raw = append(comments, e.raw...)
 		}
 		if _, err := c.w.Write(e.raw); err != nil {
 			resp.Close(false)
@@ -114,7 +160,27 @@
 	}
 }
 
+// admit checks an event, or comments, before it is passed on. An error means that the response is longer than it can be.
+func (c *call) admit(e event) error {
+	s := &c.stream
+	s.bytes += int64(len(e.raw))
+	s.excess = true
+	switch {
+	case s.bytes > maxAnswerBytes:
+		return errResponseTooLarge
+	case !e.isComment() && s.mostEvents > 0 && int64(s.events) >= s.mostEvents:
+		return errTooManyEvents
+	case c.route.KeepTurns && e.hasData && !c.held.grow(int64(len(e.data))+1):
+		return errHeldFull
+	}
+	s.excess = false
+	return nil
+}
+
 func (c *call) note(e event) {
+	if e.isComment() {
+		return
+	}
 	c.stream.events++
 	if len(e.id) > 0 {
 		c.stream.lastID = string(e.id)
@@ -124,7 +190,10 @@
 	}
 }
 
-func (c *call) brokenStream() route.Outcome {
+func (c *call) brokenStream(err error) route.Outcome {
+	if errors.Is(err, errEventTooLarge) || errors.Is(err, errNoEvents) || c.stream.excess {
+		c.logRefused(err)
+	}
 	if c.stream.events == 0 {
 		return route.Spoiled
 	}
--- a/testbed/deployment/endless_test.go
+++ b/testbed/deployment/endless_test.go
@@ -60,12 +60,10 @@
 	return answers
 }
 
+// endlessCall is a call that needs no replica: its turn belongs to no program, and it never completes.
 func endlessCall(path string) Call {
-	c := Call{Path: path, ID: NewID(), Deadline: endlessDeadline}
-	if path == PathKept || path == PathResumable {
-		c.Program, c.Budget, c.MaxTokens = NewID(), 10_000, 4*TokensPerEvent
-	}
-	return c
+	tokens := fmt.Sprintf("10,%d", 4*TokensPerEvent)
+	return Call{Path: path, ID: NewID(), Deadline: endlessDeadline, Header: map[string]string{"X-Jackdawbay-Token-Usage": tokens}}
 }
 
 // endlessCase says what a caller gets when every upstream has a fault.
@@ -81,6 +79,7 @@
 // response, run a request more often than its route allows, or keep an upstream busy for a caller who has its answer.
 func TestEndlessResponse(t *testing.T) {
 	failure, unclear, refusal := []backend.Fault{backend.EndlessFailure}, []backend.Fault{backend.EndlessUnclear}, []backend.Fault{backend.EndlessRefusal}
+	events := []backend.Fault{backend.EndlessEvents, backend.EndlessFlood}
 	cases := []endlessCase{
 		{path: PathOrder, faults: backend.EndlessHeads, status: http.StatusBadGateway, runs: 1},
 		{path: PathOrder, faults: backend.EndlessBodies, status: http.StatusBadGateway, runs: 1},
@@ -92,6 +91,18 @@
 		{path: PathLookup, faults: failure, status: http.StatusBadGateway, runs: mostSends}, // The status is reason enough to repeat it.
 		{path: PathLookup, faults: unclear, status: http.StatusBadGateway, runs: mostSends},
 		{path: PathLookup, faults: refusal, status: http.StatusServiceUnavailable},
+		{path: PathKept, faults: backend.EndlessHeads, status: http.StatusBadGateway, runs: 1},
+		{path: PathKept, faults: backend.EndlessBodies, status: http.StatusBadGateway, runs: 1},
+		{path: PathKept, faults: backend.EndlessStreams, status: http.StatusBadGateway, runs: 1},
+		{path: PathKept, faults: events, status: http.StatusOK, broken: true, runs: 1},
+		{path: PathKept, faults: failure, status: http.StatusBadGateway, runs: 1},
+		{path: PathKept, faults: refusal, status: http.StatusServiceUnavailable},
+		{path: PathResumable, faults: backend.EndlessHeads, status: http.StatusBadGateway, runs: mostSends},
+		{path: PathResumable, faults: backend.EndlessBodies, status: http.StatusBadGateway, runs: mostSends},
+		{path: PathResumable, faults: backend.EndlessStreams, status: http.StatusBadGateway, runs: mostSends},
+		{path: PathResumable, faults: events, status: http.StatusOK, broken: true, runs: 1},
+		{path: PathResumable, faults: failure, status: http.StatusBadGateway, runs: 1},
+		{path: PathResumable, faults: refusal, status: http.StatusServiceUnavailable},
 	}
 	o := standard()
 	o.Gateways = 1
