Bound the streams and heads of the product's own upstreams

A stream of an engine was read, and its text kept, as long as it came; only one event was bounded. A head could take the 10 MiB that net/http allows.

A stream may have 65,536 events and 16 MiB, and 1 MiB between two events; a head may have 32 KiB. More is a broken answer, at once.

--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -23,6 +23,9 @@
 	NoReuse       bool          // Each request takes a new connection, so that a send on a dead one cannot be in doubt.
 }
 
+// maxHeadBytes bounds the head of a response. net/http allows 10 MiB; the largest heads here have a few hundred bytes.
+const maxHeadBytes = 32 << 10
+
 // ErrNotSent is returned when a request certainly did not reach the other side.
 var ErrNotSent = errors.New("request was not sent")
 
@@ -50,13 +53,14 @@
 	}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxConnsPerHost:     o.MaxPerHost,
-			MaxIdleConnsPerHost: 64,
-			IdleConnTimeout:     30 * time.Second,
-			DisableKeepAlives:   o.NoReuse,
-			DisableCompression:  true,
-			Protocols:           http1(),
+			DialContext:            dial,
+			MaxConnsPerHost:        o.MaxPerHost,
+			MaxIdleConnsPerHost:    64,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			IdleConnTimeout:        30 * time.Second,
+			DisableKeepAlives:      o.NoReuse,
+			DisableCompression:     true,
+			Protocols:              http1(),
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/daemon/upstream/engine.go
+++ b/daemon/upstream/engine.go
@@ -150,24 +150,55 @@
 		return Answer{}, errors.Wrapf(ErrRefused, "status %d: %s", resp.StatusCode, bytes.TrimSpace(text))
 	}
 	a := accumulator{onText: onText}
-	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: 1 << 20}) {
+	body := &streamBody{ReadCloser: resp.Body, left: maxStreamBytes, idle: maxEventBytes}
+	events := 0
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return a.answer(), errors.Mark(errors.Wrap(err, "read stream"), ErrBroken)
 		}
+		if events++; events > maxEvents {
+			return a.answer(), errors.Wrapf(ErrBroken, "stream has more than %d events", maxEvents)
+		}
+		body.idle = maxEventBytes
 		done, err := a.add(event.Data)
 		if err != nil {
 			return a.answer(), err
 		}
 		if done {
-			drain(resp.Body)
+			drain(body)
 			return a.finish()
 		}
 	}
 	return a.answer(), errors.Wrap(ErrBroken, "stream ended without its end mark")
 }
 
-// maxDrainBytes bounds what is read after the end mark of a stream.
-const maxDrainBytes = 4096
+// Bounds of a stream.
+const (
+	// maxEventBytes bounds one event, and the comments between two events.
+	maxEventBytes = 1 << 20
+	// maxEvents is many times the tokens of a turn at the target size, 620,000 in 420 turns.
+	maxEvents      = 64 << 10
+	maxStreamBytes = transport.MaxResponseBytes
+	// maxDrainBytes bounds what is read after the end mark of a stream.
+	maxDrainBytes = 4096
+)
+
+// streamBody ends with an error at a bound of bytes in all, and of bytes since the last event.
+type streamBody struct {
+	io.ReadCloser
+	left, idle int
+}
+
+// Read implements io.Reader.
+func (s *streamBody) Read(b []byte) (int, error) {
+	if s.left <= 0 || s.idle <= 0 {
+		return 0, transport.ErrTooLarge
+	}
+	n, err := s.ReadCloser.Read(b[:min(len(b), s.left, s.idle)])
+	s.left -= n
+	s.idle -= n
+	return n, err
+}
 
 // drain reads a body to its end, so that the connection is used again. Without it every call dials a new one.
 func drain(body io.Reader) {
