Return a complete answer although its engine keeps the connection open

After the end mark of a stream up to 4 KiB were read for the end of the body, so that the connection can be used again. An engine that sent nothing more and left the connection open held the complete answer back until the deadline of the call.

TestAnswerWithoutEnd reported 6.0 s for "open after the end", with a deadline of 6 s. The end of the body is now awaited for 20 ms, after which the connection is closed: 0.02 s (three runs of three with the race detector).

--- a/daemon/upstream/endless_test.go
+++ b/daemon/upstream/endless_test.go
@@ -70,7 +70,7 @@
 )
 
 // Guards against bytes without end from an engine or a service that hold a call until its deadline or take memory without a
-// bound.
+// bound, and against a call that waits for the end of a connection although its answer is complete.
 func TestAnswerWithoutEnd(t *testing.T) {
 	engines := NewEngines("key", transport.Options{DialTimeout: time.Second})
 	services := NewServices("key", transport.Options{DialTimeout: time.Second})
@@ -111,6 +111,7 @@
 		"events without text": {stream, okStream, "data: {}\n\n", false},
 		"resumed text":        {resume, okStream, text, false},
 		"after the end":       {stream, okStream + text + end, ": x\n\n", true},
+		"open after the end":  {stream, okStream + text + end, "", true},
 		"refusal":             {stream, "HTTP/1.1 503 Service Unavailable\r\n\r\n", "x", false},
 		"load":                {load, okBody, "{", false},
 		"service":             {send, okBody, "x", false},
--- a/daemon/upstream/engine.go
+++ b/daemon/upstream/engine.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
@@ -179,8 +180,9 @@
 	// maxEvents is many times the tokens of a turn at the target size, 620,000 in 420 turns.
 	maxEvents      = 64 << 10
 	maxStreamBytes = transport.MaxResponseBytes
-	// maxDrainBytes bounds what is read after the end mark of a stream.
+	// maxDrainBytes and drainWait bound what is read after the end mark of a stream.
 	maxDrainBytes = 4096
+	drainWait     = 20 * time.Millisecond
 )
 
 // streamBody ends with an error at a bound of bytes in all, and of bytes since the last event.
@@ -201,7 +203,9 @@
 }
 
 // drain reads a body to its end, so that the connection is used again. Without it every call dials a new one.
-func drain(body io.Reader) {
+func drain(body io.ReadCloser) {
+	timer := time.AfterFunc(drainWait, func() { _ = body.Close() }) // Ends the read; the connection is not used again.
+	defer timer.Stop()
 	// An error only costs the connection.
 	_, _ = io.CopyN(io.Discard, body, maxDrainBytes)
 }
