--- a/daemon/gateway/bench_test.go
+++ b/daemon/gateway/bench_test.go
@@ -27,11 +27,10 @@
 			replicas := quorum.New(b.Context(), quorum.Config{RegionOf: func(string) string { return "" }, Log: log, Metrics: set})
 			g := New(Config{Codec: plainCodec{}, Replicas: replicas, Log: log, Metrics: set})
 			for i := 0; b.Loop(); i++ {
-				c := &call{
-					g: g, w: httptest.NewRecorder(), r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: b.Context(), arrived: time.Now(),
-					meta:  Meta{RequestID: fmt.Sprintf("%016x", i), Program: "e7e0c74c90c9f", Previous: "before"},
-					route: &route.Route{Name: "r", Kind: route.Stream, KeepTurns: true},
-				}
+				c := g.newCall(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "/", nil), time.Now())
+				c.ctx = b.Context()
+				c.meta = Meta{RequestID: fmt.Sprintf("%016x", i), Program: "e7e0c74c90c9f", Previous: "before"}
+				c.route = &route.Route{Name: "r", Kind: route.Stream, KeepTurns: true}
 				c.beginTurn()
 				c.finish()
 			}
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -67,6 +67,10 @@
 	finished bool
 }
 
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrived time.Time) *call {
+	return &call{g: g, w: w, r: r, arrived: arrived, held: held{all: &g.held}}
+}
+
 func (c *call) serve() {
 	defer c.finish()
 	meta, err := c.g.cfg.Codec.DecodeRequest(c.r.Header)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -150,8 +150,7 @@
 	if g.stopBy.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{g: g, w: w, r: r, arrived: arrived, held: held{all: &g.held}}
-	c.serve()
+	g.newCall(w, r, arrived).serve()
 }
 
 // Run settles charges in the background until the context ends.
--- a/daemon/gateway/held_test.go
+++ b/daemon/gateway/held_test.go
@@ -91,7 +91,9 @@
 func newCall(t *testing.T) (*call, *httptest.ResponseRecorder) {
 	w := httptest.NewRecorder()
 	g := &Gateway{cfg: Config{Codec: passing{}, Log: slog.New(slog.DiscardHandler)}}
-	return &call{g: g, w: w, r: httptest.NewRequest(http.MethodGet, "/", nil), ctx: t.Context(), route: &route.Route{}, held: held{all: &g.held}}, w
+	c := g.newCall(w, httptest.NewRequest(http.MethodGet, "/", nil), time.Time{})
+	c.ctx, c.route = t.Context(), &route.Route{}
+	return c, w
 }
 
 // Guards against a cut response that passes for a whole one, a large one that is refused although it is proper, and responses
--- a/daemon/gateway/refusal_test.go
+++ b/daemon/gateway/refusal_test.go
@@ -46,11 +46,10 @@
 		)
 		for i := range seconds * perSecond {
 			w := httptest.NewRecorder()
-			c := &call{
-				g: g, w: w, r: httptest.NewRequest(http.MethodPost, "/", nil), ctx: ctx, arrived: time.Now(), version: 4,
-				meta:  Meta{RequestID: fmt.Sprintf("cfd235d37223%04x", i), Program: "e7e0c74c90c9f", Previous: "before"},
-				route: &route.Route{Name: "r-7sf9rcp", Kind: route.Stream, KeepTurns: true},
-			}
+			c := g.newCall(w, httptest.NewRequest(http.MethodPost, "/", nil), time.Now())
+			c.ctx, c.version = ctx, 4
+			c.meta = Meta{RequestID: fmt.Sprintf("cfd235d37223%04x", i), Program: "e7e0c74c90c9f", Previous: "before"}
+			c.route = &route.Route{Name: "r-7sf9rcp", Kind: route.Stream, KeepTurns: true}
 			must.False(t, c.beginTurn())
 			c.finish()
 			must.EqOp(t, http.StatusServiceUnavailable, w.Code)
