End a request at its upstream when the response to its caller is aborted

A caller that went while it got its response, and a turn that too few replicas stored, ended the handler with a panic, as net/http asks for. The end of the request was then never noted at its upstream: for this gateway the upstream had one more request under way with each such caller, until its entry went, and placement avoided it for no reason.

TestAbortedRequestEndsAtItsUpstream reported one running request instead of none. The end is now noted in a deferred function; where the response to the caller was aborted it says nothing about the upstream.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -295,12 +295,20 @@
 	}
 	c.sent[u.ID] = true
 	c.firstByte = time.Since(start)
-	outcome := c.receive(resp, reply)
+	var outcome route.Outcome
+	answered := false
+	defer func() { // Also where the response to the caller is aborted, which says nothing about the upstream.
+		if !answered {
+			c.g.groups.ended(c.service, u.ID, false, 0)
+			return
+		}
+		c.g.groups.ended(c.service, u.ID, outcome != route.Complete && c.ctx.Err() == nil, time.Since(start))
+	}()
+	outcome = c.receive(resp, reply)
+	answered = true
 	if c.overrun {
 		c.avoid[u.ID] = true
 	}
-	failed := outcome != route.Complete && c.ctx.Err() == nil
-	c.g.groups.ended(c.service, u.ID, failed, time.Since(start))
 	return outcome
 }
 
--- /dev/null
+++ b/daemon/gateway/send_test.go
@@ -0,0 +1,73 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/core/placement"
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/catalog"
+	"jackdawbay.dev/daemon/forward"
+)
+
+// plain is a codec whose responses are all signed.
+type plain struct{ passing }
+
+func (plain) EncodeRequest(http.Header, Outgoing) http.Header { return http.Header{} }
+
+func (plain) DecodeReply(http.Header) Reply { return Reply{Signed: true} }
+
+// goneWriter is the connection of a caller that has gone.
+type goneWriter struct{ *httptest.ResponseRecorder }
+
+func (goneWriter) Write([]byte) (int, error) { return 0, errors.New("connection reset") }
+
+// Guards against a request that counts as running at its upstream for ever, because its caller went while it got the response:
+// the upstream then seems busier with each such caller.
+func TestAbortedRequestEndsAtItsUpstream(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // The test is over.
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }() // The response is over.
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") // The test reports a missing response.
+	}()
+	call, w := newCall(t)
+	g := call.g
+	g.cfg = Config{
+		Codec: plain{}, Log: slog.New(slog.DiscardHandler), Pool: forward.NewPool(time.Second, 1, metrics.NewSet()), Metrics: metrics.NewSet(),
+		RegionOf: func(string) string { return "" },
+	}
+	g.groups, g.stats = newGroups(g.cfg), newStats(g.cfg.Metrics)
+	up := catalog.Upstream{ID: "u", Service: "s", Address: l.Addr().String(), Slots: 8}
+	g.groups.update(&catalog.Upstreams{ByService: map[string][]catalog.Upstream{"s": {up}}, ByID: map[string]catalog.Upstream{"u": up}})
+	call.service, call.w, call.route = "s", goneWriter{w}, &route.Route{Kind: route.NonIdempotent}
+	call.avoid, call.sent, call.deadline = map[string]bool{}, map[string]bool{}, time.Now().Add(5*time.Second)
+	choice, ok := g.groups.choose("s", placement.Request{})
+	must.True(t, ok)
+	func() {
+		defer func() { test.Eq(t, any(http.ErrAbortHandler), recover()) }()
+		call.send(choice.Upstream)
+	}()
+	choice, ok = g.groups.choose("s", placement.Request{})
+	must.True(t, ok)
+	test.EqOp(t, 0, choice.Running)
+}
