--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -254,7 +254,11 @@
 	}
 	results, ok := s.perform(r.Context(), b.Ops)
 	if !ok {
-		s.refuse(w, r, http.StatusServiceUnavailable, reasonFull, "waiting", len(s.writes))
+		reason := reasonFull
+		if r.Context().Err() != nil {
+			reason = reasonSenderGone
+		}
+		s.refuse(w, r, http.StatusServiceUnavailable, reason, "waiting", len(s.writes))
 		return
 	}
 	s.replyBatch(w, BatchAnswer{Results: results})
@@ -421,11 +425,12 @@
 
 // Reasons to refuse a request.
 const (
-	reasonDecode    = "body cannot be decoded"
-	reasonNotWhole  = "body is not whole"
-	reasonOtherDisk = "other disk"
-	reasonOtherView = "other view"
-	reasonFull      = "too many writes wait"
+	reasonDecode     = "body cannot be decoded"
+	reasonNotWhole   = "body is not whole"
+	reasonOtherDisk  = "other disk"
+	reasonOtherView  = "other view"
+	reasonFull       = "too many writes wait"
+	reasonSenderGone = "sender gave up" // Mostly because a write to the disk takes longer than it waits.
 )
 
 // refuse counts a refusal by its reason. It logs one line a caller, reason and second.
--- a/daemon/replica/server_test.go
+++ b/daemon/replica/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
@@ -52,3 +53,23 @@
 	set.WritePrometheus(&figures)
 	test.StrContains(t, figures.String(), `jackdawbay_replica_refused_total{reason="other_disk"} 100`)
 }
+
+// TestSenderThatGaveUpIsNoFullRing guards against a log that blames the number of writes when the disk took longer than the sender
+// waits: an engineer on call looks for load then, and not at the disk.
+func TestSenderThatGaveUpIsNoFullRing(t *testing.T) {
+	set := metrics.NewSet()
+	s, err := New(DirFS{Dir: t.TempDir()}, quietLog(), set) // Nothing is written, as by a disk that hangs.
+	must.NoError(t, err)
+	body, err := (&Batch{Disk: s.Disk(), Ops: []Op{{Kind: OpKeep, Turn: &Turn{ID: "t"}, RetainMS: 1000}}}).Encode()
+	must.NoError(t, err)
+	for range writeRing + 1 {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		s.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, PathBatch, bytes.NewReader(body)).WithContext(ctx))
+	}
+	s.Handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, PathBatch, bytes.NewReader(body)))
+	var figures bytes.Buffer
+	set.WritePrometheus(&figures)
+	test.StrContains(t, figures.String(), `jackdawbay_replica_refused_total{reason="sender_gave_up"} 1025`)
+	test.StrContains(t, figures.String(), `jackdawbay_replica_refused_total{reason="too_many_writes_wait"} 1`)
+}
