--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -16,6 +16,7 @@
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/quorum"
 )
 
 // Bounds of a call.
@@ -26,7 +27,6 @@
 	keepTimeout    = 2500 * time.Millisecond // Time for the replicas to store a turn.
 	defaultTimeout = 30 * time.Second        // For a request without a deadline on a route without a timeout.
 	minLeft        = 5 * time.Millisecond    // With less time left a request is not sent.
-	maxAnswerBytes = 16 << 20                // Largest response that is not a stream.
 	busyPause      = 60 * time.Millisecond   // Time for which an upstream that refused a request is avoided.
 )
 
@@ -54,9 +54,12 @@
 	rejected  int
 	choice    placement.Choice
 	firstByte time.Duration
-	beginTook time.Duration // Time for the charge and the history.
-	keepTook  time.Duration // Time for the turn to be stored.
+	beginTook time.Duration    // Time for the charge and the history.
+	keepTook  time.Duration    // Time for the turn to be stored.
+	shortage  *quorum.Shortage // Set where the charge and the history have no quorum.
 
+	held     held // What is held of the response.
+	overrun  bool // The last response exceeded a bound. Its upstream does not get the request again.
 	stream   streamState
 	headSent bool
 	status   int
@@ -64,6 +67,10 @@
 	finished bool
 }
 
+func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrived time.Time) *call {
+	return &call{g: g, w: w, r: r, arrived: arrived, held: held{all: &g.held}}
+}
+
 func (c *call) serve() {
 	defer c.finish()
 	meta, err := c.g.cfg.Codec.DecodeRequest(c.r.Header)
@@ -104,6 +111,7 @@
 	c.ctx = ctx
 	c.service = c.route.Service(c.meta.RequestID)
 	c.perEvent = max(table.Config.Services[c.service].TokensPerEvent, 1)
+	c.stream.mostEvents = mostEvents(c.meta.MaxTokens, c.perEvent)
 	c.avoid, c.sent = map[string]bool{}, map[string]bool{}
 	if !c.beginTurn() {
 		return
@@ -154,8 +162,7 @@
 		if c.r.Context().Err() != nil {
 			c.abort("caller_gone")
 		}
-		c.w.Header().Set("Connection", "close") // The next connection may lead to a gateway that reaches a quorum.
-		c.refuse(errkind.HistoryUnavailable, "", retryHistory)
+		c.refuseHistory(err)
 		return false
 	}
 	if hasBudget && !open.Ledger.Admits(c.meta.RequestID, c.meta.MaxTokens, c.meta.Budget) {
@@ -195,7 +202,7 @@
 
 // may reports whether another send is within the bounds of time, sends and upstreams.
 func (c *call) may() bool {
-	return c.sends < maxSends && c.rejected < maxRejections && c.ctx.Err() == nil && time.Until(c.deadline) > minLeft
+	return !c.stream.excess && c.sends < maxSends && c.rejected < maxRejections && c.ctx.Err() == nil && time.Until(c.deadline) > minLeft
 }
 
 // mayRunElsewhere reports whether the route allows one more upstream to run the request.
@@ -238,6 +245,9 @@
 	c.sends++
 	if len(c.sent) > 0 && !c.mayRunElsewhere() {
 		last := c.choice.Upstream
+		if c.overrun {
+			return last, false
+		}
 		if !c.avoid[last.ID] && c.g.groups.again(c.service, last.ID, c.meta.Prompt) {
 			return last, true
 		}
@@ -290,9 +300,20 @@
 	}
 	c.sent[u.ID] = true
 	c.firstByte = time.Since(start)
-	outcome := c.receive(resp, reply)
-	failed := outcome != route.Complete && c.ctx.Err() == nil
-	c.g.groups.ended(c.service, u.ID, failed, time.Since(start))
+	var outcome route.Outcome
+	answered := false
+	defer func() { // Also where the response to the caller is aborted, which says nothing about the upstream.
+		if !answered {
+			c.g.groups.ended(c.service, u.ID, false, 0)
+			return
+		}
+		c.g.groups.ended(c.service, u.ID, outcome != route.Complete && c.ctx.Err() == nil, time.Since(start))
+	}()
+	outcome = c.receive(resp, reply)
+	answered = true
+	if c.overrun {
+		c.avoid[u.ID] = true
+	}
 	return outcome
 }
 
@@ -314,8 +335,7 @@
 func (c *call) upstreamRejected(u placement.Upstream, resp *forward.Response) route.Outcome {
 	c.rejected++
 	c.avoid[u.ID] = true
-	_, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes))
-	resp.Close(err == nil)
+	resp.Discard()
 	c.g.groups.ended(c.service, u.ID, false, 0)
 	c.g.groups.avoid(c.service, u.ID, busyPause)
 	return route.Rejected
@@ -335,38 +355,98 @@
 	if success && c.route.Kind == route.Stream {
 		return c.receiveStream(resp)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	resp.Close(err == nil)
-	if err != nil {
-		if c.ctx.Err() != nil {
-			return route.Lost
-		}
-		return route.Spoiled
-	}
 	if promisesNotRun(resp.StatusCode) {
+		resp.Discard()
 		return route.Lost // The upstream does not state that it did not run the request, so the status cannot be passed on.
 	}
 	if !success && c.route.Repeatable() && c.may() && c.mayRunElsewhere() && resp.StatusCode >= http.StatusInternalServerError {
+		resp.Discard()
 		return route.Lost
 	}
 	if c.headSent {
+		resp.Discard()
 		return route.Interrupted
 	}
+	return c.receiveWhole(resp)
+}
+
+// receiveWhole passes a response on once it is whole. One of a stated length is passed on as it arrives where it cannot be
+// held: its caller notices an early end.
+func (c *call) receiveWhole(resp *forward.Response) route.Outcome {
+	defer c.held.release()
+	length := resp.ContentLength
+	if resp.Body == http.NoBody {
+		length = 0 // The response to a HEAD request states the length of a body that is not sent.
+	}
+	var pieces [][]byte
+	var err error
+	switch {
+	case length > maxAnswerBytes:
+		err = errResponseTooLarge
+	case length < 0:
+		pieces, err = c.held.readUnmarked(resp.Body)
+	case c.held.grow(length):
+		pieces, err = readStated(resp.Body, length)
+	default:
+		c.sendHead(resp, length)
+		if _, err := io.Copy(c.w, resp.Body); err != nil {
+			resp.Close(false)
+			return route.Interrupted
+		}
+		resp.Close(true)
+		return c.delivered(resp)
+	}
+	resp.Close(err == nil)
+	switch {
+	case errors.Is(err, errResponseTooLarge) || errors.Is(err, errHeldFull):
+		c.overrun = true
+		c.logRefused(err)
+		return route.Spoiled
+	case err != nil && c.ctx.Err() != nil:
+		return route.Lost
+	case err != nil:
+		return route.Spoiled
+	}
+	length = 0
+	for _, p := range pieces {
+		length += int64(len(p))
+	}
+	c.sendHead(resp, length)
+	for _, p := range pieces {
+		if _, err := c.w.Write(p); err != nil {
+			c.abort("caller_gone")
+		}
+	}
+	return c.delivered(resp)
+}
+
+func (c *call) delivered(resp *forward.Response) route.Outcome {
+	c.outcome = "complete"
+	if resp.StatusCode/100 != 2 {
+		return route.UpstreamErr
+	}
+	return route.Complete
+}
+
+// sendHead passes the head of a response on. Length is negative for a stream.
+func (c *call) sendHead(resp *forward.Response, length int64) {
 	h := c.w.Header()
 	for name, values := range c.g.cfg.Codec.EncodeReply(resp.Header, true) {
 		h[name] = values
 	}
-	h.Set("Content-Length", strconv.Itoa(len(body)))
-	c.status, c.outcome = resp.StatusCode, "complete"
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
 	c.headSent = true
+	c.status = resp.StatusCode
 	c.w.WriteHeader(resp.StatusCode)
-	if _, err := c.w.Write(body); err != nil {
-		c.abort("caller_gone")
-	}
-	if !success {
-		return route.UpstreamErr
-	}
-	return route.Complete
+}
+
+// logRefused tells why bytes of an upstream are not taken for a response.
+func (c *call) logRefused(err error) {
+	c.g.cfg.Log.Info("response is not taken", "request", c.meta.RequestID, "upstream", c.choice.Upstream.ID, "reason", err,
+		"held", c.held.bytes, "held_by_all", c.g.held.taken.Load(), "events", c.stream.events, "stream_bytes", c.stream.bytes,
+		"most_events", c.stream.mostEvents)
 }
 
 // promisesNotRun reports whether callers take a status as the promise that the request has not run.
@@ -416,15 +496,9 @@
 		return
 	}
 	c.finished = true
+	c.held.release()
 	c.settle()
 	took := time.Since(c.arrived)
 	c.g.stats.observe(c.route, c.outcome, took)
-	name := ""
-	if c.route != nil {
-		name = c.route.Name
-	}
-	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.version,
-		"upstream", c.choice.Upstream.ID, "running", int(c.choice.Running), "report_age", c.choice.ReportAge.Round(time.Millisecond),
-		"missing", c.choice.Missing, "sends", c.sends, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
-		"begin", c.beginTook.Round(time.Millisecond), "keep", c.keepTook.Round(time.Millisecond), "first", c.firstByte.Round(time.Millisecond), "took", took.Round(time.Millisecond))
+	c.logLine(took)
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -83,18 +83,21 @@
 	lastSeen  atomic.Int64 // Time of the last request in Unix nanoseconds.
 	groups    *groups
 	turns     *turnCache
+	held      heldBytes
 	settle    chan settlement
 	stats     *stats
+	refused   *refusedTurns
 }
 
 // New returns a gateway.
 func New(cfg Config) *Gateway {
 	g := &Gateway{
-		cfg:    cfg,
-		groups: newGroups(cfg),
-		turns:  newTurnCache(cfg.CacheBytes),
-		settle: make(chan settlement, settleRing),
-		stats:  newStats(cfg.Metrics),
+		cfg:     cfg,
+		groups:  newGroups(cfg),
+		turns:   newTurnCache(cfg.CacheBytes),
+		settle:  make(chan settlement, settleRing),
+		stats:   newStats(cfg.Metrics),
+		refused: newRefusedTurns(cfg.Log),
 	}
 	g.lastSeen.Store(time.Now().UnixNano())
 	return g
@@ -147,8 +150,7 @@
 	if g.stopBy.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	c := &call{g: g, w: w, r: r, arrived: arrived}
-	c.serve()
+	g.newCall(w, r, arrived).serve()
 }
 
 // Run settles charges in the background until the context ends.
--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -8,10 +8,10 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -29,8 +29,25 @@
 	chains atomic.Int64
 }
 
-// newNodes starts replicas of one view, two of them in the region of the client.
-func newNodes(t *testing.T, count int) ([]*node, core.View) {
+// inProcess calls handlers by address without a network, since a wait for a socket would keep the clock of a bubble still.
+type inProcess map[string]http.Handler
+
+// RoundTrip implements http.RoundTripper.
+func (p inProcess) RoundTrip(r *http.Request) (*http.Response, error) {
+	in := r.Clone(r.Context())
+	if in.Body == nil {
+		in.Body = http.NoBody
+	}
+	w := httptest.NewRecorder()
+	p[r.URL.Host].ServeHTTP(w, in)
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	return w.Result(), nil
+}
+
+// newNodes starts replicas of one view that listen where the function says, two of them in the region of the client.
+func newNodes(t *testing.T, count int, listen func(i int, h http.Handler) (address string)) ([]*node, core.View) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	var done sync.WaitGroup
@@ -47,11 +64,10 @@
 			_ = s.RunWriter(ctx) // Ends with the context.
 		}()
 		handler := s.Handler()
-		listener := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		address := listen(i, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			n.serve(handler, w, r)
 		}))
-		t.Cleanup(listener.Close)
-		n.member = core.Member{VM: fmt.Sprint("vm-", i), Disk: s.Disk(), Address: strings.TrimPrefix(listener.URL, "http://"), DataCentre: fmt.Sprint("dc-", i)}
+		n.member = core.Member{VM: fmt.Sprint("vm-", i), Disk: s.Disk(), Address: address, DataCentre: fmt.Sprint("dc-", i)}
 		nodes = append(nodes, n)
 		v.Sets[0] = append(v.Sets[0], n.member)
 	}
@@ -85,6 +101,11 @@
 
 // newClient uses the view, which the replicas learn from its first batches.
 func newClient(t *testing.T, v core.View) *Client {
+	t.Helper()
+	return newClientOver(t, v, &http.Transport{MaxIdleConnsPerHost: 32})
+}
+
+func newClientOver(t *testing.T, v core.View, transport http.RoundTripper) *Client {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -97,7 +118,7 @@
 			}
 			return "far"
 		},
-		Client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}},
+		Client:  &http.Client{Transport: transport},
 		Log:     quiet(),
 		Metrics: metrics.NewSet(),
 	})
@@ -122,11 +143,26 @@
 	return sum
 }
 
+// onHeldClock runs a test over five replicas on a clock that stands still while a replica works, so that a slow disk or
+// processor of the machine is no silent replica.
+func onHeldClock(t *testing.T, run func(t *testing.T, nodes []*node, c *Client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		network := inProcess{}
+		nodes, v := newNodes(t, 5, func(i int, h http.Handler) string {
+			address := fmt.Sprint("replica-", i)
+			network[address] = h
+			return address
+		})
+		run(t, nodes, newClientOver(t, v, network))
+	})
+}
+
 // TestChainIsReadOnce guards against histories that every replica of a quorum sends, most of which is thrown away, and
 // against a chain that is not found because the nearest replica lacks a part of it.
-func TestChainIsReadOnce(t *testing.T) {
-	nodes, v := newNodes(t, 5)
-	c := newClient(t, v)
+func TestChainIsReadOnce(t *testing.T) { onHeldClock(t, chainIsReadOnce) }
+
+func chainIsReadOnce(t *testing.T, nodes []*node, c *Client) {
 	keepTurn(t, c, "t1", "")
 	keepTurn(t, c, "t2", "t1")
 	open, err := c.Begin(t.Context(), "p", &core.Charge{Turn: "t3", Tokens: 5}, "t2", time.Minute, unknown)
@@ -203,9 +239,9 @@
 }
 
 // TestSilentReplicaIsReplacedAtOnce guards against operations that wait for the time-out of a replica that answers nobody.
-func TestSilentReplicaIsReplacedAtOnce(t *testing.T) {
-	nodes, v := newNodes(t, 5)
-	c := newClient(t, v)
+func TestSilentReplicaIsReplacedAtOnce(t *testing.T) { onHeldClock(t, silentReplicaIsReplacedAtOnce) }
+
+func silentReplicaIsReplacedAtOnce(t *testing.T, nodes []*node, c *Client) {
 	for i := range 20 {
 		keepTurn(t, c, fmt.Sprint("warm", i), "")
 	}
@@ -220,9 +256,9 @@
 
 // TestKeepOutlastsALoss guards against turns that are broken off although their caller has every event: on the grown Odblask
 // day trouble-3, a turn ended 0.9 s after its last event while disks were lost, with 1.6 s left.
-func TestKeepOutlastsALoss(t *testing.T) {
-	nodes, v := newNodes(t, 5)
-	c := newClient(t, v)
+func TestKeepOutlastsALoss(t *testing.T) { onHeldClock(t, keepOutlastsALoss) }
+
+func keepOutlastsALoss(t *testing.T, nodes []*node, c *Client) {
 	keepTurn(t, c, "warm", "")
 	for _, n := range nodes[:3] {
 		n.silent.Store(true)
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -35,8 +35,8 @@
 	probeWait          = 100 * time.Millisecond  // Above a round trip between regions.
 	firstViewDelay     = 1500 * time.Millisecond // VMs of a first start register within this time of each other.
 	copyTimeout        = 10 * time.Second        // An inventory of megabytes over a busy link between regions.
+	copyStall          = 1500 * time.Millisecond // Time without a byte after which a connection counts as silent; above a slow sync.
 	lateInventory      = 500 * time.Millisecond  // Wait for further inventories when those that are needed have been read.
-	watchWait          = 15 * time.Second
 	watchPause         = 100 * time.Millisecond  // Changes within this time are read together.
 	youngFor           = 15 * time.Second        // Time for which a newly registered VM may be a successor.
 	successorWait      = 2 * time.Second         // Time for which a VM that is to be emptied waits for a VM that takes its place.
@@ -70,7 +70,8 @@
 	Log         *slog.Logger
 
 	copying  atomic.Bool
-	progress *copyProgress // Used by the copy under way only.
+	progress *copyProgress       // Used by the copy under way only.
+	noted    map[string]standing // By member of the current set, as it was last logged. Used by Run only.
 
 	mu            sync.Mutex
 	registered    map[string]replica.Member
@@ -80,6 +81,7 @@
 	firstSeen     map[string]time.Time // By VM; only of VMs that registered while this replica watched.
 	retiringSince map[string]time.Time // By VM.
 	listed        bool                 // The registrations have been read once.
+	heard         time.Time            // When the store last answered about registrations, or the start.
 	view          replica.View
 	viewRev       uint64
 	dueSince      time.Time // Since when a change of the view is due; zero where none is.
@@ -96,8 +98,10 @@
 	m.probing = map[string]bool{}
 	m.firstSeen = map[string]time.Time{}
 	m.retiringSince = map[string]time.Time{}
+	m.noted = map[string]standing{}
 	m.view = m.Server.View()
 	m.started = time.Now()
+	m.heard = m.started
 	m.changed = make(chan struct{}, 1)
 }
 
@@ -111,16 +115,16 @@
 // RunWatchers follows the three kinds of objects. It returns when the context ends.
 func (m *Membership) RunWatchers(ctx context.Context) error {
 	var wg sync.WaitGroup
-	follow := func(kind string, h platform.Handler) {
+	follow := func(kind string, h platform.Handler, onRead func(at time.Time)) {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Wait: watchWait, Pause: watchPause, Log: m.Log}, h)
+			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{Pause: watchPause, Log: m.Log, OnRead: onRead}, h)
 		}()
 	}
-	follow(RegistrationKind, m.onRegistrations)
-	follow(ViewKind, m.onView)
-	follow(m.Retirements.RetirementKind(), m.onRetirements)
+	follow(RegistrationKind, m.onRegistrations, m.onRegistrationsRead)
+	follow(ViewKind, m.onView, nil)
+	follow(m.Retirements.RetirementKind(), m.onRetirements, nil)
 	wg.Wait()
 	return ctx.Err()
 }
@@ -147,6 +151,12 @@
 	m.wake()
 }
 
+func (m *Membership) onRegistrationsRead(at time.Time) {
+	m.mu.Lock()
+	m.heard = at
+	m.mu.Unlock()
+}
+
 func (m *Membership) onView(objects map[string]platform.Object) {
 	o, ok := objects[ViewName]
 	if !ok {
@@ -327,7 +337,9 @@
 	m.mu.Unlock()
 	v.Tolerate = m.Tolerate()
 	rank, may := replica.ProposerRank(v, f, m.Self.VM)
-	if _, due := replica.Propose(v, f); !due || !may {
+	_, due := replica.Propose(v, f)
+	m.noteMembers(v, f, due && may)
+	if !due || !may {
 		m.dueSince = time.Time{}
 		return
 	}
@@ -343,6 +355,42 @@
 	})
 }
 
+// standing is what a replica believes of a member of the current set.
+type standing string
+
+const (
+	answers standing = "answers"
+	silent  standing = "silent"
+	overdue standing = "overdue" // Silent for longer than a successor waits to take its place.
+)
+
+// noteMembers logs each change of what is believed of a member of the current set, with the inputs of the decision to
+// replace it.
+func (m *Membership) noteMembers(v replica.View, f replica.Fleet, proposes bool) {
+	m.mu.Lock()
+	age := time.Since(m.heard)
+	m.mu.Unlock()
+	noted := map[string]standing{}
+	for _, member := range v.Current() {
+		now, quiet := answers, f.SilentFor(member.VM)
+		switch {
+		case f.Answers(member.VM):
+		case quiet > replica.ReplaceAfter:
+			now = overdue
+		default:
+			now = silent
+		}
+		noted[member.Key()] = now
+		before, known := m.noted[member.Key()]
+		if now == before || !known && now == answers {
+			continue
+		}
+		m.Log.Info("member of the view", "member", member.VM, "disk", member.Disk, "standing", now, "before", before,
+			"silent_for", quiet, "view", v.Version, "registered", len(f.Registered), "registrations_age", age, "proposes", proposes)
+	}
+	m.noted = noted
+}
+
 func (m *Membership) fleet() replica.Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -627,6 +675,10 @@
 	return nil
 }
 
+// maxInventoryBytes bounds an inventory as it is decoded. The turns and ledgers of a minute and a half at 600 turns a second, the
+// most that one group of replicas carries, have 10 MB.
+const maxInventoryBytes = 32 << 20
+
 // copyGroup bounds the entries that a copy hands to the disk at once.
 const copyGroup = 500
 
@@ -639,7 +691,7 @@
 	if err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, resp.Body) // An empty body; a failure shows in the next use of the connection.
+	_, _ = io.CopyN(io.Discard, resp.Body, 1) // An empty body; of any other, the connection is not used again.
 	if err := resp.Body.Close(); err != nil {
 		return err
 	}
@@ -651,8 +703,6 @@
 
 // fetchTurns reads turns from another replica as they stand in its log.
 func (m *Membership) fetchTurns(ctx context.Context, member replica.Member, v replica.View, ids []string) ([]record, error) {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	resp, err := m.send(ctx, member.Address, PathTurns, CopyRequest{View: v, Disk: member.Disk, IDs: ids})
 	if err != nil {
 		return nil, err
@@ -665,8 +715,6 @@
 }
 
 func (m *Membership) post(ctx context.Context, address, path string, body, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	resp, err := m.send(ctx, address, path, body)
 	if err != nil {
 		return err
@@ -680,11 +728,52 @@
 		}
 		from = z
 	}
-	return errors.Wrap(json.NewDecoder(from).Decode(into), "decode an answer")
+	return errors.Wrapf(json.NewDecoder(io.LimitReader(from, maxInventoryBytes)).Decode(into), "decode the first %d bytes of an answer", maxInventoryBytes)
+}
+
+// errStalled ends a request whose answer does not go on.
+var errStalled = errors.Newf("no byte for %s", copyStall)
+
+// copyBody is the body of an answer to a copy request. It ends the request when it stalls.
+type copyBody struct {
+	io.ReadCloser
+	stall  *time.Timer
+	cancel context.CancelFunc
 }
 
-// send posts a body and returns an answer with status 200.
+// Read implements io.Reader.
+func (b *copyBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if n > 0 {
+		b.stall.Reset(copyStall)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *copyBody) Close() error {
+	b.stall.Stop()
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// send posts a body and returns an answer with status 200. The request ends after copyTimeout, and before when nothing arrives
+// for copyStall.
 func (m *Membership) send(ctx context.Context, address, path string, body any) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	ctx, stalled := context.WithCancelCause(ctx)
+	stall := time.AfterFunc(copyStall, func() { stalled(errStalled) })
+	resp, err := m.request(ctx, address, path, body)
+	if err != nil {
+		stall.Stop()
+		cancel()
+		return nil, err
+	}
+	resp.Body = &copyBody{ReadCloser: resp.Body, stall: stall, cancel: cancel}
+	return resp, nil
+}
+
+func (m *Membership) request(ctx context.Context, address, path string, body any) (*http.Response, error) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode a request")
