--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -18,7 +18,7 @@
 	duration = flag.Duration("faults", 6*time.Second, "Time with faults for each seed.")
 	losses   = flag.Int("losses", 3, "Losses of replica VMs in series for each seed.")
 	large    = flag.Bool("large", false, "Use 30 gateways, 5 replicas and 60 callers.")
-	together = flag.Int("together", 3, "Seeds that are played at the same time.")
+	together = flag.Int("together", 5, "Seeds that are played at the same time.")
 )
 
 // regression is a seed that has failed, with its cause.
@@ -29,7 +29,16 @@
 
 var (
 	regressions       []regression // Of TestSoak.
-	seriesRegressions []regression // Of TestLossesInSeries.
+	seriesRegressions = []regression{
+		{6, "members heard of a successor only when watches of a silent store timed out, after the next loss"},
+		{10, "members heard of a successor only when watches of a silent store timed out, after the next loss"},
+		{19, "a set of two replicas never changed again when one of them was replaced for good"},
+		{22, "members heard of a successor only when watches of a silent store timed out, after the next loss"},
+		{23, "a set of two replicas never changed again when one of them was replaced for good"},
+		{24, "members heard of a successor only when watches of a silent store timed out, after the next loss"},
+		{1021, "a set of two replicas never changed again when one of them was replaced for good"},
+		{1034, "a set of two replicas never changed again when one of them was replaced for good"},
+	}
 )
 
 var binaries string
