--- a/daemon/gateway/held_test.go
+++ b/daemon/gateway/held_test.go
@@ -60,8 +60,8 @@
 
 func (passing) EncodeReply(from http.Header, _ bool) http.Header { return from.Clone() }
 
-// exchange gets a response with the given bytes from an upstream that then closes its connection.
-func exchange(t *testing.T, method, response string) *forward.Response {
+// oneResponse starts an upstream that answers one request with the given bytes and closes its connection. It returns its address.
+func oneResponse(t *testing.T, response string) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
@@ -78,10 +78,17 @@
 		}
 		_, _ = io.WriteString(c, response) // The reader may close the connection before.
 	}()
+	return l.Addr().String()
+}
+
+// exchange gets a response with the given bytes.
+func exchange(t *testing.T, method, response string) *forward.Response {
+	t.Helper()
+	address := oneResponse(t, response)
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	t.Cleanup(cancel)
 	p := forward.NewPool(time.Second, 1, metrics.NewSet())
-	conn, err := p.Get(ctx, l.Addr().String())
+	conn, err := p.Get(ctx, address)
 	must.NoError(t, err)
 	resp, err := p.Send(ctx, conn, forward.Request{Method: method, Target: "/", Host: "h", Own: func(http.Header) bool { return true }})
 	must.NoError(t, err)
--- a/daemon/gateway/send_test.go
+++ b/daemon/gateway/send_test.go
@@ -1,10 +1,7 @@
 package gateway
 
 import (
-	"bufio"
-	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -36,20 +33,7 @@
 // Guards against a request that counts as running at its upstream for ever, because its caller went while it got the response:
 // the upstream then seems busier with each such caller.
 func TestAbortedRequestEndsAtItsUpstream(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() }) // The test is over.
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }() // The response is over.
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok") // The test reports a missing response.
-	}()
+	address := oneResponse(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 	call, w := newCall(t)
 	g := call.g
 	g.cfg = Config{
@@ -57,7 +41,7 @@
 		RegionOf: func(string) string { return "" },
 	}
 	g.groups, g.stats = newGroups(g.cfg), newStats(g.cfg.Metrics)
-	up := catalog.Upstream{ID: "u", Service: "s", Address: l.Addr().String(), Slots: 8}
+	up := catalog.Upstream{ID: "u", Service: "s", Address: address, Slots: 8}
 	g.groups.update(&catalog.Upstreams{ByService: map[string][]catalog.Upstream{"s": {up}}, ByID: map[string]catalog.Upstream{"u": up}})
 	call.service, call.w, call.route = "s", goneWriter{w}, &route.Route{Kind: route.NonIdempotent}
 	call.avoid, call.sent, call.deadline = map[string]bool{}, map[string]bool{}, time.Now().Add(5*time.Second)
