--- a/daemon/platform/follow.go
+++ b/daemon/platform/follow.go
@@ -23,7 +23,7 @@
 
 // WatchWait is the longest time of one watch. A watch that waits when the store falls silent may never be answered, also when
 // the store is back, so this bounds how long a follower hears of nothing. Together with the time-out of a call and the pauses
-// of Follow it stays below the 4 s after which a VM counts as in touch with the store again.
+// of Follow it stays below 4 s, the time within which a VM must act on the present state after an outage.
 const WatchWait = 2500 * time.Millisecond
 
 // Times after a failed call.
