Let one function play a silent store to a follower in both tests

The two tests of the follower each held a copy of the same steps. The checks and bounds are the same; the wait for the change is bounded by a minute in both now.

--- a/daemon/platform/follow_test.go
+++ b/daemon/platform/follow_test.go
@@ -88,6 +88,51 @@
 	}
 }
 
+// hearing is what became of a change that was made when a silent store came back.
+type hearing struct {
+	after   time.Duration // From the return of the store until the follower heard of the change.
+	elapsed time.Duration // From the start of the follower to its end.
+	calls   int
+}
+
+// hear follows a store that is silent for a time, which begins at a time after the follower's start.
+func hear(t *testing.T, pause, begins, lasts time.Duration) hearing {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	start := time.Now()
+	s := &deadStore{changed: make(chan struct{})}
+	heard := make(chan time.Time, 16)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		Follow(ctx, s, "kind", FollowOptions{Pause: pause, Log: slog.New(slog.NewTextHandler(io.Discard, nil))},
+			func(objects map[string]Object) {
+				if len(objects) > 0 {
+					heard <- time.Now()
+				}
+			})
+	}()
+	time.Sleep(begins)
+	s.set(func() { s.dead = true })
+	time.Sleep(lasts)
+	back := time.Now()
+	s.set(func() {
+		s.dead = false
+		s.objects = append(s.objects, Object{Kind: "kind", Name: "successor", Version: 2})
+	})
+	var h hearing
+	select {
+	case at := <-heard:
+		h.after = at.Sub(back)
+	case <-time.After(time.Minute):
+		t.Error("the change was not heard of")
+	}
+	cancel()
+	<-done
+	h.elapsed, h.calls = time.Since(start), s.calls
+	return h
+}
+
 // Guards against a follower that does not hear of a change for the whole wait of a watch, because the watch was sent to a store
 // that was silent and will never answer it.
 func TestFollowerHearsSoonAfterASilentStore(t *testing.T) {
@@ -105,38 +150,35 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				start := time.Now()
-				s := &deadStore{changed: make(chan struct{})}
-				heard := make(chan time.Time, 16)
-				done := make(chan struct{})
-				go func() {
-					defer close(done)
-					Follow(ctx, s, "kind", FollowOptions{Log: slog.New(slog.NewTextHandler(io.Discard, nil))},
-						func(objects map[string]Object) {
-							if len(objects) > 0 {
-								heard <- time.Now()
-							}
-						})
-				}()
-				time.Sleep(c.begins)
-				s.set(func() { s.dead = true })
-				time.Sleep(c.lasts)
-				back := time.Now()
-				s.set(func() {
-					s.dead = false
-					s.objects = append(s.objects, Object{Kind: "kind", Name: "successor", Version: 2})
-				})
-				select {
-				case at := <-heard:
-					test.LessEq(t, c.bound, at.Sub(back))
-				case <-time.After(time.Minute):
-					t.Error("the change was not heard of")
-				}
-				cancel()
-				<-done
-				test.LessEq(t, time.Since(start).Seconds()+1, float64(s.calls), test.Sprint("more than one call a second"))
+				h := hear(t, 0, c.begins, c.lasts)
+				test.LessEq(t, c.bound, h.after)
+				test.LessEq(t, h.elapsed.Seconds()+1, float64(h.calls), test.Sprint("more than one call a second"))
 			})
 		})
 	}
 }
+
+// Guards against a follower that still believes what was true before an outage when its VM counts as in touch with the store
+// again: a watch that was swallowed by a short silence must be given up within that time, whenever it was sent.
+func TestFollowerHearsWithinContactTimeOfAnyOutage(t *testing.T) {
+	const (
+		inTouch = 4 * time.Second        // Time after which VMs count as in touch with the store again.
+		pause   = 300 * time.Millisecond // The longest pause between watches in use.
+		step    = 50 * time.Millisecond
+	)
+	for _, lasts := range []time.Duration{
+		10 * time.Millisecond, 100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 9 * time.Second,
+	} {
+		t.Run(lasts.String(), func(t *testing.T) {
+			var worst, begins time.Duration
+			for b := time.Second; b <= time.Second+2*(WatchWait+pause); b += step {
+				synctest.Test(t, func(t *testing.T) {
+					if h := hear(t, pause, b, lasts); h.after > worst {
+						worst, begins = h.after, b
+					}
+				})
+			}
+			test.LessEq(t, inTouch, worst, test.Sprintf("silent from %v after the start", begins))
+		})
+	}
+}
