--- a/daemon/platform/follow.go
+++ b/daemon/platform/follow.go
@@ -84,6 +84,10 @@
 	f.recordResponse(revision)
 	changed := false
 	for _, e := range events {
+		if e.Object.Name == "" {
+			f.logUnnamed(e.Object)
+			continue
+		}
 		if old, ok := f.objects[e.Object.Name]; ok && e.Object.Version < old.Version {
 			continue
 		}
@@ -108,6 +112,10 @@
 	}
 	f.objects = make(map[string]Object, len(items))
 	for _, o := range items {
+		if o.Name == "" {
+			f.logUnnamed(o)
+			continue
+		}
 		f.objects[o.Name] = o
 	}
 	f.recordResponse(revision)
@@ -115,6 +123,11 @@
 	return nil
 }
 
+// logUnnamed logs an object that another writer has left without a readable name. It cannot be used or removed.
+func (f *follower) logUnnamed(o Object) {
+	f.options.Log.Warn("object without a readable name; skipped", "kind", f.kind, "revision", o.Version)
+}
+
 // recordResponse records a successful call.
 func (f *follower) recordResponse(revision uint64) {
 	now := time.Now()
--- a/daemon/platform/platform.go
+++ b/daemon/platform/platform.go
@@ -323,7 +323,15 @@
 		if !p.More || len(p.Items) == 0 {
 			return revision, items, nil
 		}
-		after = p.Items[len(p.Items)-1].Name
+		previous := after
+		for _, o := range p.Items {
+			if o.Name != "" { // Another writer may have left an object whose name cannot be read.
+				after = o.Name
+			}
+		}
+		if after == previous {
+			return 0, nil, errors.Newf("list of kind %s: a page has no readable name to continue from", kind)
+		}
 	}
 }
 
