Send nothing new to an upstream that states that it leaves

Cause: an upstream that leaves says so in its responses, before or without its entry in the store. The gateway did not read the header, so it kept sending to such an upstream as long as the entry said ready. Change: the process of an upstream (ID, start and address) that states that it leaves is excluded for good, also from the second pass of a placement and when its entry lapses and returns. A successor with the same ID gets requests. Before: TestLeavingUpstreamGetsNothingNew failed in 4 of 4 cases. After: it and TestLeavingUpstreamIsExcluded pass.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -84,11 +84,24 @@
 type Group struct {
 	weights       Weights
 	upstreams     map[string]*upstreamState
+	leaving       map[string]processKey // Upstreams that have stated that they leave, by ID.
 	ids           []string
 	prefixHashes  []uint64 // Scratch space for the prefixes of the prompt that is being placed.
 	meanServiceMS float64  // Moving average of the request duration in milliseconds.
 }
 
+// processKey distinguishes the processes that have had the same ID.
+type processKey struct {
+	startMillis int64
+	address     string
+}
+
+func (u Upstream) processKey() processKey { return processKey{u.StartMillis, u.Address} }
+
+// maxLeaving is the number of leaving upstreams above which those that are no longer listed are forgotten. It is above the
+// number of upstreams of a deployment.
+const maxLeaving = 2000
+
 // initialServiceMS is the assumed request duration until a request has been observed.
 const initialServiceMS = 100
 
@@ -97,7 +110,7 @@
 
 // NewGroup returns an empty group.
 func NewGroup(w Weights) *Group {
-	return &Group{weights: w, upstreams: map[string]*upstreamState{}, meanServiceMS: initialServiceMS}
+	return &Group{weights: w, upstreams: map[string]*upstreamState{}, leaving: map[string]processKey{}, meanServiceMS: initialServiceMS}
 }
 
 // Update replaces the list of upstreams. The state of an upstream is retained while its process and address are the same.
@@ -106,7 +119,7 @@
 	g.ids = g.ids[:0]
 	for _, info := range entries {
 		u, ok := g.upstreams[info.ID]
-		if !ok || u.info.StartMillis != info.StartMillis || u.info.Address != info.Address {
+		if !ok || u.info.processKey() != info.processKey() {
 			u = &upstreamState{}
 		}
 		u.info = info
@@ -114,6 +127,31 @@
 		g.ids = append(g.ids, info.ID)
 	}
 	g.upstreams = next
+	// The entry of a leaving upstream may lapse and return, so that a missing entry alone does not end the exclusion.
+	for id, key := range g.leaving {
+		u, listed := next[id]
+		if listed && u.info.processKey() != key || !listed && len(g.leaving) > maxLeaving {
+			delete(g.leaving, id)
+		}
+	}
+}
+
+// RecordLeaving excludes the process of an upstream from new requests for good, since it has stated in a response that it
+// leaves. It reports whether that was not known.
+func (g *Group) RecordLeaving(u Upstream) bool {
+	if g.leaving[u.ID] == u.processKey() {
+		return false
+	}
+	if current, ok := g.upstreams[u.ID]; ok && current.info.processKey() != u.processKey() {
+		return false // The response of an earlier process with this ID.
+	}
+	g.leaving[u.ID] = u.processKey()
+	return true
+}
+
+func (g *Group) isLeaving(id string) bool {
+	_, ok := g.leaving[id]
+	return ok
 }
 
 // Choose returns the upstream with the lowest estimated cost, or false if no upstream is eligible. Ejected upstreams are
@@ -126,7 +164,7 @@
 	for pass := 0; pass < 2 && !found; pass++ {
 		for i, id := range g.ids {
 			u := g.upstreams[id]
-			if u.info.Draining || r.Excluded[id] || pass == 0 && now.Before(u.ejectedUntil) {
+			if u.info.Draining || g.isLeaving(id) || r.Excluded[id] || pass == 0 && now.Before(u.ejectedUntil) {
 				continue
 			}
 			c := g.estimate(now, u, r, meanOther)
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -121,6 +121,29 @@
 	test.EqOp(t, 0, mustChoose(t, g, startTime, Request{}).EstimatedRunning, test.Sprint("the end of an earlier request must not reduce the count"))
 }
 
+// Guards against requests to an upstream that has stated that it leaves: after a failure elsewhere, when its entry lapses and
+// returns, and beside a successor with the same ID, which must get requests.
+func TestLeavingUpstreamIsExcluded(t *testing.T) {
+	g := newGroup(2, 8)
+	first := mustChoose(t, g, startTime, Request{}).Upstream
+	other := map[string]string{"u0": "u1", "u1": "u0"}[first.ID]
+	test.True(t, g.RecordLeaving(first))
+	test.False(t, g.RecordLeaving(first))
+	test.EqOp(t, other, mustChoose(t, g, startTime, Request{}).Upstream.ID)
+	_, ok := g.Choose(startTime, Request{Excluded: map[string]bool{other: true}})
+	test.False(t, ok, test.Sprint("no upstream is better than one that leaves"))
+	g.Update(nil)
+	g.Update([]Upstream{first})
+	_, ok = g.Choose(startTime, Request{})
+	test.False(t, ok, test.Sprint("the entry of the same process has returned"))
+	successor := first
+	successor.StartMillis++
+	g.Update([]Upstream{successor})
+	test.EqOp(t, first.ID, mustChoose(t, g, startTime, Request{}).Upstream.ID)
+	test.False(t, g.RecordLeaving(first), test.Sprint("a late response of the earlier process"))
+	test.EqOp(t, first.ID, mustChoose(t, g, startTime, Request{}).Upstream.ID)
+}
+
 // Guards against queueing in the own region while another region is idle, and against requests to a distant region without
 // need.
 func TestRoundTripAgainstQueueing(t *testing.T) {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -295,6 +295,9 @@
 	if responseMeta.HasLoad {
 		c.g.upstreams.recordLoad(c.service, u.ID, responseMeta.Load)
 	}
+	if responseMeta.Leaving && c.g.upstreams.recordLeaving(c.service, u) {
+		c.g.cfg.Log.Info("upstream states that it leaves", "upstream", u.ID, "address", u.Address, "request", c.meta.RequestID)
+	}
 	if responseMeta.NotExecuted || resp.StatusCode == http.StatusMisdirectedRequest {
 		return c.handleRejection(u, resp)
 	}
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -128,6 +128,13 @@
 	g.group(service).RecordLoad(time.Now(), upstream, l)
 }
 
+// recordLeaving excludes an upstream that leaves from new requests. It reports whether that was not known.
+func (g *upstreamGroups) recordLeaving(service string, u placement.Upstream) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.group(service).RecordLeaving(u)
+}
+
 func (g *upstreamGroups) recordEnd(service, upstream string, failed bool, duration time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -46,6 +46,7 @@
 	RequestID   string
 	Signed      bool // The response has the signature of an upstream.
 	NotExecuted bool // The upstream states that it did not execute the request.
+	Leaving     bool // The upstream states that it leaves and must get no new requests.
 	Instance    string
 	Load        placement.Load
 	HasLoad     bool
--- /dev/null
+++ b/daemon/gateway/upstream_fault_test.go
@@ -0,0 +1,148 @@
+package gateway
+
+import (
+	"bufio"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/core/placement"
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/catalog"
+	"jackdawbay.dev/daemon/forward"
+)
+
+// plainCodec uses short header names.
+type plainCodec struct{ passthroughCodec }
+
+func (plainCodec) EncodeRequest(from http.Header, o UpstreamRequestMeta) http.Header {
+	h := http.Header{"Id": from["Id"]}
+	if o.LastEventID != "" {
+		h.Set("Last-Event-Id", o.LastEventID)
+	}
+	return h
+}
+
+func (plainCodec) DecodeResponse(h http.Header) ResponseMeta {
+	return ResponseMeta{
+		RequestID: h.Get("Id"), Signed: h.Get("Stamp") != "", NotExecuted: h.Get("Not-Executed") != "", Leaving: h.Get("Leaving") != "",
+	}
+}
+
+func (plainCodec) EncodeRetryAfter(http.Header, time.Duration) {}
+
+// startScriptedUpstream starts an upstream that serves each request with the bytes that respond returns, which may also close
+// the connection. The argument n counts the requests of all connections from 1, and kept states that the connection has
+// carried an earlier request.
+func startScriptedUpstream(t *testing.T, respond func(n int, kept bool, r *http.Request) (response string, closeAfter bool)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() }) // The test has ended.
+	var count atomic.Int64
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()                    // The response has been sent.
+				_ = c.SetDeadline(time.Now().Add(10 * time.Second)) // Fails only on a closed connection.
+				in := bufio.NewReader(c)
+				for kept := false; ; kept = true {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					response, closeAfter := respond(int(count.Add(1)), kept, r)
+					if _, err := io.WriteString(c, response); err != nil || closeAfter {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// newFaultGateway returns a gateway with the given upstreams of service s.
+func newFaultGateway(addresses ...string) *Gateway {
+	set := metrics.NewSet()
+	g := &Gateway{cfg: Config{
+		Codec: plainCodec{}, Log: slog.New(slog.DiscardHandler), Pool: forward.NewPool(time.Second, 4, set), Metrics: set,
+		RegionOf: func(string) string { return "" },
+	}}
+	g.upstreams, g.stats = newUpstreamGroups(g.cfg), newStats(set)
+	g.upstreams.update(upstreamList(addresses...))
+	return g
+}
+
+// upstreamList returns a list of upstreams of service s with the IDs a, b and so on. It leaves out empty addresses.
+func upstreamList(addresses ...string) *catalog.Upstreams {
+	list := &catalog.Upstreams{ByService: map[string][]catalog.Upstream{}, ByID: map[string]catalog.Upstream{}}
+	for i, address := range addresses {
+		if address == "" {
+			continue
+		}
+		u := catalog.Upstream{ID: string(rune('a' + i)), Service: "s", Address: address, Slots: 8, StartMillis: 1}
+		list.ByService["s"], list.ByID[u.ID] = append(list.ByService["s"], u), u
+	}
+	return list
+}
+
+// dispatchRequest serves a request with an ID and returns the response to the caller and whether the gateway aborted it.
+func dispatchRequest(t *testing.T, g *Gateway, r *route.Route, id string) (w *httptest.ResponseRecorder, c *call, aborted bool) {
+	t.Helper()
+	w = httptest.NewRecorder()
+	req := httptest.NewRequest(http.MethodPost, "/", nil)
+	req.Header.Set("Id", id)
+	c = g.newCall(w, req, time.Now())
+	c.meta, c.ctx, c.route, c.service = RequestMeta{RequestID: id}, t.Context(), r, "s"
+	c.excluded, c.mayHaveRun, c.deadline = map[string]bool{}, map[string]bool{}, time.Now().Add(5*time.Second)
+	defer func() {
+		if recovered := recover(); recovered != nil {
+			test.Eq(t, any(http.ErrAbortHandler), recovered)
+			aborted = true
+		}
+	}()
+	c.dispatch()
+	return w, c, false
+}
+
+// Guards against a request to an upstream that has stated in a response that it leaves, while its entry still says that it is
+// ready.
+func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
+	for name, response := range map[string]string{
+		"success": "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok",
+		"failure": "HTTP/1.1 500 Oops\r\nStamp: x\r\nId: r1\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nno",
+		"refusal": "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nId: r1\r\nLeaving: 1\r\nContent-Length: 0\r\n\r\n",
+		"head":    "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r1\r\nLeaving: 1\r\nContent-Length: 5\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var requests atomic.Int64
+			address := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) {
+				requests.Add(1)
+				return response, true
+			})
+			g := newFaultGateway(address)
+			r := &route.Route{Kind: route.NonIdempotent}
+			_, _, _ = dispatchRequest(t, g, r, "r1")
+			must.EqOp(t, 1, requests.Load())
+			w, _, _ := dispatchRequest(t, g, r, "r2")
+			test.EqOp(t, 1, requests.Load())
+			test.EqOp(t, http.StatusServiceUnavailable, w.Code)
+			_, ok := g.upstreams.choose("s", placement.Request{})
+			test.False(t, ok)
+		})
+	}
+}
