Do not take a repeated rejection for the response to a later request

Cause: a response without a request ID passed as the own response. A faulty upstream that wrote an earlier rejection once more on a kept connection thereby rejected a later request that it had run: the caller was told that the request had not run, or the gateway sent it to a second upstream. Change: a connection that carried a response without an ID is closed after it. A rejection without an ID on a reused connection leaves open whether the request has run.

--- a/daemon/forward/exchange.go
+++ b/daemon/forward/exchange.go
@@ -68,13 +68,19 @@
 	*http.Response
 	Framed bool // A length or chunks mark the end of the body, not the end of the connection.
 
-	conn         *Conn
-	pool         *Pool
-	stopWatch    func() bool
-	writeDone    chan error
-	skippedStale bool
+	conn      *Conn
+	pool      *Pool
+	stopWatch func() bool
+	writeDone chan error
+	unordered bool // It is not certain to which request the next response on the connection belongs.
 }
 
+// IsFirstOnConnection reports whether the connection has carried no earlier request.
+func (r *Response) IsFirstOnConnection() bool { return !r.conn.Reused }
+
+// DisableReuse closes the connection at the end of the exchange.
+func (r *Response) DisableReuse() { r.unordered = true }
+
 // Send writes a request and reads the head of its response. If the context ends, the exchange is aborted, including a read
 // of the body. The error is ErrNotSent, ErrResponseLost, ErrInvalidResponse, or that of the context.
 func (p *Pool) Send(ctx context.Context, c *Conn, r Request) (*Response, error) {
@@ -117,7 +123,7 @@
 			resp.Framed = received.ContentLength >= 0 || len(received.TransferEncoding) > 0
 			return resp, nil
 		}
-		resp.skippedStale = true
+		resp.unordered = true
 		if err := skipResponse(c, received); err != nil {
 			return fail(errors.Mark(errors.Wrap(err, "skip a response to another request"), ErrResponseLost))
 		}
@@ -211,7 +217,7 @@
 // Close ends the exchange. The argument bodyRead states that the body was read to its end. In this case, the connection
 // returns to the pool unless it is unusable for another reason.
 func (r *Response) Close(bodyRead bool) {
-	reusable := bodyRead && r.Framed && !r.skippedStale && !r.Response.Close && r.conn.reader.Buffered() == 0
+	reusable := bodyRead && r.Framed && !r.unordered && !r.Response.Close && r.conn.reader.Buffered() == 0
 	if !r.stopWatch() {
 		reusable = false // The context has aborted the exchange.
 	}
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -298,7 +298,15 @@
 	if responseMeta.Leaving && c.g.upstreams.recordLeaving(c.service, u) {
 		c.g.cfg.Log.Info("upstream states that it leaves", "upstream", u.ID, "address", u.Address, "request", c.meta.RequestID)
 	}
-	if responseMeta.NotExecuted || resp.StatusCode == http.StatusMisdirectedRequest {
+	isRejection := responseMeta.NotExecuted || resp.StatusCode == http.StatusMisdirectedRequest
+	if responseMeta.RequestID == "" {
+		// A copy of this response that arrives later could not be told from the response to a later request.
+		resp.DisableReuse()
+		if isRejection && !resp.IsFirstOnConnection() {
+			return c.handleUnidentifiedRejection(u, resp)
+		}
+	}
+	if isRejection {
 		return c.handleRejection(u, resp)
 	}
 	c.mayHaveRun[u.ID] = true
@@ -344,6 +352,17 @@
 	return route.Rejected
 }
 
+// handleUnidentifiedRejection handles a rejection without a request ID on a connection that has carried earlier requests. It
+// may be the copy of an earlier rejection, so the request may have run.
+func (c *call) handleUnidentifiedRejection(u placement.Upstream, resp *forward.Response) route.Outcome {
+	c.g.cfg.Log.Warn("rejection without a request ID on a reused connection is not taken", "request", c.meta.RequestID, "upstream", u.ID,
+		"status", resp.StatusCode)
+	c.mayHaveRun[u.ID] = true
+	resp.Close(false)
+	c.g.upstreams.recordEnd(c.service, u.ID, true, 0)
+	return route.ResponseMissing
+}
+
 // receive reads a response and forwards it if it is valid.
 func (c *call) receive(resp *forward.Response, responseMeta ResponseMeta) route.Outcome {
 	if resp.Header.Get("Content-Encoding") != "" {
--- a/daemon/gateway/upstream_fault_test.go
+++ b/daemon/gateway/upstream_fault_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -119,6 +120,56 @@
 	return w, c, false
 }
 
+// Guards against a refusal that an upstream writes once more on a kept connection and that is taken for the response to a
+// later request, which has been executed. The caller would send it again, or the gateway would send it to another upstream.
+func TestRepeatedRefusalIsNoResponse(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const success = "HTTP/1.1 200 OK\r\nStamp: x\r\nContent-Length: 2\r\n"
+	cases := map[string]struct{ first, repeated string }{
+		"refusal without an ID":                {refusal, refusal},
+		"refusal with its ID":                  {strings.Replace(refusal, "\r\n", "\r\nId: r1\r\n", 1), strings.Replace(refusal, "\r\n", "\r\nId: r1\r\n", 1)},
+		"refusal of another caller, no ID":     {success + "Id: r1\r\n\r\nok", refusal},
+		"misdirected without an ID":            {success + "Id: r1\r\n\r\nok", "HTTP/1.1 421 Other\r\nContent-Length: 0\r\n\r\n"},
+		"refusal of another caller with ID":    {success + "Id: r1\r\n\r\nok", strings.Replace(refusal, "\r\n", "\r\nId: r0\r\n", 1)},
+		"refusal in chunks, without an ID":     {strings.Replace(refusal, "Content-Length: 0\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 1), refusal},
+		"response without an ID, then refusal": {success + "\r\nok", refusal},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var executed, executedElsewhere atomic.Bool
+			address := startScriptedUpstream(t, func(n int, kept bool, r *http.Request) (string, bool) {
+				if n == 1 {
+					return c.first, false
+				}
+				executed.Store(true)
+				if r.Header.Get("Id") != "r2" {
+					t.Errorf("unexpected request %s", r.Header.Get("Id"))
+				}
+				response := success + "Id: r2\r\n\r\nok"
+				if kept {
+					response = c.repeated + response
+				}
+				return response, false
+			})
+			other := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) {
+				executedElsewhere.Store(true)
+				return success + "Id: r2\r\n\r\nok", false
+			})
+			r := &route.Route{Kind: route.NonIdempotent}
+			g := newFaultGateway(address)
+			_, _, _ = dispatchRequest(t, g, r, "r1")
+			time.Sleep(2 * ejectionAfterRejection) // The refusal has ejected the upstream.
+			g.upstreams.update(&catalog.Upstreams{
+				ByService: map[string][]catalog.Upstream{"s": {{ID: "a", Service: "s", Address: address, Slots: 8, StartMillis: 1}, {ID: "b", Service: "s", Address: other, Slots: 1, StartMillis: 1, WarmUpRemaining: time.Hour}}},
+			})
+			w, _, aborted := dispatchRequest(t, g, r, "r2")
+			must.True(t, executed.Load())
+			test.False(t, executedElsewhere.Load(), test.Sprint("the request ran at two upstreams"))
+			test.False(t, !aborted && impliesNotExecuted(w.Code), test.Sprintf("status %d for a request that was executed", w.Code))
+		})
+	}
+}
+
 // Guards against a request to an upstream that has stated in a response that it leaves, while its entry still says that it is
 // ready.
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
