Forward only events after a stream has begun

Cause: a stream that broke off was resumed at the next upstream, and whatever that one sent with a status of success was forwarded: text, JSON or the head of an error response as a block of unknown lines. An empty response without a length, or one with status 204, ended the stream as if it were complete. A stream that began again from its first event was joined to the part that the caller had. Change: a response that resumes a stream must have the status of the first one and the type of an event stream. Lines that are no field of an event, and events that do not follow the last one, break the stream off. The end of a connection without any event is not the end of a stream.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -370,6 +370,10 @@
 		return route.ResponseInvalid
 	}
 	success := resp.StatusCode/100 == 2
+	if c.headWritten && (resp.StatusCode != c.status || !isEventStream(resp)) {
+		resp.Discard()
+		return route.ResponseInterrupted // Only the remaining events may follow a stream that has begun.
+	}
 	if success && !responseMeta.Signed {
 		resp.Close(false)
 		return route.ResponseInvalid
@@ -385,10 +389,6 @@
 		resp.Discard()
 		return route.ResponseMissing
 	}
-	if c.headWritten {
-		resp.Discard()
-		return route.ResponseInterrupted
-	}
 	return c.receiveBody(resp)
 }
 
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"context"
 	"io"
+	"mime"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -55,6 +57,7 @@
 	id      []byte
 	data    []byte
 	hasData bool
+	foreign bool // A line is neither a field nor a comment of an event stream.
 }
 
 // isComment reports whether the block has neither data nor an id.
@@ -63,6 +66,8 @@
 var (
 	errEventTooLarge = errors.New("stream event is too large")
 	errOnlyNonEvents = errors.New("too many blank lines and comments without an event")
+	errNotAnEvent    = errors.New("stream contains text that is not an event")
+	errEventRepeated = errors.New("resumed stream repeats an event")
 	errTooManyEvents = errors.New("stream has more events than its request allows")
 )
 
@@ -99,6 +104,7 @@
 			return e, nil
 		}
 		name, value, _ := bytes.Cut(text, []byte(":"))
+		e.foreign = e.foreign || !isFieldName(name)
 		value = bytes.TrimPrefix(value, []byte(" "))
 		switch string(name) {
 		case "id":
@@ -113,6 +119,34 @@
 	}
 }
 
+// isFieldName reports whether the start of a line can be the name of a field. Names are in lower case; a comment has an empty
+// one. Upstreams may add fields of their own to an event, so an unknown name is valid.
+func isFieldName(name []byte) bool {
+	for _, b := range name {
+		if (b < 'a' || b > 'z') && (b < '0' || b > '9') && b != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// isEventStream reports whether a response may contain events. Some upstreams state no type.
+func isEventStream(resp *forward.Response) bool {
+	value := resp.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(value)
+	return value == "" || err == nil && mediaType == "text/event-stream"
+}
+
+// isRepeated reports whether an event does not follow the last event that the caller has received before this response.
+func isRepeated(resumedAfter string, e event) bool {
+	last, err := strconv.ParseUint(resumedAfter, 10, 64)
+	if err != nil {
+		return false // IDs that are not numbers have no order.
+	}
+	id, err := strconv.ParseUint(string(e.id), 10, 64)
+	return err == nil && id <= last
+}
+
 // receiveStream forwards events as they arrive. If the route stores turns, the turn is stored before the response ends.
 // Comments before the first event are held back until it arrives, because until then another upstream can still provide the
 // response.
@@ -121,8 +155,13 @@
 	flusher := http.NewResponseController(c.w)
 	var comments []byte
 	bytesSinceEvent := 0
+	resumedAfter, eventsBefore := c.stream.lastEventID, c.stream.events
 	for {
 		e, err := readEvent(br)
+		if errors.Is(err, io.EOF) && c.headWritten && c.stream.events == eventsBefore && !resp.Framed {
+			resp.Close(false)
+			return route.ResponseInterrupted // Nothing shows that the rest of the stream is empty.
+		}
 		if errors.Is(err, io.EOF) {
 			resp.Close(true)
 			return c.completeStream()
@@ -133,6 +172,12 @@
 		if err == nil {
 			err = c.checkLimits(e)
 		}
+		switch {
+		case err == nil && e.foreign:
+			err = errNotAnEvent
+		case err == nil && isRepeated(resumedAfter, e):
+			err = errEventRepeated
+		}
 		if err != nil {
 			resp.Close(false)
 			return c.failStream(err)
@@ -193,7 +238,7 @@
 }
 
 func (c *call) failStream(err error) route.Outcome {
-	if errors.Is(err, errEventTooLarge) || errors.Is(err, errOnlyNonEvents) || c.stream.limitExceeded {
+	if errors.IsAny(err, errEventTooLarge, errOnlyNonEvents, errNotAnEvent, errEventRepeated) || c.stream.limitExceeded {
 		c.logRejectedResponse(err)
 	}
 	if c.stream.events == 0 {
--- a/daemon/gateway/upstream_fault_test.go
+++ b/daemon/gateway/upstream_fault_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -170,6 +172,70 @@
 	}
 }
 
+// Guards against an error of the next upstream that is forwarded inside a stream that has begun, and against a stream that
+// ends as complete although its rest is missing.
+func TestResumedStreamForwardsOnlyEvents(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r\r\nContent-Type: text/event-stream\r\n"
+	const begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	const rest = "id: 3\ndata: c\n\n"
+	chunk := func(body string) string {
+		if body == "" {
+			return head + "Transfer-Encoding: chunked\r\n\r\n"
+		}
+		return head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	}
+	whole := func(body string) string { return chunk(body) + "0\r\n\r\n" }
+	failure := func(status, body string) string {
+		return "HTTP/1.1 " + status + "\r\nStamp: x\r\nId: r\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	cases := map[string]struct {
+		second   string
+		complete bool // The second upstream ends the stream.
+	}{
+		"rest":                        {whole(rest), true},
+		"rest, ends with connection":  {head + "\r\n" + rest, true},
+		"end only":                    {whole(""), true},
+		"nothing, ends at once":       {head + "\r\n", false},
+		"400":                         {failure("400 Bad", "no"), false},
+		"404":                         {failure("404 None", "no"), false},
+		"421":                         {failure("421 Other", "no"), false},
+		"429":                         {failure("429 Slow", "no"), false},
+		"500":                         {failure("500 Oops", "no"), false},
+		"502":                         {failure("502 Oops", "no"), false},
+		"503":                         {failure("503 Full", "no"), false},
+		"204":                         {"HTTP/1.1 204 None\r\nStamp: x\r\nId: r\r\n\r\n", false},
+		"unsigned":                    {strings.Replace(whole(rest), "Stamp: x\r\n", "", 1), false},
+		"success that is no stream":   {strings.Replace(failure("200 OK", `{"error":"overloaded"}`), "Stamp", "Content-Type: application/json\r\nStamp", 1), false},
+		"error text as a stream":      {whole("internal error\n\n"), false},
+		"JSON as a stream":            {whole("{\"error\": \"overloaded\"}\n\n"), false},
+		"head in the stream":          {whole("HTTP/1.1 500 Oops\r\nContent-Type: text/plain\r\nContent-Length: 2\r\n\r\nno"), false},
+		"head in a stream to its end": {head + "\r\nHTTP/1.1 500 Oops\r\nContent-Length: 2\r\n\r\nno\n\n", false},
+		"error text before an event":  {whole("internal error\n" + rest), false},
+		"from its start again":        {whole(begun + rest), false},
+		"cut inside an event":         {head + "\r\n" + "id: 3\ndata: c\n", false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			second := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) { return c.second, true })
+			var g *Gateway
+			first := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) {
+				g.upstreams.update(upstreamList("", second))
+				return chunk(begun), true
+			})
+			g = newFaultGateway(first)
+			w, call, aborted := dispatchRequest(t, g, &route.Route{Kind: route.Stream, Resumable: true, MaxUpstreams: 2}, "r")
+			test.EqOp(t, c.complete, !aborted)
+			test.EqOp(t, http.StatusOK, w.Code)
+			want := begun
+			if strings.Contains(c.second, rest) && c.complete {
+				want += rest
+			}
+			test.EqOp(t, want, w.Body.String())
+			test.EqOp(t, strings.Count(w.Body.String(), "data:"), call.stream.events)
+		})
+	}
+}
+
 // Guards against a request to an upstream that has stated in a response that it leaves, while its entry still says that it is
 // ready.
 func TestLeavingUpstreamGetsNothingNew(t *testing.T) {
