Divide the replicas into groups with a view each

Change: the VMs with a disk are divided into groups of a target set and a spare, evenly over the data centres. The layout is one object in the store, written once with a condition; a VM remains in its group, a new VM joins the group with the fewest responsive VMs. A program's charges and turns are stored by the group to which it hashes; a turn of another program is looked for in all groups before it counts as missing. With fewer VMs than two groups need, and with a view but no layout in the store, there is one group as before. The expected log line of a failure has the group in addition.

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -59,7 +59,7 @@
 	p.tree.Add(serverTask("ready", &http.Server{Handler: readyHandler(g, p), ReadHeaderTimeout: headerTimeout}, ready))
 	p.tree.Add(supervisedTask{"configuration", cat.FollowConfig})
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
-	p.tree.Add(supervisedTask{"view", func(ctx context.Context) error { return replicas.FollowView(ctx, p.store) }})
+	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, p.store) }})
 	p.tree.Add(supervisedTask{"settlement", g.Run})
 	p.tree.Add(supervisedTask{"connections", pool.Run})
 	p.tree.ServeBackground(root)
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -174,7 +174,7 @@
 		c.respondError(errkind.ProgramBudgetExhausted, "", 0)
 		return false
 	}
-	if result.HasMissingTurn {
+	if result.MissingTurn != "" {
 		c.respondError(errkind.TurnNotFound, "", 0)
 		return false
 	}
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -69,7 +69,7 @@
 	RegionOf   func(dataCentre string) string
 	Codec      Codec
 	Catalog    *catalog.Catalog
-	Replicas   *quorum.Client
+	Replicas   *quorum.Groups
 	Pool       *forward.Pool
 	Log        *slog.Logger
 	Metrics    *metrics.Set
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -55,7 +55,7 @@
 // eight turns of 19 KB, has 10 MB. These are the longest chains that the deployments describe.
 const maxResponseBytes = 32 << 20
 
-// Config configures a Client.
+// Config configures Groups.
 type Config struct {
 	DataCentre string
 	Region     string
@@ -65,9 +65,10 @@
 	Metrics    *metrics.Set
 }
 
-// Client sends operations to the replicas. It is safe for concurrent use.
+// Client sends operations to the replicas of one group. It is safe for concurrent use.
 type Client struct {
 	cfg    Config
+	group  int
 	mu     sync.Mutex
 	view   core.View
 	queues map[string]*memberQueue
@@ -85,41 +86,35 @@
 	hedgedRequests   *metrics.Counter
 }
 
-// New returns a client. Its senders run until the context ends.
-func New(ctx context.Context, cfg Config) *Client {
-	c := &Client{
+// newClient returns the client of a group. Its senders run until the context ends.
+func newClient(ctx context.Context, cfg Config, group int) *Client {
+	return &Client{
 		cfg:              cfg,
+		group:            group,
 		startedAt:        time.Now(),
 		queues:           map[string]*memberQueue{},
 		ctx:              ctx,
-		operationSeconds: cfg.Metrics.NewHistogram("jackdawbay_quorum_operation_seconds"),
-		quorumFailures:   cfg.Metrics.NewCounter("jackdawbay_quorum_failed_total"),
-		hedgedRequests:   cfg.Metrics.NewCounter("jackdawbay_quorum_hedged_total"),
+		operationSeconds: cfg.Metrics.GetOrCreateHistogram("jackdawbay_quorum_operation_seconds"),
+		quorumFailures:   cfg.Metrics.GetOrCreateCounter("jackdawbay_quorum_failed_total"),
+		hedgedRequests:   cfg.Metrics.GetOrCreateCounter("jackdawbay_quorum_hedged_total"),
 	}
-	c.registerMetrics()
-	return c
 }
 
-// FollowView updates the view from the platform's store until the context ends.
-func (c *Client) FollowView(ctx context.Context, store platform.Store) error {
-	onRead := func(at time.Time) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.storeRespondedAt = at
+// onStoreResponse records that the store has responded about the views.
+func (c *Client) onStoreResponse(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeRespondedAt = at
+}
+
+// onViewObject adopts the view in an object of the store.
+func (c *Client) onViewObject(o platform.Object) {
+	var v core.View
+	if err := json.Unmarshal(o.Value, &v); err != nil {
+		c.cfg.Log.Error("cannot decode view", "name", o.Name, "revision", o.Version, "error", err)
+		return
 	}
-	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Log: c.cfg.Log, OnResponse: onRead}, func(objects map[string]platform.Object) {
-		o, ok := objects[replica.ViewName]
-		if !ok {
-			return
-		}
-		var v core.View
-		if err := json.Unmarshal(o.Value, &v); err != nil {
-			c.cfg.Log.Error("cannot decode view", "revision", o.Version, "error", err)
-			return
-		}
-		c.adoptView(v, "store")
-	})
-	return ctx.Err()
+	c.adoptView(v, "store")
 }
 
 func (c *Client) adoptView(v core.View, viewSource string) {
@@ -140,7 +135,7 @@
 		q.close()
 	}
 	if isNewer {
-		c.cfg.Log.Info("view in force", "view", v.Version, "sets", len(v.Sets), "members", len(v.CurrentSet()), "source", viewSource)
+		c.cfg.Log.Info("view in force", "group", c.group, "view", v.Version, "sets", len(v.Sets), "members", len(v.CurrentSet()), "source", viewSource)
 	}
 }
 
@@ -446,7 +441,7 @@
 			break
 		}
 		if len(req.otherOps) == len(req.ops) && firstMissing == requested {
-			result.HasMissingTurn = true
+			result.MissingTurn = firstMissing
 			break
 		}
 		// A replica need not have the whole chain, as each turn is stored by a quorum of its own. The remaining chain is
@@ -496,9 +491,9 @@
 
 // BeginResult is the stored state of a program at the start of a turn.
 type BeginResult struct {
-	Ledger         core.Ledger
-	Chain          []replica.Turn // Newest first.
-	HasMissingTurn bool           // A turn of the chain does not exist.
+	Ledger      core.Ledger
+	Chain       []replica.Turn // Newest first.
+	MissingTurn string         // First turn of the chain that does not exist; empty if the chain is complete.
 }
 
 // followChain collects the chain from the turns that lookup finds. It returns the first turn that is missing.
--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -101,17 +101,24 @@
 
 func discardLogger() *slog.Logger { return slog.New(slog.NewTextHandler(io.Discard, nil)) }
 
-// newClient returns a client with the given view. The replicas receive the view with its first batches.
-func newClient(t *testing.T, v core.View) *Client {
+// startClient returns a client with the given view. The replicas receive the view with its first batches.
+func startClient(t *testing.T, v core.View) *Client {
 	t.Helper()
-	return newClientWithTransport(t, v, &http.Transport{MaxIdleConnsPerHost: 32})
+	return startClientWithTransport(t, v, &http.Transport{MaxIdleConnsPerHost: 32})
 }
 
-func newClientWithTransport(t *testing.T, v core.View, transport http.RoundTripper) *Client {
+func startClientWithTransport(t *testing.T, v core.View, transport http.RoundTripper) *Client {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	c := New(ctx, Config{
+	c := New(ctx, testConfig(transport)).client("p")
+	c.adoptView(v, "test")
+	return c
+}
+
+// testConfig returns the configuration of a gateway in data centre dc-0.
+func testConfig(transport http.RoundTripper) Config {
+	return Config{
 		DataCentre: "dc-0",
 		Region:     "near",
 		RegionOf: func(dc string) string {
@@ -123,9 +130,7 @@
 		Client:  &http.Client{Transport: transport},
 		Log:     discardLogger(),
 		Metrics: metrics.NewSet(),
-	})
-	c.adoptView(v, "test")
-	return c
+	}
 }
 
 func storeTurn(t *testing.T, c *Client, id, previous string) {
@@ -156,7 +161,7 @@
 			network[address] = h
 			return address
 		})
-		fn(t, nodes, newClientWithTransport(t, v, network))
+		fn(t, nodes, startClientWithTransport(t, v, network))
 	})
 }
 
@@ -184,7 +189,7 @@
 	must.SliceLen(t, 3, result.Chain)
 	result, err = c.BeginTurn(t.Context(), "p", nil, "never", time.Minute, nothingCached)
 	must.NoError(t, err)
-	test.True(t, result.HasMissingTurn)
+	test.True(t, result.MissingTurn != "")
 }
 
 func waitFor(ready func() bool) bool {
@@ -202,7 +207,7 @@
 // just responded is slow, and one whose last response is long ago is stalled.
 func TestHedgingIsLimitedDuringOverload(t *testing.T) {
 	v := core.View{Version: 1, Epoch: 1, Sets: [][]core.Member{{{VM: "vm-0"}, {VM: "vm-1"}}}}
-	c := newClient(t, v)
+	c := startClient(t, v)
 	requested := v.Sets[0]
 	outstanding := map[string]bool{requested[0].Key(): true, requested[1].Key(): true}
 	setLastProgress := func(m core.Member, ago time.Duration) {
--- a/daemon/quorum/failure.go
+++ b/daemon/quorum/failure.go
@@ -26,6 +26,7 @@
 // Failure describes why an operation found no quorum, with the state of the replicas at that time.
 type Failure struct {
 	Cause            Cause
+	Group            int
 	ViewVersion      uint64        // Version of the view in force; zero before the first view.
 	ViewSource       string        // Origin of the view: the VM of a replica, or the store.
 	ViewAge          time.Duration // Time since the view was adopted.
@@ -74,7 +75,7 @@
 
 // GroupKey returns a key that is equal for operations that failed for the same reason.
 func (f Failure) GroupKey() string {
-	return fmt.Sprint(f.Cause, f.ViewVersion, f.FailedSet, f.Pending)
+	return fmt.Sprint(f.Cause, f.Group, f.ViewVersion, f.FailedSet, f.Pending)
 }
 
 // LogAttrs returns the failure as log attributes.
@@ -95,7 +96,7 @@
 		"cause", string(f.Cause), "view", f.ViewVersion, "set", fmt.Sprintf("%d/%d", f.FailedSet.Position, f.SetCount),
 		"answering", fmt.Sprintf("%d/%d", f.FailedSet.Responsive, f.FailedSet.Members), "write", f.FailedSet.RequiredForWrite, "read", f.FailedSet.RequiredForRead,
 		"silent", strings.Join(unresponsive, ", "), "owing", strings.Join(f.Pending, ", "), "view_age", roundToMillis(f.ViewAge), "view_source", f.ViewSource,
-		"store_answer_age", storeResponseAge,
+		"store_answer_age", storeResponseAge, "group", f.Group,
 	}
 }
 
@@ -127,7 +128,7 @@
 	c.mu.Lock()
 	v, viewAdoptedAt, viewSource, storeRespondedAt := c.view, c.viewAdoptedAt, c.viewSource, c.storeRespondedAt
 	c.mu.Unlock()
-	f := Failure{Cause: cause, ViewVersion: v.Version, ViewSource: viewSource, SetCount: len(v.Sets), Pending: pending, StoreResponseAge: -1}
+	f := Failure{Cause: cause, Group: c.group, ViewVersion: v.Version, ViewSource: viewSource, SetCount: len(v.Sets), Pending: pending, StoreResponseAge: -1}
 	if v.Version > 0 {
 		f.ViewAge = now.Sub(viewAdoptedAt)
 	}
@@ -184,15 +185,30 @@
 	return state, true
 }
 
-// registerMetrics registers gauges for the view and the state of the replicas.
-func (c *Client) registerMetrics() {
-	set := c.cfg.Metrics
-	set.NewGauge("jackdawbay_view_version", func() float64 { return float64(c.View().Version) })
-	set.NewGauge(`jackdawbay_store_answer_age_seconds{kind="`+replica.ViewKind+`"}`, func() float64 { return c.storeResponseAge().Seconds() })
-	count := func(state string, value func() int) {
-		set.NewGauge(`jackdawbay_quorum_members{state="`+state+`"}`, func() float64 { return float64(value()) })
+// registerMetrics registers gauges for the views and the state of the replicas of all groups.
+func (g *Groups) registerMetrics() {
+	set := g.cfg.Metrics
+	set.NewGauge("jackdawbay_replica_groups", func() float64 { return float64(len(g.all())) })
+	set.NewGauge("jackdawbay_view_version", func() float64 {
+		version := uint64(0)
+		for _, c := range g.all() {
+			version = max(version, c.View().Version)
+		}
+		return float64(version)
+	})
+	set.NewGauge(`jackdawbay_store_answer_age_seconds{kind="`+replica.ViewKind+`"}`, func() float64 {
+		return g.all()[0].storeResponseAge().Seconds()
+	})
+	count := func(state string, value func(c *Client) int) {
+		set.NewGauge(`jackdawbay_quorum_members{state="`+state+`"}`, func() float64 {
+			sum := 0
+			for _, c := range g.all() {
+				sum += value(c)
+			}
+			return float64(sum)
+		})
 	}
-	count("answering", func() int { n, _, _ := c.countMembersByState(); return n })
-	count("silent", func() int { _, n, _ := c.countMembersByState(); return n })
-	count("gone", func() int { _, _, n := c.countMembersByState(); return n })
+	count("answering", func(c *Client) int { n, _, _ := c.countMembersByState(); return n })
+	count("silent", func(c *Client) int { _, n, _ := c.countMembersByState(); return n })
+	count("gone", func(c *Client) int { _, _, n := c.countMembersByState(); return n })
 }
--- a/daemon/quorum/failure_test.go
+++ b/daemon/quorum/failure_test.go
@@ -70,7 +70,7 @@
 		test.EqOp(t, 7, f.ViewVersion)
 		test.Eq(t, SetCounts{1, 3, 1, 2, 2}, f.FailedSet)
 		test.EqOp(t, "[cause members_silent view 7 set 1/1 answering 1/3 write 2 read 2 silent a/d 10s, b/d 9.94s disk gone owing  "+
-			"view_age 10.7s view_source test store_answer_age never]", fmt.Sprint(f.LogAttrs()))
+			"view_age 10.7s view_source test store_answer_age never group 0]", fmt.Sprint(f.LogAttrs()))
 		var exposition bytes.Buffer
 		c.cfg.Metrics.WritePrometheus(&exposition)
 		for _, line := range []string{
--- a/daemon/quorum/queue_test.go
+++ b/daemon/quorum/queue_test.go
@@ -105,7 +105,7 @@
 		c := New(ctx, Config{
 			DataCentre: "dc-0", Region: "r", RegionOf: func(string) string { return "r" },
 			Client: &http.Client{Transport: h}, Log: slog.New(slog.NewTextHandler(&log, nil)), Metrics: metrics.NewSet(),
-		})
+		}).client("p")
 		c.adoptView(v, "test")
 		fn(t, c, h, &log)
 		cancel()
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -24,8 +25,8 @@
 // Object kinds and names of the replicas in the platform's store.
 const (
 	RegistrationKind = "jackdawbay-replicas"
-	ViewKind         = "jackdawbay-views"
-	ViewName         = "main"
+	ViewKind         = "jackdawbay-views" // The views of the groups, by replica.ViewName, and the layout.
+	LayoutName       = "layout"
 )
 
 // Intervals and timeouts of the membership.
@@ -41,6 +42,8 @@
 	recentRegistrationDuration = 15 * time.Second        // Time after its registration for which a VM may be the successor of another one.
 	maxSuccessorWait           = 2 * time.Second         // Time for which a VM that is to be evacuated waits for a successor.
 	proposerRankDelay          = 1200 * time.Millisecond // Additional delay for each proposer rank; above a slow write to the store.
+	registrationQuietTime      = 500 * time.Millisecond  // Time without a new registration after which VMs that start together count as registered.
+	groupObservationTime       = time.Second             // Time for which a VM without a group probes the others before it chooses one.
 )
 
 // Retirement is the operator's request to evacuate a VM.
@@ -58,8 +61,8 @@
 	ReportRetirement(ctx context.Context, r Retirement, done bool) (version uint64, err error)
 }
 
-// Membership registers a replica, monitors the other replicas, proposes changes of the view, and copies the data that the
-// replica does not have.
+// Membership registers a replica, assigns it to a group, monitors the other replicas of the group, proposes changes of the
+// group's view, and copies the data that the replica does not have.
 type Membership struct {
 	Self              replica.Member
 	RegionOf          func(dataCentre string) string
@@ -83,10 +86,15 @@
 	retirementObservedAt   map[string]time.Time      // Time at which the retirement was first observed, by VM.
 	registrationsListed    bool                      // The registrations have been read at least once.
 	registrationsReadAt    time.Time                 // Time of the last read of the registrations, initially the start.
-	view                   replica.View
-	viewRevision           uint64    // Store revision of the view; zero before the view has been read.
-	changeDueSince         time.Time // Time since when a change of the view is due; zero if none is due.
-	copiedEpoch            uint64    // Epoch for which the earlier sets were copied last.
+	registeredAt           time.Time                 // Time of the last change of the registrations.
+	viewsListed            bool                      // The layout and the views have been read at least once.
+	layout                 replica.Layout            // Has no groups before it is known.
+	layoutRevision         uint64                    // Store revision of the layout; zero if the store has none.
+	view                   replica.View              // View of the own group.
+	viewRevision           uint64                    // Store revision of the view; zero before the view has been read.
+	layoutDueSince         time.Time                 // Time since when the first layout is due; zero if it is not.
+	changeDueSince         time.Time                 // Time since when a change of the view is due; zero if none is due.
+	copiedEpoch            uint64                    // Epoch for which the earlier sets were copied last.
 	startTime              time.Time
 	wakeups                chan struct{} // Wakes Run.
 }
@@ -125,7 +133,7 @@
 		}()
 	}
 	follow(RegistrationKind, m.onRegistrations, m.onRegistrationsRead)
-	follow(ViewKind, m.onView, nil)
+	follow(ViewKind, m.onViews, nil)
 	follow(m.Retirements.RetirementKind(), m.onRetirements, nil)
 	wg.Wait()
 	return ctx.Err()
@@ -149,6 +157,9 @@
 		}
 	}
 	m.registrationsListed = true
+	if len(next) != len(m.registered) {
+		m.registeredAt = time.Now()
+	}
 	m.registered = next
 	m.mu.Unlock()
 	m.wake()
@@ -160,15 +171,56 @@
 	m.mu.Unlock()
 }
 
-// onView updates the view from the store, unless this replica has already observed a newer version.
-func (m *Membership) onView(objects map[string]platform.Object) {
-	o, ok := objects[ViewName]
-	if !ok {
+// onViews updates the layout and the view of the own group from the store.
+func (m *Membership) onViews(objects map[string]platform.Object) {
+	m.mu.Lock()
+	m.viewsListed = true
+	m.mu.Unlock()
+	m.onLayout(objects)
+	if group, ok := m.group(); ok {
+		m.onView(objects[replica.ViewName(group)])
+	}
+	m.wake()
+}
+
+// onLayout updates the layout. Views without a layout are those of a single group.
+func (m *Membership) onLayout(objects map[string]platform.Object) {
+	o, found := objects[LayoutName]
+	if !found {
+		if _, hasView := objects[replica.ViewName(0)]; hasView {
+			m.mu.Lock()
+			m.layout = replica.SingleGroup()
+			m.mu.Unlock()
+		}
+		return
+	}
+	var l replica.Layout
+	if err := json.Unmarshal(o.Value, &l); err != nil || !l.IsValid() {
+		m.Log.Error("cannot decode layout of the replicas", "error", err, "revision", o.Version, "groups", l.Groups)
 		return
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Version >= m.layoutRevision {
+		m.layout, m.layoutRevision = l, o.Version
+	}
+}
+
+// group returns the group of this replica, and whether it has one.
+func (m *Membership) group() (int, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.layout.Group(m.Self.VM)
+}
+
+// onView updates the view of the own group, unless this replica has already observed a newer version.
+func (m *Membership) onView(o platform.Object) {
+	if o.Version == 0 {
+		return // The group has no view yet.
+	}
 	var v replica.View
 	if err := json.Unmarshal(o.Value, &v); err != nil {
-		m.Log.Error("cannot decode view", "error", err, "revision", o.Version)
+		m.Log.Error("cannot decode view", "error", err, "name", o.Name, "revision", o.Version)
 		return
 	}
 	m.mu.Lock()
@@ -210,6 +262,8 @@
 		}
 		m.register(ctx)
 		m.followView(ctx)
+		m.probeMembers(ctx)
+		m.joinGroup(ctx)
 		m.proposeView(ctx)
 		m.advanceRetirement(ctx)
 	}
@@ -330,16 +384,74 @@
 	return false
 }
 
-// proposeView writes the next view if a change is due, after the delay of this replica's proposer rank. The first view is
-// not written before membershipInterval has passed since the start; until firstViewDelay, it also waits until the wanted
-// number of members has registered.
-func (m *Membership) proposeView(ctx context.Context) {
-	m.probeMembers(ctx)
+// joinGroup writes the first layout, or adds this VM to the layout if it has no group. The first layout waits until the VMs
+// that start together have registered, since their number decides the number of groups.
+func (m *Membership) joinGroup(ctx context.Context) {
+	if _, ok := m.group(); ok {
+		return
+	}
 	m.mu.Lock()
-	noView := m.view.Version == 0
-	waiting := noView && len(m.registered) < replica.TargetSetSize(m.ToleratedFailures()) && time.Since(m.startTime) < firstViewDelay
+	viewsListed, l, registeredAt, isRegistered := m.viewsListed, m.layout, m.registeredAt, m.registered[m.Self.VM] == m.Self
 	m.mu.Unlock()
-	if waiting || noView && time.Since(m.startTime) < membershipInterval {
+	if !viewsListed || !isRegistered {
+		return
+	}
+	f := m.fleetSnapshot()
+	if l.Groups > 0 {
+		if time.Since(m.startTime) > groupObservationTime {
+			m.writeLayout(ctx, func(l replica.Layout) (replica.Layout, bool) { return l.Assign(m.Self, f) })
+		}
+		return
+	}
+	if time.Since(m.startTime) < firstViewDelay || time.Since(registeredAt) < registrationQuietTime {
+		return
+	}
+	if m.layoutDueSince.IsZero() {
+		m.layoutDueSince = time.Now()
+	}
+	rank, _ := replica.ProposerRank(replica.View{}, f, m.Self.VM)
+	if time.Since(m.layoutDueSince) < time.Duration(rank)*proposerRankDelay {
+		return
+	}
+	m.writeLayout(ctx, func(l replica.Layout) (replica.Layout, bool) {
+		return replica.NewLayout(f.Registered, m.ToleratedFailures()), l.Groups == 0
+	})
+}
+
+// writeLayout writes the layout that update returns, if it reports a change. After a conflict, it updates the layout from the
+// store.
+func (m *Membership) writeLayout(ctx context.Context, update func(replica.Layout) (replica.Layout, bool)) {
+	m.mu.Lock()
+	l, revision := m.layout, m.layoutRevision
+	m.mu.Unlock()
+	next, ok := update(l)
+	if !ok {
+		return
+	}
+	version, err := m.Store.Put(ctx, ViewKind, LayoutName, revision, next)
+	if conflict, isConflict := platform.AsConflict(err); isConflict {
+		if conflict.Current != nil {
+			m.onLayout(map[string]platform.Object{LayoutName: *conflict.Current})
+		}
+		return
+	}
+	if err != nil {
+		m.Log.Warn("layout of the replicas is not written", "groups", next.Groups, "error", err)
+		return
+	}
+	m.mu.Lock()
+	if version >= m.layoutRevision {
+		m.layout, m.layoutRevision = next, version
+	}
+	m.mu.Unlock()
+	group, _ := m.group()
+	m.Log.Info("layout of the replicas written", "groups", next.Groups, "vms", len(next.GroupOf), "own_group", group)
+	m.wake()
+}
+
+// proposeView writes the next view of the own group if a change is due, after the delay of this replica's proposer rank.
+func (m *Membership) proposeView(ctx context.Context) {
+	if _, ok := m.group(); !ok {
 		return
 	}
 	f := m.fleetSnapshot()
@@ -402,14 +514,13 @@
 	m.loggedStatuses = statuses
 }
 
-// fleetSnapshot returns the current state of the replicas as the input of a change of the view.
+// fleetSnapshot returns the current state of the replicas of the own group as the input of a change of the view, or of all
+// replicas while this one has no group.
 func (m *Membership) fleetSnapshot() replica.Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	f := replica.Fleet{Evacuating: map[string]bool{}}
-	for _, r := range m.registered {
-		f.Registered = append(f.Registered, r)
-	}
+	f.Registered = m.peersLocked()
 	f.RecentlyRegistered = map[string]bool{}
 	for vm, at := range m.registrationObservedAt {
 		f.RecentlyRegistered[vm] = time.Since(at) < recentRegistrationDuration
@@ -442,15 +553,16 @@
 func (m *Membership) writeView(ctx context.Context, reason string, update func(replica.View) (replica.View, bool)) {
 	m.mu.Lock()
 	v, revision := m.view, m.viewRevision
+	group, hasGroup := m.layout.Group(m.Self.VM)
 	m.mu.Unlock()
 	proposed, ok := update(v)
-	if !ok {
+	if !ok || !hasGroup {
 		return
 	}
-	version, err := m.Store.Put(ctx, ViewKind, ViewName, revision, proposed)
+	version, err := m.Store.Put(ctx, ViewKind, replica.ViewName(group), revision, proposed)
 	if conflict, isConflict := platform.AsConflict(err); isConflict {
 		if conflict.Current != nil {
-			m.onView(map[string]platform.Object{ViewName: *conflict.Current})
+			m.onView(*conflict.Current)
 		}
 		return
 	}
@@ -463,16 +575,27 @@
 		m.view, m.viewRevision = proposed, version
 	}
 	m.mu.Unlock()
-	m.Log.Info("view written", "reason", reason, "view", proposed.Version, "sets", len(proposed.Sets), "members", len(proposed.CurrentSet()))
+	m.Log.Info("view written", "reason", reason, "group", group, "view", proposed.Version, "sets", len(proposed.Sets), "members", len(proposed.CurrentSet()))
 	m.wake()
 }
 
-// probeMembers probes the other replicas and records the time of their responses. It waits for maxProbeWait at most, so
+// peersLocked returns the registered VMs of the own group, or all of them while this replica has no group. The caller holds
+// the lock.
+func (m *Membership) peersLocked() []replica.Member {
+	all := slices.Collect(maps.Values(m.registered))
+	if group, ok := m.layout.Group(m.Self.VM); ok {
+		return m.layout.VMsOf(group, all)
+	}
+	return all
+}
+
+// probeMembers probes the other replicas of the group and records the time of their responses. It waits for maxProbeWait at most, so
 // that a failed VM does not delay each step of the other replicas. A later response counts from the next step on.
 func (m *Membership) probeMembers(ctx context.Context) {
 	var wg sync.WaitGroup
 	m.mu.Lock()
-	for vm, target := range m.registered {
+	for _, target := range m.peersLocked() {
+		vm := target.VM
 		if vm == m.Self.VM || m.probesInFlight[vm] {
 			continue
 		}
--- a/daemon/replica/view_write_test.go
+++ b/daemon/replica/view_write_test.go
@@ -83,10 +83,10 @@
 		t.Run(name, func(t *testing.T) {
 			raw, err := json.Marshal(first)
 			must.NoError(t, err)
-			s := &fakeViewStore{object: platform.Object{Kind: ViewKind, Name: ViewName, Version: 7, Value: raw}}
+			s := &fakeViewStore{object: platform.Object{Kind: ViewKind, Name: replica.ViewName(0), Version: 7, Value: raw}}
 			m := &Membership{Self: a, Server: newServer(t, newFaultFS()), Store: s, Log: discardLog()}
 			m.Init()
-			m.view, m.viewRevision = first, 7
+			m.view, m.viewRevision, m.layout = first, 7, replica.SingleGroup()
 			prepare(s, m)
 			for range 3 {
 				m.writeView(t.Context(), "proposed", nextView)
