Read the store's objects from a replica of the region

Cause: each of 195 processes watched two or three kinds of objects in the store, for 2.5 s at most, and each change of an upstream cost one more watch of each gateway. Change: a replica passes on the configuration, the upstreams, the views, the registrations and the retirements while others read from it. The VMs of a region use the same order of replicas, so that they read from one; they leave it when it is silent for 1.3 s, loses the store or is behind, for the next one and for the store in the end. Nothing of an earlier revision replaces a later one. An outage of the store is passed on as before. Before: the tests did not compile. After: TestCallsDoNotGrowWithTheFleet, TestFailedRelayIsReplaced and the others of daemon/relay and core/relay pass, and testbed/deployment passes.

--- a/daemon/catalog/catalog.go
+++ b/daemon/catalog/catalog.go
@@ -47,7 +47,7 @@
 
 // Catalog follows the configuration and the upstreams. It is safe for concurrent use.
 type Catalog struct {
-	store   platform.Store
+	store   platform.Follower
 	decoder Decoder
 	log     *slog.Logger
 
@@ -73,7 +73,7 @@
 }
 
 // New returns a catalog. The function onUpstreams is called with each new list.
-func New(store platform.Store, decoder Decoder, log *slog.Logger, set *metrics.Set, onUpstreams func(*Upstreams)) *Catalog {
+func New(store platform.Follower, decoder Decoder, log *slog.Logger, set *metrics.Set, onUpstreams func(*Upstreams)) *Catalog {
 	c := &Catalog{store: store, decoder: decoder, log: log, entries: map[string]Upstream{}, undecodable: map[string]uint64{}, retained: map[string]bool{}, onUpstreams: onUpstreams}
 	c.upstreams.Store(&Upstreams{})
 	c.configVersion = set.NewGauge("jackdawbay_config_version", func() float64 {
@@ -93,7 +93,7 @@
 
 // FollowConfig follows the configuration until the context ends.
 func (c *Catalog) FollowConfig(ctx context.Context) error {
-	platform.Follow(ctx, c.store, c.decoder.ConfigKind(), platform.FollowOptions{WatchDelay: watchInterval, Log: c.log}, c.onConfig)
+	c.store.Follow(ctx, c.decoder.ConfigKind(), platform.FollowOptions{WatchDelay: watchInterval, Log: c.log}, c.onConfig)
 	return ctx.Err()
 }
 
@@ -117,7 +117,7 @@
 // FollowUpstreams follows the list of upstreams until the context ends.
 func (c *Catalog) FollowUpstreams(ctx context.Context) error {
 	options := platform.FollowOptions{WatchDelay: watchInterval, Log: c.log, OnResponse: c.onStoreRead, OnError: c.onStoreUnavailable}
-	platform.Follow(ctx, c.store, c.decoder.UpstreamKind(), options, c.onEntries)
+	c.store.Follow(ctx, c.decoder.UpstreamKind(), options, c.onEntries)
 	return ctx.Err()
 }
 
--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -12,6 +12,7 @@
 	"jackdawbay.dev/daemon/forward"
 	"jackdawbay.dev/daemon/gateway"
 	"jackdawbay.dev/daemon/quorum"
+	"jackdawbay.dev/daemon/replica"
 	"jackdawbay.dev/daemon/transport"
 	"jackdawbay.dev/platform"
 )
@@ -49,7 +50,9 @@
 	})
 	pool := forward.NewPool(upstreamDialTimeout, maxIdlePerUpstream, p.metrics)
 	var g *gateway.Gateway
-	cat := catalog.New(p.store, platform.Formats{}, p.log, p.metrics, func(u *catalog.Upstreams) { g.UpdateUpstreams(u) })
+	formats := platform.Formats{}
+	mirror := p.newMirror([]string{formats.ConfigKind(), formats.UpstreamKind(), replica.ViewKind})
+	cat := catalog.New(mirror, formats, p.log, p.metrics, func(u *catalog.Upstreams) { g.UpdateUpstreams(u) })
 	g = gateway.New(gateway.Config{
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
@@ -59,7 +62,8 @@
 	p.tree.Add(serverTask("ready", &http.Server{Handler: readyHandler(g, p), ReadHeaderTimeout: headerTimeout}, ready))
 	p.tree.Add(supervisedTask{"configuration", cat.FollowConfig})
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
-	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, p.store) }})
+	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
+	p.tree.Add(supervisedTask{"mirror", mirror.Run})
 	p.tree.Add(supervisedTask{"settlement", g.Run})
 	p.tree.Add(supervisedTask{"connections", pool.Run})
 	p.tree.ServeBackground(root)
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 
 	core "jackdawbay.dev/core/replica"
+	store "jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/relay"
 	"jackdawbay.dev/daemon/replica"
 	"jackdawbay.dev/daemon/transport"
 	"jackdawbay.dev/platform"
@@ -35,21 +37,31 @@
 	if address == "" {
 		address = p.site.ReplicaListen
 	}
+	formats, retirements := platform.Formats{}, platform.Retirements{Store: p.store}
+	membershipKinds := []string{replica.ViewKind, retirements.RetirementKind()}
+	mirror := p.newMirror(membershipKinds)
+	relays := relay.NewServer(store.StoreFollower{Store: p.store},
+		append([]string{replica.RegistrationKind, formats.ConfigKind(), formats.UpstreamKind()}, membershipKinds...), p.log, p.metrics)
 	members := &replica.Membership{
 		Self:              core.Member{VM: p.site.VM, Disk: server.Disk(), Address: address, DataCentre: p.site.DataCentre},
 		RegionOf:          p.site.RegionOf,
 		ToleratedFailures: func() int { return int(p.toleratedFailures.Load()) },
 		Server:            server,
 		Store:             p.store,
-		Retirements:       platform.Retirements{Store: p.store},
+		Follower:          mirror,
+		Retirements:       retirements,
 		Client:            transport.NewClient(transport.Options{DialTimeout: peerDialTimeout}),
 		Log:               p.log,
 	}
 	members.Init()
+	router := server.Router()
+	router.Handle(relay.PathStream, relays).Methods(http.MethodGet)
 	p.tree.Add(supervisedTask{"writer", server.RunWriter})
+	p.tree.Add(supervisedTask{"mirror", mirror.Run})
+	p.tree.Add(supervisedTask{"relay", relays.Run})
 	p.tree.Add(supervisedTask{"watchers", members.RunWatchers})
 	p.tree.Add(supervisedTask{"membership", members.Run})
-	p.tree.Add(serverTask("replica", &http.Server{Handler: server.Handler(), ReadHeaderTimeout: headerTimeout}, l))
+	p.tree.Add(serverTask("replica", &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, l))
 	p.tree.Add(serverTask("metrics", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, ops))
 	p.tree.ServeBackground(root)
 
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -21,6 +21,8 @@
 
 	"jackdawbay.dev/daemon/logging"
 	store "jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/relay"
+	"jackdawbay.dev/daemon/replica"
 	"jackdawbay.dev/daemon/site"
 	"jackdawbay.dev/daemon/transport"
 	"jackdawbay.dev/platform"
@@ -130,6 +132,17 @@
 	return 0
 }
 
+// newMirror returns the copy of the store's objects that this process reads from the replicas, or from the store if no replica
+// has them.
+func (p *process) newMirror(kinds []string) *relay.Mirror {
+	return relay.NewMirror(relay.MirrorConfig{
+		VM: p.site.VM, Store: store.StoreFollower{Store: p.store}, Region: p.site.Region, RegionOf: p.site.RegionOf,
+		Client:        transport.NewClient(transport.Options{DialTimeout: peerDialTimeout}),
+		CandidateKind: replica.RegistrationKind, DecodeCandidates: replica.RelayCandidates,
+		Log: p.log, Metrics: p.metrics,
+	}, kinds)
+}
+
 // addMetricsPort serves the metrics at the port of the flag --metrics-port, if it is set. If another process uses the port,
 // the role starts without it, since the role is more important than its metrics.
 func (p *process) addMetricsPort() {
--- a/daemon/platform/follow.go
+++ b/daemon/platform/follow.go
@@ -17,9 +17,26 @@
 // FollowOptions configures Follow.
 type FollowOptions struct {
 	WatchDelay time.Duration // Delay before each watch, so that one priced call returns several changes.
+	WatchWait  time.Duration // Max duration of one watch; zero selects MaxWatchWait.
 	Log        *slog.Logger
 	OnResponse func(at time.Time) // Called after each successful list or watch; may be nil.
 	OnError    func(at time.Time) // Called after each failed call; may be nil.
+
+	// OnRevision is called before the handler with the store revision of the objects that it gets next; may be nil.
+	OnRevision func(revision uint64)
+}
+
+// Follower maintains a copy of all objects of a kind and passes it to a handler until the context ends.
+type Follower interface {
+	Follow(ctx context.Context, kind string, o FollowOptions, h Handler)
+}
+
+// StoreFollower follows the store itself.
+type StoreFollower struct{ Store Store }
+
+// Follow implements Follower.
+func (f StoreFollower) Follow(ctx context.Context, kind string, o FollowOptions, h Handler) {
+	Follow(ctx, f.Store, kind, o, h)
 }
 
 // MaxWatchWait is the maximum duration of one watch. A watch in flight when the store becomes unresponsive may never get a
@@ -67,6 +84,9 @@
 		return f.list(ctx)
 	}
 	wait := MaxWatchWait
+	if f.options.WatchWait > 0 {
+		wait = f.options.WatchWait
+	}
 	if f.storeUnresponsive {
 		wait = outageWatchWait
 	} else if f.options.WatchDelay > 0 && !clock.Sleep(ctx, f.options.WatchDelay) {
@@ -138,6 +158,9 @@
 	if revision > f.revision {
 		f.revision = revision
 	}
+	if f.options.OnRevision != nil {
+		f.options.OnRevision(f.revision)
+	}
 	if f.options.OnResponse != nil {
 		f.options.OnResponse(now)
 	}
--- a/daemon/quorum/groups.go
+++ b/daemon/quorum/groups.go
@@ -33,13 +33,13 @@
 }
 
 // FollowViews updates the layout and the views from the platform's store until the context ends.
-func (g *Groups) FollowViews(ctx context.Context, store platform.Store) error {
+func (g *Groups) FollowViews(ctx context.Context, store platform.Follower) error {
 	onRead := func(at time.Time) {
 		for _, c := range g.all() {
 			c.onStoreResponse(at)
 		}
 	}
-	platform.Follow(ctx, store, replica.ViewKind, platform.FollowOptions{Log: g.cfg.Log, OnResponse: onRead}, g.onViews)
+	store.Follow(ctx, replica.ViewKind, platform.FollowOptions{Log: g.cfg.Log, OnResponse: onRead}, g.onViews)
 	return ctx.Err()
 }
 
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"jackdawbay.dev/core/relay"
 	"jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/platform"
@@ -69,6 +70,7 @@
 	ToleratedFailures func() int // Number of VMs with a disk that may fail at the same time.
 	Server            *Server
 	Store             platform.Store
+	Follower          platform.Follower // Reads the registrations, the views and the retirements.
 	Retirements       RetirementStore
 	Client            *http.Client
 	Log               *slog.Logger
@@ -129,7 +131,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			platform.Follow(ctx, m.Store, kind, platform.FollowOptions{WatchDelay: watchDelay, Log: m.Log, OnResponse: onResponse}, h)
+			m.Follower.Follow(ctx, kind, platform.FollowOptions{WatchDelay: watchDelay, Log: m.Log, OnResponse: onResponse}, h)
 		}()
 	}
 	follow(RegistrationKind, m.onRegistrations, m.onRegistrationsRead)
@@ -139,6 +141,18 @@
 	return ctx.Err()
 }
 
+// RelayCandidates returns the registered replicas as relays of the store's objects.
+func RelayCandidates(objects map[string]platform.Object) []relay.Candidate {
+	var candidates []relay.Candidate
+	for name, o := range objects {
+		var r replica.Member
+		if json.Unmarshal(o.Value, &r) == nil && r.VM == name { // Membership logs a registration that cannot be decoded.
+			candidates = append(candidates, relay.Candidate{VM: r.VM, Address: r.Address, DataCentre: r.DataCentre})
+		}
+	}
+	return candidates
+}
+
 // onRegistrations updates the registered replicas. A VM that is new since the previous read counts as newly registered.
 func (m *Membership) onRegistrations(objects map[string]platform.Object) {
 	next := map[string]replica.Member{}
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -85,7 +85,10 @@
 func (s *Server) View() replica.View { return s.state.currentView() }
 
 // Handler returns the HTTP handler of the replica listener.
-func (s *Server) Handler() http.Handler {
+func (s *Server) Handler() http.Handler { return s.Router() }
+
+// Router returns the handler of the replica listener as a router, to which a VM may add what else it serves there.
+func (s *Server) Router() *mux.Router {
 	r := mux.NewRouter()
 	r.HandleFunc(PathBatch, s.handleBatch).Methods(http.MethodPost)
 	r.HandleFunc(PathInventory, s.handleInventory).Methods(http.MethodPost)
