--- a/testbed/deployment/membership_test.go
+++ b/testbed/deployment/membership_test.go
@@ -115,3 +115,46 @@
 }
 
 const successorWait = 2 * time.Second // Time for which a replica that is to be evacuated waits for a successor.
+
+// Guards against programs whose turns are lost, or that cannot go on, where several groups store them: after a wiped disk in one
+// group, a restart of all processes, and a program that continues a turn of a program of another group.
+func TestGroupsOfReplicas(t *testing.T) {
+	o := defaultOptions()
+	o.Replicas = 8
+	d := startDeployment(t, o)
+	const programCount = 6 // With two groups, all of them hash to one group in one of 32 runs.
+	chains := map[string][]Call{}
+	for range programCount {
+		program := NewID()
+		chains[program] = d.sendChain(t, program, "", 3)
+	}
+	extendChains := func() {
+		t.Helper()
+		for program, calls := range chains {
+			calls = append(calls, d.sendChain(t, program, calls[len(calls)-1].ID, 1)...)
+			test.EqOp(t, expectedHistory(calls, 4), d.receivedBody(calls[len(calls)-1].ID))
+			chains[program] = calls
+		}
+	}
+	wiped := d.Replicas[3]
+	d.KillVM(wiped)
+	must.NoError(t, d.WipeDisk(wiped))
+	must.NoError(t, d.StartVM(wiped))
+	extendChains()
+	for _, calls := range chains {
+		last := calls[len(calls)-1]
+		next := d.mustServe(t, d.Gateways[0], newTurnCall(NewID(), last.ID, "another program;"))
+		test.EqOp(t, expectedHistory(append(calls[:len(calls):len(calls)], next), 4), d.receivedBody(next.ID))
+	}
+	_, resp := d.sendWithRetries(t, d.Gateways[0], newTurnCall(NewID(), NewID(), "x"))
+	test.EqOp(t, http.StatusNotFound, resp.Status)
+	d.killAndRestartAll(t)
+	extendChains()
+	layouts := 0
+	for _, vm := range d.Replicas {
+		if strings.Contains(d.ReadLog(vm), `msg="layout of the replicas written" role=replica vm=`+vm.Name+` groups=2`) {
+			layouts++
+		}
+	}
+	test.EqOp(t, 1, layouts, test.Sprint("one replica divides the VMs into groups"))
+}
