Notice within a second that an upstream's VM is gone

Cause: a request on a kept connection to an upstream whose VM was gone without a reset got neither a response nor an error until its deadline. Such a failure was not counted either, so the gateway sent it more requests. Change: connections with a request in flight fail when the upstream's system acknowledges nothing for a second. An upstream that only takes long acknowledges. Idle connections send no probes. Before: TestSilentUpstreamIsDetected failed, the options were not set. After: it passes.

--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/daemon/clock"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // Limits of the pool.
@@ -28,6 +29,9 @@
 	idleTimeoutMargin = 700 * time.Millisecond
 	// IdleCheckInterval is the interval at which expired idle connections are closed.
 	IdleCheckInterval = 2 * time.Second
+	// silenceInterval is half of the time after which an upstream whose system acknowledges nothing counts as gone while a
+	// request is in flight. It is a multiple of the round trip between regions and of a retransmission.
+	silenceInterval = 500 * time.Millisecond
 )
 
 // ErrNotSent means that no byte of the request reached the upstream.
@@ -59,8 +63,10 @@
 // NewPool returns a pool. The argument dialTimeout limits the time to connect, and maxIdle the number of idle connections
 // to one upstream.
 func NewPool(dialTimeout time.Duration, maxIdle int, set *metrics.Set) *Pool {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	transport.LimitSilence(&dialer, silenceInterval)
 	return &Pool{
-		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1},
+		dialer:  dialer,
 		maxIdle: maxIdle,
 		idle:    map[string][]*Conn{},
 		dials:   set.NewCounter("jackdawbay_upstream_dials_total"),
@@ -75,7 +81,7 @@
 		if c == nil {
 			break
 		}
-		if time.Now().Before(c.idleUntil) && isUsable(c) {
+		if time.Now().Before(c.idleUntil) && isUsable(c) && c.setProbes(true) == nil {
 			p.reuses.Inc()
 			c.Reused, c.DialTime = true, 0
 			return c, nil
@@ -153,8 +159,21 @@
 	return err == nil && usable
 }
 
+// setProbes enables or disables keep-alive probes. Idle connections send none, since there are many and a request on a failed
+// one is detected by its unacknowledged data.
+func (c *Conn) setProbes(enabled bool) error {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		return tcp.SetKeepAlive(enabled)
+	}
+	return nil
+}
+
 // put adds a connection to the pool for a later request.
 func (p *Pool) put(c *Conn, idleTimeout time.Duration) {
+	if err := c.setProbes(false); err != nil {
+		_ = c.Close() // The connection has failed.
+		return
+	}
 	if idleTimeout <= 0 {
 		idleTimeout = DefaultIdleTimeout
 	}
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -41,10 +41,7 @@
 func NewClient(o Options) *http.Client {
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
 	if o.KeepAlive > 0 {
-		dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: o.KeepAlive, Interval: o.KeepAlive, Count: 1}
-		dialer.Control = func(_, _ string, c syscall.RawConn) error {
-			return errors.Wrap(setUserTimeout(c, 2*o.KeepAlive), "set timeout of unacknowledged data")
-		}
+		LimitSilence(dialer, o.KeepAlive)
 	}
 	if o.SourceAddress != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(o.SourceAddress)}
@@ -74,6 +71,16 @@
 	}
 }
 
+// LimitSilence makes the connections of a dialer fail if the peer's system acknowledges neither sent data nor keep-alive probes
+// for twice the interval. A peer that only takes long to respond acknowledges both. The system rounds the interval of probes up
+// to whole seconds.
+func LimitSilence(dialer *net.Dialer, interval time.Duration) {
+	dialer.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: 1}
+	dialer.Control = func(_, _ string, c syscall.RawConn) error {
+		return errors.Wrap(setUserTimeout(c, 2*interval), "set timeout of unacknowledged data")
+	}
+}
+
 // http1Only returns the set of protocols with HTTP/1 alone.
 func http1Only() *http.Protocols {
 	p := new(http.Protocols)
