Tell all VMs of an upstream that several cannot reach

Change: a gateway that cannot reach an upstream reports it to its relay. When two VMs have reported a process within 1.5 s, the relay tells all VMs, which send it nothing for 1.5 to 2 s, unless more than a third of the service is suspected or nothing else is left. A response ends the suspicion. One failure to reach an upstream now ejects it.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -67,6 +67,7 @@
 	consecutiveFailures int
 	ejections           int
 	ejectedUntil        time.Time
+	suspectedUntil      time.Time // Other VMs cannot reach it.
 	cachedPrefixes      prefixCache
 }
 
@@ -161,12 +162,16 @@
 	found := false
 	g.prefixHashes = appendPrefixHashes(g.prefixHashes[:0], r.Parts)
 	meanOther := g.meanOtherLoad(now)
+	honoursSuspicions := g.honoursSuspicions(now)
 	for pass := 0; pass < 2 && !found; pass++ {
 		for i, id := range g.ids {
 			u := g.upstreams[id]
 			if u.info.Draining || g.isLeaving(id) || r.Excluded[id] || pass == 0 && now.Before(u.ejectedUntil) {
 				continue
 			}
+			if pass == 0 && honoursSuspicions && now.Before(u.suspectedUntil) {
+				continue
+			}
 			c := g.estimate(now, u, r, meanOther)
 			c.CostMS += tieBreakCost(r.TieBreak, i, len(g.ids))
 			if c.CostMS < best.CostMS {
@@ -272,6 +277,7 @@
 	}
 	if !failed {
 		u.consecutiveFailures, u.ejections = 0, 0
+		u.suspectedUntil = time.Time{}
 		return
 	}
 	u.consecutiveFailures++
--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -7,6 +7,7 @@
 
 	"github.com/gorilla/mux"
 
+	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/daemon/catalog"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/forward"
@@ -51,11 +52,13 @@
 	pool := forward.NewPool(upstreamDialTimeout, maxIdlePerUpstream, p.metrics)
 	var g *gateway.Gateway
 	formats := platform.Formats{}
-	mirror := p.newMirror([]string{formats.ConfigKind(), formats.UpstreamKind(), replica.ViewKind})
+	mirror := p.newMirror([]string{formats.ConfigKind(), formats.UpstreamKind(), replica.ViewKind},
+		func(suspected []placement.Process) { g.Suspect(suspected) })
 	cat := catalog.New(mirror, formats, p.log, p.metrics, func(u *catalog.Upstreams) { g.UpdateUpstreams(u) })
 	g = gateway.New(gateway.Config{
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
+		ReportUnreachable: mirror.ReportUnreachable,
 	})
 	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.ConnState()}
 	p.tree.Add(serverTask("callers", server, callers))
@@ -64,6 +67,7 @@
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
 	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
 	p.tree.Add(supervisedTask{"mirror", mirror.Run})
+	p.tree.Add(supervisedTask{"reports", mirror.RunReports})
 	p.tree.Add(supervisedTask{"settlement", g.Run})
 	p.tree.Add(supervisedTask{"connections", pool.Run})
 	p.tree.ServeBackground(root)
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -39,7 +39,7 @@
 	}
 	formats, retirements := platform.Formats{}, platform.Retirements{Store: p.store}
 	membershipKinds := []string{replica.ViewKind, retirements.RetirementKind()}
-	mirror := p.newMirror(membershipKinds)
+	mirror := p.newMirror(membershipKinds, nil)
 	relays := relay.NewServer(store.StoreFollower{Store: p.store},
 		append([]string{replica.RegistrationKind, formats.ConfigKind(), formats.UpstreamKind()}, membershipKinds...), p.log, p.metrics)
 	members := &replica.Membership{
@@ -56,6 +56,7 @@
 	members.Init()
 	router := server.Router()
 	router.Handle(relay.PathStream, relays).Methods(http.MethodGet)
+	router.HandleFunc(relay.PathReports, relays.HandleReports).Methods(http.MethodPost)
 	p.tree.Add(supervisedTask{"writer", server.RunWriter})
 	p.tree.Add(supervisedTask{"mirror", mirror.Run})
 	p.tree.Add(supervisedTask{"relay", relays.Run})
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -19,6 +19,7 @@
 	"github.com/gorilla/mux"
 	"github.com/thejerf/suture/v4"
 
+	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/daemon/logging"
 	store "jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/relay"
@@ -133,12 +134,12 @@
 }
 
 // newMirror returns the copy of the store's objects that this process reads from the replicas, or from the store if no replica
-// has them.
-func (p *process) newMirror(kinds []string) *relay.Mirror {
+// has them. The function onSuspicions is called with upstreams that several VMs cannot reach; it may be nil.
+func (p *process) newMirror(kinds []string, onSuspicions func(suspected []placement.Process)) *relay.Mirror {
 	return relay.NewMirror(relay.MirrorConfig{
 		VM: p.site.VM, Store: store.StoreFollower{Store: p.store}, Region: p.site.Region, RegionOf: p.site.RegionOf,
 		Client:        transport.NewClient(transport.Options{DialTimeout: peerDialTimeout}),
-		CandidateKind: replica.RegistrationKind, DecodeCandidates: replica.RelayCandidates,
+		CandidateKind: replica.RegistrationKind, DecodeCandidates: replica.RelayCandidates, OnSuspicions: onSuspicions,
 		Log: p.log, Metrics: p.metrics,
 	}, kinds)
 }
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -275,7 +276,11 @@
 	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address)
 	if err != nil {
 		c.excluded[u.ID] = true
-		c.g.upstreams.recordEnd(c.service, u.ID, c.r.Context().Err() == nil, 0)
+		if c.ctx.Err() != nil {
+			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
+		} else {
+			c.g.upstreams.recordUnreachable(c.service, u)
+		}
 		return route.NotSent
 	}
 	c.g.upstreams.recordConnectTime(u.ID, conn.DialTime)
@@ -332,7 +337,11 @@
 }
 
 func (c *call) handleSendError(u placement.Upstream, err error) route.Outcome {
-	c.g.upstreams.recordEnd(c.service, u.ID, c.ctx.Err() == nil, 0)
+	if c.ctx.Err() == nil && errors.Is(err, syscall.ETIMEDOUT) {
+		c.g.upstreams.recordUnreachable(c.service, u) // Its system acknowledges nothing.
+	} else {
+		c.g.upstreams.recordEnd(c.service, u.ID, c.ctx.Err() == nil, 0)
+	}
 	switch {
 	case errors.Is(err, forward.ErrNotSent):
 		c.excluded[u.ID] = true
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -141,6 +142,31 @@
 	g.group(service).RecordEnd(time.Now(), upstream, failed, duration)
 }
 
+// recordUnreachable counts the end of a request to an upstream that could not be reached, and reports it to other VMs.
+func (g *upstreamGroups) recordUnreachable(service string, u placement.Upstream) {
+	g.mu.Lock()
+	g.group(service).RecordUnreachable(time.Now(), u.ID)
+	g.mu.Unlock()
+	if g.cfg.ReportUnreachable != nil {
+		g.cfg.ReportUnreachable(placement.Process{ID: u.ID, StartMillis: u.StartMillis})
+	}
+}
+
+// maxSuspicionSpread is the time over which the VMs send requests to a suspected upstream again, so that one that is back
+// gets few requests at first.
+const maxSuspicionSpread = 500 * time.Millisecond
+
+func (g *upstreamGroups) suspect(processes []placement.Process) {
+	until := time.Now().Add(placement.SuspicionDuration + rand.N(maxSuspicionSpread))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range processes {
+		if u, ok := g.current.ByID[p.ID]; ok {
+			g.group(u.Service).Suspect(until, p)
+		}
+	}
+}
+
 func (g *upstreamGroups) eject(service, upstream string, d time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -74,6 +74,9 @@
 	Log        *slog.Logger
 	Metrics    *metrics.Set
 	CacheBytes int64 // Limit of the turns that are cached in memory.
+
+	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
+	ReportUnreachable func(p placement.Process)
 }
 
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
@@ -105,6 +108,9 @@
 	return g
 }
 
+// Suspect excludes upstreams that several VMs cannot reach from new requests for a while.
+func (g *Gateway) Suspect(processes []placement.Process) { g.upstreams.suspect(processes) }
+
 // UpdateUpstreams replaces the list of upstreams.
 func (g *Gateway) UpdateUpstreams(u *catalog.Upstreams) { g.upstreams.update(u) }
 
--- a/daemon/relay/mirror.go
+++ b/daemon/relay/mirror.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net/http"
 	"slices"
@@ -12,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cockroachdb/errors"
 
+	"jackdawbay.dev/core/placement"
 	core "jackdawbay.dev/core/relay"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/platform"
@@ -30,6 +33,9 @@
 	minStreamDuration = 20 * time.Second
 	maxStreamDuration = 40 * time.Second
 	minRetryWait      = 20 * time.Millisecond
+	// reportDelay is the time for which further reports are awaited before they are sent as one.
+	reportDelay   = 30 * time.Millisecond
+	reportTimeout = 400 * time.Millisecond // Several times a round trip between regions.
 )
 
 // errBehind means that a relay is at an earlier state than the mirror.
@@ -48,6 +54,7 @@
 	CandidateKind string // Kind of the objects that name the relays.
 	// DecodeCandidates returns the relays that are registered in the store.
 	DecodeCandidates func(objects map[string]platform.Object) []core.Candidate
+	OnSuspicions     func(suspected []placement.Process) // Called with upstreams that several VMs cannot reach; may be nil.
 	Log              *slog.Logger
 	Metrics          *metrics.Set
 }
@@ -62,8 +69,9 @@
 	states        map[string]*mirrorState // By kind.
 	candidates    []core.Candidate
 	candidatesSet chan struct{} // Closed when the first candidates are known.
-	source        string
+	source        core.Source
 	lastMessage   time.Time
+	unreachable   chan placement.Process // Upstreams to report.
 
 	sourceChanges *metrics.Counter
 	bytesReceived *metrics.Counter
@@ -82,6 +90,7 @@
 func NewMirror(cfg MirrorConfig, kinds []string) *Mirror {
 	m := &Mirror{
 		cfg: cfg, selector: core.NewSelector(), states: map[string]*mirrorState{}, candidatesSet: make(chan struct{}),
+		unreachable:   make(chan placement.Process, maxReports),
 		sourceChanges: cfg.Metrics.NewCounter("jackdawbay_mirror_source_changes_total"),
 		bytesReceived: cfg.Metrics.NewCounter("jackdawbay_mirror_received_bytes_total"),
 		rejected:      cfg.Metrics.NewCounter("jackdawbay_mirror_rejected_messages_total"),
@@ -161,8 +170,8 @@
 func (m *Mirror) setSource(source core.Source) {
 	name := m.sourceName(source)
 	m.mu.Lock()
-	changed, candidates := m.source != name, len(m.candidates)
-	m.source = name
+	changed, candidates := m.source != source || m.lastMessage.IsZero(), len(m.candidates)
+	m.source = source
 	m.mu.Unlock()
 	if changed {
 		m.sourceChanges.Inc()
@@ -281,6 +290,73 @@
 	return errUnavailable // The relay has ended the stream.
 }
 
+// ReportUnreachable reports to the relay that this VM cannot reach the process of an upstream. It does not block. A report is
+// dropped if many are waiting.
+func (m *Mirror) ReportUnreachable(p placement.Process) {
+	select {
+	case m.unreachable <- p:
+	default:
+	}
+}
+
+// RunReports sends the reports of this VM until the context ends.
+func (m *Mirror) RunReports(ctx context.Context) error {
+	for {
+		body := reports{VM: m.cfg.VM}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case p := <-m.unreachable:
+			body.Upstreams = append(body.Upstreams, p)
+		}
+		clock.Sleep(ctx, reportDelay)
+		for len(body.Upstreams) < maxReports {
+			select {
+			case p := <-m.unreachable:
+				if !slices.Contains(body.Upstreams, p) {
+					body.Upstreams = append(body.Upstreams, p)
+				}
+				continue
+			default:
+			}
+			break
+		}
+		m.mu.Lock()
+		source := m.source
+		m.mu.Unlock()
+		if !source.IsRelay {
+			continue // The store takes no reports.
+		}
+		if err := m.sendReports(ctx, source, body); err != nil {
+			m.cfg.Log.Warn("cannot report unreachable upstreams", "relay", source.VM, "upstreams", len(body.Upstreams), "error", err)
+		}
+	}
+}
+
+func (m *Mirror) sendReports(ctx context.Context, source core.Source, body reports) error {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "encode reports")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+source.Address+PathReports, bytes.NewReader(raw))
+	if err != nil {
+		return errors.Wrap(err, "build request")
+	}
+	resp, err := m.cfg.Client.Do(req)
+	if err != nil {
+		return err
+	}
+	if err := resp.Body.Close(); err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusNoContent {
+		return errors.Newf("status %d", resp.StatusCode)
+	}
+	return nil
+}
+
 // recordResponse tells the consumers that the store or a relay that has it responded.
 func (m *Mirror) recordResponse(at time.Time) {
 	m.mu.Lock()
@@ -308,8 +384,14 @@
 // apply applies a message to the copy and passes the objects to their consumer. It fails if the message is of an earlier
 // revision than the copy.
 func (m *Mirror) apply(received message) error {
-	if received.Kind == "" {
-		return nil // A heartbeat.
+	switch received.Kind {
+	case "": // A heartbeat.
+		return nil
+	case kindSuspicions:
+		if m.cfg.OnSuspicions != nil {
+			m.cfg.OnSuspicions(received.Suspected)
+		}
+		return nil
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/daemon/relay/protocol.go
+++ b/daemon/relay/protocol.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"time"
 
+	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/daemon/platform"
 )
 
@@ -13,6 +14,12 @@
 // objects of each kind and does not end before the server loses the store.
 const PathStream = "/relay/v1/stream"
 
+// PathReports is the HTTP path at which a server takes the reports of other VMs about upstreams that they cannot reach.
+const PathReports = "/relay/v1/reports"
+
+// kindSuspicions is the kind of the messages about upstreams that several VMs cannot reach. They are not objects of the store.
+const kindSuspicions = "suspicions"
+
 const (
 	// heartbeatInterval is the max time between two messages.
 	heartbeatInterval = 400 * time.Millisecond
@@ -25,6 +32,12 @@
 	maxMessageBytes = 8 << 20
 )
 
+// reports is the body of a request to PathReports.
+type reports struct {
+	VM        string              `json:"vm"`
+	Upstreams []placement.Process `json:"upstreams"`
+}
+
 // message is one change of the objects of a kind, or a heartbeat without a kind.
 type message struct {
 	Kind     string            `json:"kind,omitempty"`
@@ -37,6 +50,8 @@
 	// AvailableMS is the time for which the server has had the store, if that is below reregistrationTime. Objects that lapsed
 	// while the store was away may still be missing.
 	AvailableMS int64 `json:"available_ms,omitempty"`
+
+	Suspected []placement.Process `json:"suspected,omitempty"` // Upstreams that several VMs cannot reach.
 }
 
 // encode returns the message as a line. A value that encoding/json cannot embed, such as a deeply nested one, is replaced by
--- a/daemon/relay/relay_test.go
+++ b/daemon/relay/relay_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -20,6 +22,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"jackdawbay.dev/core/placement"
 	core "jackdawbay.dev/core/relay"
 	"jackdawbay.dev/daemon/platform"
 )
@@ -194,7 +197,11 @@
 	context.AfterFunc(r.Context(), func() { _ = in.CloseWithError(r.Context().Err()) }) // Never fails.
 	w := &pipeWriter{out: out, header: http.Header{}, started: make(chan int, 1), frozen: &vm.isFrozen}
 	go func() {
-		vm.server.ServeHTTP(w, r)
+		if r.URL.Path == PathReports {
+			vm.server.HandleReports(w, r)
+		} else {
+			vm.server.ServeHTTP(w, r)
+		}
 		w.WriteHeader(http.StatusOK)
 		_ = out.Close() // Never fails.
 	}()
@@ -224,6 +231,8 @@
 	objects  map[string]map[string]string // By kind and name.
 	versions []string                     // Values of config/main, in the order in which they came into force.
 	outages  int
+
+	suspected []placement.Process
 }
 
 func (c *consumer) value(kind, name string) string {
@@ -279,8 +288,14 @@
 			}
 			return list
 		},
+		OnSuspicions: func(suspected []placement.Process) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.suspected = append(c.suspected, suspected...)
+		},
 		Log: slog.New(slog.DiscardHandler), Metrics: metrics.NewSet(),
 	}, []string{kindConfig, kindList})
+	go func() { _ = c.mirror.RunReports(w.ctx) }() // Ends with the context.
 	for _, kind := range []string{kindConfig, kindList} {
 		go c.mirror.Follow(w.ctx, kind, platform.FollowOptions{
 			OnResponse: func(time.Time) {},
@@ -310,7 +325,7 @@
 func (w *world) current() *neighbour {
 	w.mirrors[0].mirror.mu.Lock()
 	defer w.mirrors[0].mirror.mu.Unlock()
-	n := w.net[w.mirrors[0].mirror.source]
+	n := w.net[w.mirrors[0].mirror.source.VM]
 	must.NotNil(w.t, n, must.Sprint("reads from ", w.mirrors[0].mirror.source))
 	return n
 }
@@ -488,6 +503,44 @@
 	})
 }
 
+// Guards against an upstream that each of many VMs has to find unreachable by itself, and against the word of a single VM. The
+// pattern: an engine dies under the streams of many gateways.
+func TestUnreachableUpstreamIsToldToAll(t *testing.T) {
+	withWorld(t, 3, 20, func(w *world) {
+		p := placement.Process{ID: "engine", StartMillis: 7}
+		suspectedBy := func() (n int) {
+			for _, c := range w.mirrors {
+				c.mu.Lock()
+				if slices.Contains(c.suspected, p) {
+					n++
+				}
+				c.mu.Unlock()
+			}
+			return n
+		}
+		for range 5 {
+			w.mirrors[0].mirror.ReportUnreachable(p)
+			time.Sleep(200 * time.Millisecond)
+		}
+		test.EqOp(t, 0, suspectedBy())
+		for range 3 * maxReports {
+			w.mirrors[1].mirror.ReportUnreachable(p) // Does not block.
+		}
+		time.Sleep(200 * time.Millisecond)
+		test.EqOp(t, 20, suspectedBy())
+	})
+}
+
+// Guards against a body of another writer that a relay believes.
+func TestInvalidReportsAreRejected(t *testing.T) {
+	s := NewServer(nil, nil, slog.New(slog.DiscardHandler), metrics.NewSet())
+	for _, body := range []string{"", "[]", `{"vm":""}`, `{"vm":7}`, `{"vm":"` + strings.Repeat("x", maxReportBytes) + `"}`, `{"vm":"a","upstreams":[` + strings.Repeat(`{},`, maxReports) + `{}]}`} {
+		w := httptest.NewRecorder()
+		s.HandleReports(w, httptest.NewRequest(http.MethodPost, PathReports, strings.NewReader(body)))
+		test.EqOp(t, http.StatusBadRequest, w.Code)
+	}
+}
+
 // Guards against a status that is lost on the way, and against a VM that reads everything again after each change.
 func TestChangesAndStatuses(t *testing.T) {
 	f := newFeed([]string{kindList})
--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"log/slog"
 	"net/http"
 	"sync"
@@ -10,13 +11,16 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/daemon/platform"
 )
 
 // Limits and times of a server.
 const (
 	maxStreams        = 1000 // Concurrent streams; further ones are rejected with status 503.
-	maxLoggedChanges  = 512  // Changes that are kept for streams that lag behind. Others get all objects again.
+	maxReportBytes    = 64 << 10
+	maxReports        = 64  // Upstreams in one request.
+	maxLoggedChanges  = 512 // Changes that are kept for streams that lag behind. Others get all objects again.
 	watchDelay        = 100 * time.Millisecond
 	watchWait         = 700 * time.Millisecond // With the timeout of a call, the time until the loss of the store is noticed.
 	firstListTimeout  = time.Second            // Max wait of a stream for the first objects.
@@ -37,17 +41,20 @@
 	idleSince time.Time
 	stop      context.CancelFunc // Stops following the store; nil while the server does not follow it.
 	feed      *feed              // Nil while the server does not follow the store.
+	suspected *placement.Suspicions
 
-	rejected  *metrics.Counter
-	bytesSent *metrics.Counter
+	rejected   *metrics.Counter
+	bytesSent  *metrics.Counter
+	suspicions *metrics.Counter
 }
 
 // NewServer returns a server that passes on the objects of the given kinds. Run must be called.
 func NewServer(store platform.Follower, kinds []string, log *slog.Logger, set *metrics.Set) *Server {
 	s := &Server{
-		store: store, kinds: kinds, log: log,
-		rejected:  set.NewCounter("jackdawbay_relay_streams_rejected_total"),
-		bytesSent: set.NewCounter("jackdawbay_relay_sent_bytes_total"),
+		store: store, kinds: kinds, log: log, suspected: placement.NewSuspicions(),
+		rejected:   set.NewCounter("jackdawbay_relay_streams_rejected_total"),
+		bytesSent:  set.NewCounter("jackdawbay_relay_sent_bytes_total"),
+		suspicions: set.NewCounter("jackdawbay_relay_suspicions_total"),
 	}
 	set.NewGauge("jackdawbay_relay_streams", func() float64 {
 		s.mu.Lock()
@@ -190,6 +197,37 @@
 	}
 }
 
+// HandleReports takes the report of a VM about upstreams that it cannot reach, and tells all VMs which of them several VMs
+// cannot reach.
+func (s *Server) HandleReports(w http.ResponseWriter, r *http.Request) {
+	var received reports
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReportBytes)).Decode(&received)
+	if err != nil || received.VM == "" || len(received.Upstreams) > maxReports {
+		s.rejected.Inc()
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	now := time.Now()
+	var suspected []placement.Process
+	s.mu.Lock()
+	f := s.feed
+	for _, p := range received.Upstreams {
+		if s.suspected.Report(now, received.VM, p) {
+			suspected = append(suspected, p)
+		}
+	}
+	s.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+	if len(suspected) == 0 || f == nil {
+		return
+	}
+	s.suspicions.Add(len(suspected))
+	s.log.Info("upstreams are suspected: several VMs cannot reach them", "upstreams", suspected, "reporter", received.VM)
+	if err := f.publish(message{Kind: kindSuspicions, Suspected: suspected}); err != nil {
+		s.log.Error("cannot encode suspicions for other VMs", "error", err)
+	}
+}
+
 // feed holds the objects of all kinds and their recent changes.
 type feed struct {
 	mu       sync.Mutex
@@ -275,6 +313,19 @@
 	if len(m.Objects) == 0 && len(m.Deleted) == 0 {
 		return nil
 	}
+	return f.addChangeLocked(m)
+}
+
+// publish sends a message to all streams. Streams that begin later do not get it.
+func (f *feed) publish(m message) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	defer f.wakeLocked()
+	return f.addChangeLocked(m)
+}
+
+// addChangeLocked records a message for all streams. The caller holds the lock.
+func (f *feed) addChangeLocked(m message) error {
 	line, err := m.encode()
 	if err != nil {
 		return err
