--- a/core/placement/suspicion_test.go
+++ b/core/placement/suspicion_test.go
@@ -67,7 +67,7 @@
 		gateways = 50
 		engines  = 10
 		interval = 4 * time.Millisecond // Time between two requests of all gateways.
-		detect   = time.Second           // Time until a gateway notices that the engine is gone.
+		detect   = time.Second          // Time until a gateway notices that the engine is gone.
 		away     = 4 * time.Second
 	)
 	lostRequests := func(shares bool) int {
