Keep shards with their owner until they have checkpoints after a restore

Ruled out: the store client, whose lists returned the segments that there were. Change: an owner releases no shards while a restore is not covered by checkpoints. A move between the restore and its detection is not covered by this. Before: TestShardIsNotReleasedBeforeCheckpointAfterRestore failed. After: it passes; platform_restored and graceful_stop passed 4 times beside load.

--- a/daemon/cluster/agent.go
+++ b/daemon/cluster/agent.go
@@ -61,6 +61,9 @@
 	openingShards  map[int]bool
 	leaving        bool
 
+	// coveredRestores is the number of platform restores after which this incarnation has stored checkpoints of its shards.
+	coveredRestores uint64
+
 	detector   *membership.Detector
 	detectorMu sync.Mutex
 
--- a/daemon/cluster/checkpoints.go
+++ b/daemon/cluster/checkpoints.go
@@ -55,6 +55,9 @@
 		*c = checkpointState{incarnation: loop.Incarnation(), handledRestores: r.Restores}
 	}
 	a.beginCheckpointRound(ctx, c, loop, r)
+	if len(c.pendingShards) == 0 {
+		a.recordCoveredRestores(c)
+	}
 	due := dueShards(c, r, loop.Incarnation())
 	if len(due) == 0 {
 		return
@@ -128,6 +131,22 @@
 	}
 }
 
+// recordCoveredRestores records that a successor can replay the shards of this incarnation in spite of the restores that were
+// handled.
+func (a *Agent) recordCoveredRestores(c *checkpointState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.coveredRestores = c.handledRestores
+}
+
+// coversRestores reports whether a successor can replay the shards of this incarnation. After a restore of the platform, that
+// is the case when each shard has a new checkpoint.
+func (a *Agent) coversRestores() bool {
+	a.mu.RLock()
+	defer a.mu.RUnlock()
+	return a.coveredRestores >= a.roster.Restores
+}
+
 // isReferencedByChain reports whether the chain of a shard that was handed over refers to a journal.
 func (a *Agent) isReferencedByChain(incarnation string) bool {
 	for _, s := range a.Roster().Shards {
--- a/daemon/cluster/shards.go
+++ b/daemon/cluster/shards.go
@@ -193,6 +193,10 @@
 	if request.Term != a.Roster().Term {
 		return peer.HandoverResponse{}
 	}
+	if !a.coversRestores() {
+		a.log.Info("shards are not released before they have checkpoints after the restore of the platform", "shards", len(request.Shards))
+		return peer.HandoverResponse{}
+	}
 	loop := a.Loop()
 	lastLSNs := map[int]journal.LSN{}
 	err := loop.Do(ctx, func(_ time.Time, o *program.Owner) {
