--- a/review/src/reviewcase.go
+++ b/review/src/reviewcase.go
@@ -26,7 +26,8 @@
 type scenario func(o deployment.Options, r *record, trouble bool) (verdict, error)
 
 var scenarios = map[string]scenario{
-	"chain": runChain,
+	"chain":    runChain,
+	"tolerate": runTolerate,
 }
 
 func main() {
@@ -48,7 +49,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	defer func() { _ = os.RemoveAll(dir) }() // The folder holds only logs and data of this run.
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(dir) }()
+	} // The folder holds only logs and data of this run.
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.logf("start, trouble %v", trouble)
 	v, err := s(deployment.Options{Binaries: binaries, Dir: dir, ToleratedVMFailures: 1}, r, trouble)
