--- a/review/src/reviewcase.go
+++ b/review/src/reviewcase.go
@@ -27,6 +27,7 @@
 
 var scenarios = map[string]scenario{
 	"chain":    runChain,
+	"retire":   runRetire,
 	"tolerate": runTolerate,
 }
 
