--- a/review/src/chain.go
+++ b/review/src/chain.go
@@ -48,7 +48,7 @@
 // gateway is killed and started again before the last turn.
 func runChain(o deployment.Options, r *record, trouble bool) (verdict, error) {
 	o.Gateways, o.Replicas, o.Engines, o.EventsPerStream, o.ResponseDelay, o.RetainS = chainGateways, 3, 2, chainEvents, 10*time.Millisecond, chainRetainS
-	d, err := deployment.Start(o)
+	d, err := start(o, r)
 	if d != nil {
 		defer d.Close()
 	}
--- a/review/src/record.go
+++ b/review/src/record.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"jackdawbay.dev/testbed/deployment"
@@ -15,6 +16,8 @@
 	mu    sync.Mutex
 	file  *os.File
 	start time.Time
+
+	deployment atomic.Pointer[deployment.Deployment] // The deployment of the run, for stopOnSignal.
 }
 
 func newRecord(path string) (*record, error) {
--- a/review/src/retire.go
+++ b/review/src/retire.go
@@ -35,7 +35,7 @@
 func runRetire(o deployment.Options, r *record, trouble bool) (verdict, error) {
 	o.Zones = []string{"zone-a", "zone-b"} // Both are in one region.
 	o.Gateways, o.Replicas, o.Engines, o.EventsPerStream, o.ResponseDelay, o.RetainS = retireGateways, 3, 4, retireEvents, 2*time.Millisecond, 60
-	d, err := deployment.Start(o)
+	d, err := start(o, r)
 	if d != nil {
 		defer d.Close()
 	}
--- a/review/src/reviewcase.go
+++ b/review/src/reviewcase.go
@@ -5,6 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
 	"jackdawbay.dev/testbed/deployment"
 )
@@ -27,6 +30,7 @@
 
 var scenarios = map[string]scenario{
 	"chain":    runChain,
+	"extra":    runExtra,
 	"retire":   runRetire,
 	"tolerate": runTolerate,
 }
@@ -39,6 +43,33 @@
 	os.Exit(run(scenarios[os.Args[1]], os.Args[2], os.Args[3]))
 }
 
+// maxDuration is the time after which a run is given up.
+const maxDuration = 118 * time.Second
+
+// stopOnSignal ends the processes of the run, and the run itself, after a signal or after maxDuration.
+func stopOnSignal(r *record) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-stop:
+		case <-time.After(maxDuration):
+		}
+		r.logf("could not run: stopped by a signal or after %s", maxDuration)
+		if d := r.deployment.Load(); d != nil {
+			d.Close()
+		}
+		os.Exit(exitNotRun)
+	}()
+}
+
+// start starts a deployment, which the caller closes.
+func start(o deployment.Options, r *record) (*deployment.Deployment, error) {
+	d, err := deployment.Start(o)
+	r.deployment.Store(d)
+	return d, err
+}
+
 func run(s scenario, binaries, recordPath string) int {
 	r, err := newRecord(recordPath)
 	if err != nil {
@@ -50,11 +81,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	if os.Getenv("KEEP") == "" {
-		defer func() { _ = os.RemoveAll(dir) }()
-	} // The folder holds only logs and data of this run.
+	defer func() { _ = os.RemoveAll(dir) }() // The folder holds only logs and data of this run.
 	trouble := os.Getenv("TROUBLE") != "0"
 	r.logf("start, trouble %v", trouble)
+	stopOnSignal(r)
 	v, err := s(deployment.Options{Binaries: binaries, Dir: dir, ToleratedVMFailures: 1}, r, trouble)
 	if err != nil {
 		r.logf("could not run: %v", err)
--- a/review/src/tolerate.go
+++ b/review/src/tolerate.go
@@ -31,7 +31,7 @@
 func runTolerate(o deployment.Options, r *record, trouble bool) (verdict, error) {
 	o.Zones = []string{"zone-a", "zone-b"} // Both are in one region.
 	o.Gateways, o.Replicas, o.Engines, o.EventsPerStream, o.ResponseDelay, o.RetainS = 4, 5, 2, tolerateEvents, 2*time.Millisecond, 60
-	d, err := deployment.Start(o)
+	d, err := start(o, r)
 	if d != nil {
 		defer d.Close()
 	}
