--- a/review/src/reviewcase.go
+++ b/review/src/reviewcase.go
@@ -30,6 +30,7 @@
 
 var scenarios = map[string]scenario{
 	"chain":    runChain,
+	"first":    runFirst,
 	"extra":    runExtra,
 	"retire":   runRetire,
 	"tolerate": runTolerate,
