Retain the chain of a turn for as long as the turn

Cause: every turn expired at the end of its own retention, so a chain lost its first turn while later ones were still kept.

Change: a replica retains the chain of a turn for as long as the turn, in whatever order they arrive. A turn is acknowledged only when each member of the write quorum has its whole chain; the gateway copies what a member lacks. A member that copies a turn also copies its chain. Turns that outlive their own retention are moved out of the oldest segment, so that segments are still freed. This works because every member that counts for an acknowledged turn can serve its chain alone, until the turn itself expires.

All tests of daemon/replica, daemon/quorum and daemon/gateway pass with the race detector.

--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -273,7 +273,7 @@
 	defer func() { c.storeDuration = time.Since(startedAt) }()
 	ctx, cancel := context.WithTimeout(c.r.Context(), storeTimeout)
 	defer cancel()
-	if err := c.g.cfg.Replicas.StoreTurn(ctx, &t, c.meta.Program, charge, c.route.Retention); err != nil {
+	if err := c.g.cfg.Replicas.StoreTurn(ctx, &t, c.meta.Program, charge, c.route.Retention, c.g.turnCache.get); err != nil {
 		return err
 	}
 	c.charged = false
--- a/daemon/gateway/turns.go
+++ b/daemon/gateway/turns.go
@@ -62,7 +62,7 @@
 func (g *Gateway) applySettlement(ctx context.Context, s settlement) {
 	for range settlementAttempts {
 		attempt, cancel := context.WithTimeout(ctx, settlementTimeout)
-		err := g.cfg.Replicas.StoreTurn(attempt, nil, s.program, &s.charge, s.retention)
+		err := g.cfg.Replicas.StoreCharges(attempt, s.program, []core.Charge{s.charge}, s.retention)
 		cancel()
 		if err == nil {
 			return
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -84,6 +84,7 @@
 	operationSeconds *metrics.Histogram
 	quorumFailures   *metrics.Counter
 	hedgedRequests   *metrics.Counter
+	copiedChainTurns *metrics.Counter
 }
 
 // newClient returns the client of a group. Its senders run until the context ends.
@@ -97,6 +98,7 @@
 		operationSeconds: cfg.Metrics.GetOrCreateHistogram("jackdawbay_quorum_operation_seconds"),
 		quorumFailures:   cfg.Metrics.GetOrCreateCounter("jackdawbay_quorum_failed_total"),
 		hedgedRequests:   cfg.Metrics.GetOrCreateCounter("jackdawbay_quorum_hedged_total"),
+		copiedChainTurns: cfg.Metrics.GetOrCreateCounter("jackdawbay_quorum_chain_turns_copied_total"),
 	}
 }
 
@@ -510,33 +512,148 @@
 	return "", true
 }
 
-// StoreTurn stores a complete turn and settles its charge. Either may be nil. It returns nil when a quorum has both on disk.
-// While there is no quorum, it retries until the context ends: the caller has the whole turn already, and storing it again
-// has no further effect.
-func (c *Client) StoreTurn(ctx context.Context, turn *replica.Turn, program string, charge *core.Charge, retention time.Duration) error {
-	op := replica.Op{Kind: replica.OpStore, Turn: turn, RetainMS: retention.Milliseconds()}
-	if turn != nil {
-		turn.SetSizes()
+// readChain returns the chain that ends with a turn, newest turn first.
+type readChain func(ctx context.Context, last string) ([]replica.Turn, error)
+
+// StoreTurn stores a complete turn, and settles its charge unless that is nil. It returns nil when a write quorum has both on
+// disk, and each member of the quorum also stores the whole chain that the turn continues. Otherwise a member would keep an
+// earlier turn only for that turn's own retention, although it is needed for as long as the new one. While there is no
+// quorum, StoreTurn retries until the context ends: the caller has the whole turn already, and storing it again has no
+// further effect. The function cached returns a turn that the caller already has.
+func (c *Client) StoreTurn(ctx context.Context, turn *replica.Turn, program string, charge *core.Charge, retention time.Duration, cached func(id string) (replica.Turn, bool)) error {
+	return c.storeTurn(ctx, turn, program, charge, retention, func(ctx context.Context, last string) ([]replica.Turn, error) {
+		return wholeChain(c.BeginTurn(ctx, program, nil, last, 0, cached))
+	})
+}
+
+// wholeChain returns the chain in the result of BeginTurn. It fails if a turn is missing.
+func wholeChain(r BeginResult, err error) ([]replica.Turn, error) {
+	if err == nil && r.MissingTurn != "" {
+		err = errors.Newf("turn %s of the chain does not exist", r.MissingTurn)
 	}
+	return r.Chain, err
+}
+
+func (c *Client) storeTurn(ctx context.Context, turn *replica.Turn, program string, charge *core.Charge, retention time.Duration, read readChain) error {
+	op := replica.Op{Kind: replica.OpStore, Turn: turn, RetainMS: retention.Milliseconds()}
+	turn.SetSizes()
 	if charge != nil {
 		op.Program, op.Charge = program, *charge
 	}
-	ops := []replica.Op{op}
+	return retryStore(ctx, func() error {
+		var view core.View
+		var gaps map[string]string // Newest missing turn of the chain, by the key of a member that has stored the turn.
+		ops := []replica.Op{op}
+		err := c.runRequest(ctx, quorumRequest{key: program, ops: ops, otherOps: ops, isDone: func(v core.View, responses map[string][]replica.Result) bool {
+			stored, whole := map[string]bool{}, map[string]bool{}
+			view, gaps = v, map[string]string{}
+			for key, results := range responses {
+				stored[key] = isStored(results, ops)
+				whole[key] = stored[key] && results[0].Missing == ""
+				if stored[key] && !whole[key] {
+					gaps[key] = results[0].Missing
+				}
+			}
+			if v.IsWriteComplete(whole) {
+				gaps = nil
+				return true
+			}
+			return v.IsWriteComplete(stored)
+		}})
+		if err != nil || len(gaps) == 0 {
+			return err
+		}
+		return c.fillChains(ctx, view, gaps, turn, retention, read)
+	})
+}
+
+// StoreCharges stores charges of a program. It returns nil when a write quorum has them on disk. It retries like StoreTurn.
+func (c *Client) StoreCharges(ctx context.Context, program string, charges []core.Charge, retention time.Duration) error {
+	ops := make([]replica.Op, 0, len(charges))
+	for _, charge := range charges {
+		ops = append(ops, replica.Op{Kind: replica.OpStore, Program: program, Charge: charge, RetainMS: retention.Milliseconds()})
+	}
 	r := quorumRequest{key: program, ops: ops, otherOps: ops, isDone: func(v core.View, responses map[string][]replica.Result) bool {
 		stored := map[string]bool{}
 		for key, results := range responses {
-			stored[key] = len(results) == 1 && !results[0].Failed
+			stored[key] = isStored(results, ops)
 		}
 		return v.IsWriteComplete(stored)
 	}}
+	return retryStore(ctx, func() error { return c.runRequest(ctx, r) })
+}
+
+// isStored reports whether a member has executed all operations.
+func isStored(results []replica.Result, ops []replica.Op) bool {
+	return len(results) == len(ops) && !slices.ContainsFunc(results, func(r replica.Result) bool { return r.Failed })
+}
+
+// retryStore calls store until it succeeds or the context ends.
+func retryStore(ctx context.Context, store func() error) error {
 	for {
-		err := c.runRequest(ctx, r)
+		err := store()
 		if err == nil || !clock.Sleep(ctx, storeRetryDelay) {
 			return err
 		}
 	}
 }
 
+// fillChains copies the turns that members lack in the chain of a turn, until each of them has the whole chain.
+func (c *Client) fillChains(ctx context.Context, v core.View, gaps map[string]string, turn *replica.Turn, retention time.Duration, read readChain) error {
+	chain, err := read(ctx, turn.Previous)
+	if err != nil {
+		return errors.Wrapf(err, "read the chain of turn %s", turn.ID)
+	}
+	filled := make(chan error, len(gaps))
+	for _, m := range core.Union(v.Sets) {
+		if gap, ok := gaps[m.Key()]; ok {
+			go func() { filled <- c.fillChain(ctx, v, m, gap, chain, retention) }()
+		}
+	}
+	for range gaps {
+		err = errors.CombineErrors(err, <-filled)
+	}
+	return err
+}
+
+// fillChain copies the turns that a member lacks in a chain. The chain has the newest turn first, and gap is the newest turn
+// that the member lacks. The number of turns in a request doubles, since the member may have the turns behind the gap.
+func (c *Client) fillChain(ctx context.Context, v core.View, m core.Member, gap string, chain []replica.Turn, retention time.Duration) error {
+	for count := 1; gap != ""; count = min(2*count, maxBatchOps) {
+		first := slices.IndexFunc(chain, func(t replica.Turn) bool { return t.ID == gap })
+		if first < 0 {
+			return errors.Newf("turn %s, which replica %s lacks, is not in the rest of the chain", gap, m.VM)
+		}
+		chain = chain[first:]
+		var ops []replica.Op
+		for _, t := range chain[:min(count, len(chain))] {
+			ops = append(ops, replica.Op{Kind: replica.OpStore, Turn: &t, RetainMS: retention.Milliseconds()})
+		}
+		results, err := c.executeOn(ctx, v, m, ops)
+		if err != nil {
+			return err
+		}
+		c.copiedChainTurns.Add(len(ops))
+		gap, chain = results[0].Missing, chain[len(ops):]
+	}
+	return nil
+}
+
+// executeOn executes operations on one member at the epoch of the view. It fails unless the member has executed all of them.
+func (c *Client) executeOn(ctx context.Context, v core.View, m core.Member, ops []replica.Op) ([]replica.Result, error) {
+	responses := make(chan memberResponse, 1)
+	c.queue(m).submit(&job{ops: ops, epoch: v.Epoch, member: m, responses: responses})
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case r := <-responses:
+		if r.err == nil && !isStored(r.results, ops) {
+			r.err = errors.Newf("replica %s has not executed the operations", m.VM)
+		}
+		return r.results, r.err
+	}
+}
+
 // memberQueue queues the operations for one replica and sends them in batches. It is closed when the view no longer contains
 // the member, or when the member's disk was replaced.
 type memberQueue struct {
--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -137,7 +137,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	must.NoError(t, c.StoreTurn(ctx, &replica.Turn{ID: id, Previous: previous, Program: "p", Input: []byte(id)}, "p", nil, time.Minute))
+	must.NoError(t, c.StoreTurn(ctx, &replica.Turn{ID: id, Previous: previous, Program: "p", Input: []byte(id)}, "p", nil, time.Minute, nothingCached))
 }
 
 func nothingCached(string) (replica.Turn, bool) { return replica.Turn{}, false }
@@ -281,7 +281,7 @@
 	defer recovery.Stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 2500*time.Millisecond)
 	defer cancel()
-	must.NoError(t, c.StoreTurn(ctx, &replica.Turn{ID: "t", Program: "p"}, "p", nil, time.Minute))
+	must.NoError(t, c.StoreTurn(ctx, &replica.Turn{ID: "t", Program: "p"}, "p", nil, time.Minute, nothingCached))
 	result, err := c.BeginTurn(t.Context(), "p", nil, "t", time.Minute, nothingCached)
 	must.NoError(t, err)
 	test.SliceLen(t, 1, result.Chain)
--- a/daemon/quorum/groups.go
+++ b/daemon/quorum/groups.go
@@ -107,9 +107,17 @@
 	return n > 0 && 2*n >= len(clients)
 }
 
-// StoreTurn stores a complete turn and settles its charge, as Client.StoreTurn does.
-func (g *Groups) StoreTurn(ctx context.Context, turn *replica.Turn, program string, charge *core.Charge, retention time.Duration) error {
-	return g.client(program).StoreTurn(ctx, turn, program, charge, retention)
+// StoreTurn stores a complete turn and settles its charge, as Client.StoreTurn does. If the turn continues a turn of another
+// program, the group of its own program stores that chain as well.
+func (g *Groups) StoreTurn(ctx context.Context, turn *replica.Turn, program string, charge *core.Charge, retention time.Duration, cached func(id string) (replica.Turn, bool)) error {
+	return g.client(program).storeTurn(ctx, turn, program, charge, retention, func(ctx context.Context, last string) ([]replica.Turn, error) {
+		return wholeChain(g.BeginTurn(ctx, program, nil, last, 0, cached))
+	})
+}
+
+// StoreCharges stores charges of a program, as Client.StoreCharges does.
+func (g *Groups) StoreCharges(ctx context.Context, program string, charges []core.Charge, retention time.Duration) error {
+	return g.client(program).StoreCharges(ctx, program, charges, retention)
 }
 
 // BeginTurn charges the upper bound of a turn and reads its chain, as Client.BeginTurn does. A program may continue a turn of
--- a/daemon/quorum/groups_test.go
+++ b/daemon/quorum/groups_test.go
@@ -71,7 +71,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 	defer cancel()
-	must.NoError(t, g.StoreTurn(ctx, &replica.Turn{ID: id, Previous: previous, Program: program, Input: []byte(id)}, program, nil, time.Minute))
+	must.NoError(t, g.StoreTurn(ctx, &replica.Turn{ID: id, Previous: previous, Program: program, Input: []byte(id)}, program, nil, time.Minute, nothingCached))
 }
 
 func chainIDs(r BeginResult) (ids []string) {
--- a/daemon/quorum/queue_test.go
+++ b/daemon/quorum/queue_test.go
@@ -129,7 +129,7 @@
 		h.set("b", rejectDisk)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		must.ErrorIs(t, c.StoreTurn(ctx, &replica.Turn{ID: "t"}, "p", nil, time.Minute), ErrNoQuorum)
+		must.ErrorIs(t, c.StoreTurn(ctx, &replica.Turn{ID: "t"}, "p", nil, time.Minute, nothingCached), ErrNoQuorum)
 		test.False(t, c.HasQuorum(), test.Sprint("a member with a replaced disk is unresponsive"))
 	})
 }
--- a/daemon/replica/log_test.go
+++ b/daemon/replica/log_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -20,6 +21,7 @@
 	syncedNames map[string]*faultFile // Files by name at the last sync of the directory.
 	failWrites  bool
 	failSyncs   bool
+	maxWrite    atomic.Int64 // Size of the largest write in bytes.
 }
 
 type faultFile struct {
@@ -93,6 +95,7 @@
 	if f.fs.failWrites {
 		return 0, errDisk
 	}
+	f.fs.maxWrite.Store(max(f.fs.maxWrite.Load(), int64(len(p))))
 	f.content = append(f.content, p...)
 	return len(p), nil
 }
--- a/daemon/replica/protocol.go
+++ b/daemon/replica/protocol.go
@@ -96,7 +96,7 @@
 // Kinds of operations in a batch.
 const (
 	OpCharge    OpKind = "charge" // Stores a charge of a program and returns all charges of the program.
-	OpStore     OpKind = "keep"   // Stores a turn, a charge, or both.
+	OpStore     OpKind = "keep"   // Stores a turn, a charge, or both. It retains the chain that the turn continues for as long as the turn.
 	OpReadChain OpKind = "chain"  // Returns the turns of a chain from a given turn back to the first, newest first.
 )
 
@@ -114,7 +114,7 @@
 type Result struct {
 	Charges []replica.Charge `json:"charges,omitempty"`
 	Turns   []Turn           `json:"turns,omitempty"`
-	Missing string           `json:"missing,omitempty"` // ID of the first turn of the chain that this replica has not stored.
+	Missing string           `json:"missing,omitempty"` // ID of the newest turn of the chain that this replica has not stored.
 	Failed  bool             `json:"failed,omitempty"`  // The operation was not made durable, or the chain could not be read.
 }
 
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -126,13 +126,17 @@
 
 // runExpiry removes expired entries from the index and, if possible, the oldest segment from the log.
 func (s *Server) runExpiry(now time.Time) {
-	toRewrite, removeOldest := s.state.removeExpired(now)
-	if !removeOldest {
+	plan := s.state.removeExpired(now)
+	if !plan.removeOldest {
 		return
 	}
-	if err := s.state.append(toRecords(toRewrite)); err != nil {
+	err := s.state.moveTurns(now, plan.turnsToMove)
+	if err == nil {
+		err = s.state.append(toRecords(plan.toRewrite))
+	}
+	if err != nil {
 		s.writeErrors.Inc()
-		s.log.Error("cannot rewrite ledgers before a segment is removed", "error", err)
+		s.log.Error("cannot rewrite entries before a segment is removed", "error", err, "turns", len(plan.turnsToMove))
 		return
 	}
 	if err := s.state.log.RemoveOldestSegment(); err != nil {
@@ -174,6 +178,11 @@
 			}
 			job.view, job.copied = nil, nil
 		}
+		for i, op := range job.ops {
+			if op.Turn != nil && !job.results[i].Failed {
+				job.results[i].Missing = s.state.firstGap(op.Turn.Previous)
+			}
+		}
 		close(job.done)
 	}
 	if err != nil {
@@ -362,7 +371,7 @@
 	w.Header().Set("Content-Type", "application/octet-stream")
 	out := bufio.NewWriter(w)
 	for _, id := range req.TurnIDs[:min(len(req.TurnIDs), maxTurnsPerResponse)] {
-		payload, ok, err := s.state.readPayload(id)
+		payload, ok, err := s.state.readPayloadToCopy(id)
 		if err != nil {
 			s.log.Error("cannot read a turn for a copy", "turn", id, "error", err)
 			panic(http.ErrAbortHandler) // Prevents the response from appearing complete.
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -82,9 +82,11 @@
 
 // indexedTurn is the index entry of a turn.
 type indexedTurn struct {
-	location Location
-	previous string
-	expires  time.Time
+	location   Location
+	previous   string
+	expires    time.Time // Not before the expiry of any indexed turn that continues this one.
+	logExpires time.Time // Expiry according to the turn's own log entry.
+	isWhole    bool      // Set once the whole chain of the turn is known to be indexed. It then remains so until the turn expires.
 }
 
 // programState is the index entry of a program.
@@ -100,13 +102,14 @@
 	log      *Log
 	segments []*segment // Value of log.segments for readers; guarded by mu.
 	turns    map[string]indexedTurn
+	gaps     map[string]time.Time // Turns that are not indexed although indexed turns continue them, and the latest expiry of those.
 	programs map[string]*programState
 	view     replica.View
 }
 
 // openState opens the log and builds the index from it. It fails if a complete frame cannot be decoded.
 func openState(fs FileSystem) (*state, error) {
-	s := &state{turns: map[string]indexedTurn{}, programs: map[string]*programState{}}
+	s := &state{turns: map[string]indexedTurn{}, gaps: map[string]time.Time{}, programs: map[string]*programState{}}
 	var undecodable int
 	log, err := OpenLog(fs, func(payload []byte, location Location) {
 		e, err := decodeEntry(payload)
@@ -132,7 +135,7 @@
 	expires := e.At.Add(e.Retain + retentionMargin)
 	switch {
 	case e.Turn != nil:
-		s.turns[e.Turn.ID] = indexedTurn{location: location, previous: e.Turn.Previous, expires: expires}
+		s.applyTurn(e.Turn, location, expires)
 	case e.Ledger != nil:
 		p := s.ensureProgram(e.Ledger.Program)
 		for _, c := range e.Ledger.Charges {
@@ -149,6 +152,74 @@
 	}
 }
 
+// applyTurn adds a turn to the index and retains its chain for at least as long as the turn itself. Turns of a chain may be
+// added in any order.
+func (s *state) applyTurn(t *Turn, location Location, logExpires time.Time) {
+	expires := later(logExpires, s.turns[t.ID].expires)
+	if neededUntil, ok := s.gaps[t.ID]; ok {
+		expires = later(expires, neededUntil)
+		delete(s.gaps, t.ID)
+	}
+	s.turns[t.ID] = indexedTurn{location: location, previous: t.Previous, expires: expires, logExpires: logExpires}
+	for id := t.Previous; id != ""; {
+		ancestor, ok := s.turns[id]
+		if !ok {
+			s.gaps[id] = later(s.gaps[id], expires)
+			return
+		}
+		if !ancestor.expires.Before(expires) {
+			return // The same holds for the chain before it.
+		}
+		ancestor.expires = expires
+		s.turns[id] = ancestor
+		id = ancestor.previous
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// firstGap returns the newest turn of a chain that is not indexed, or an empty ID if the whole chain is. The chain begins with
+// the turn from, which may be empty.
+func (s *state) firstGap(from string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.firstGapLocked(from)
+}
+
+func (s *state) firstGapLocked(from string) string {
+	var path []string
+	for id := from; id != ""; {
+		t, ok := s.turns[id]
+		if !ok {
+			return id
+		}
+		if t.isWhole || len(path) > len(s.turns) { // A longer path is a cycle, which has no gap.
+			break
+		}
+		path = append(path, id)
+		id = t.previous
+	}
+	for _, id := range path {
+		t := s.turns[id]
+		t.isWhole = true
+		s.turns[id] = t
+	}
+	return ""
+}
+
+// isGap reports whether a turn is not indexed although an indexed turn continues it.
+func (s *state) isGap(id string) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	_, ok := s.gaps[id]
+	return ok
+}
+
 // ensureProgram returns the state of a program. It creates the state if the program has none.
 func (s *state) ensureProgram(id string) *programState {
 	p, ok := s.programs[id]
@@ -265,15 +336,42 @@
 
 // readPayload returns the encoded turn from the log. It reports whether the index has the turn.
 func (s *state) readPayload(id string) ([]byte, bool, error) {
+	var lastLocation Location
+	for {
+		s.mu.RLock()
+		indexed, ok := s.turns[id]
+		segments := s.segments
+		s.mu.RUnlock()
+		if !ok {
+			return nil, false, nil
+		}
+		raw, err := s.log.Read(indexed.location, segments)
+		if err == nil || indexed.location == lastLocation {
+			return raw, err == nil, err
+		}
+		lastLocation = indexed.location // The turn may have been moved from a segment that was removed.
+	}
+}
+
+// readPayloadToCopy returns the encoded turn for another replica, with the retention that this replica applies. It reports
+// whether the index has the turn.
+func (s *state) readPayloadToCopy(id string) ([]byte, bool, error) {
+	payload, ok, err := s.readPayload(id)
+	if !ok || err != nil {
+		return nil, false, err
+	}
 	s.mu.RLock()
 	indexed, ok := s.turns[id]
-	segments := s.segments
 	s.mu.RUnlock()
-	if !ok {
-		return nil, false, nil
+	if !ok || !indexed.expires.After(indexed.logExpires) {
+		return payload, ok, nil
 	}
-	raw, err := s.log.Read(indexed.location, segments)
-	return raw, err == nil, err
+	var h turnHeader
+	if err := decodeMessage(payload, &h, func() []*Turn { return []*Turn{&h.Turn} }); err != nil {
+		return nil, false, errors.Wrapf(err, "decode turn %s", id)
+	}
+	payload, err = encodeEntry(entry{At: h.At, Retain: indexed.expires.Sub(h.At) - retentionMargin, Turn: &h.Turn})
+	return payload, err == nil, err
 }
 
 func (s *state) hasTurn(id string) bool {
@@ -283,13 +381,16 @@
 	return ok
 }
 
-// inventory lists the turns and ledgers in the index.
+// inventory lists the turns whose whole chain is in the index, and the ledgers. A turn whose chain has a gap here does not
+// count as stored by this replica: at the end of its own retention, this replica would keep only a part of its chain.
 func (s *state) inventory() Inventory {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	inv := Inventory{Turns: make([]string, 0, len(s.turns)), Programs: make([]ProgramLedger, 0, len(s.programs))}
 	for id := range s.turns {
-		inv.Turns = append(inv.Turns, id)
+		if s.firstGapLocked(id) == "" {
+			inv.Turns = append(inv.Turns, id)
+		}
 	}
 	for id, p := range s.programs {
 		inv.Programs = append(inv.Programs, ProgramLedger{
@@ -299,10 +400,17 @@
 	return inv
 }
 
-// removeExpired removes expired turns and programs from the index. It reports whether the oldest segment can be removed,
-// and returns the entries that must be appended again before that: the remaining ledgers and the view. A segment is not
-// removed while it stores a turn that has not expired, or within retentionMargin after its last write.
-func (s *state) removeExpired(now time.Time) (toRewrite []entry, removeOldest bool) {
+// expiryPlan is what is left to do after expired entries have left the index.
+type expiryPlan struct {
+	removeOldest bool     // The oldest segment can be removed after the other steps.
+	turnsToMove  []string // Turns in the oldest segment that are retained only because later turns continue them.
+	toRewrite    []entry  // The remaining ledgers and the view.
+}
+
+// removeExpired removes expired turns and programs from the index. A segment is not removed while it stores a turn whose own
+// retention has not ended, or within retentionMargin after its last write. Turns that are retained for longer are moved, so
+// that a chain that is continued for hours does not keep every later segment.
+func (s *state) removeExpired(now time.Time) expiryPlan {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, t := range s.turns {
@@ -310,6 +418,11 @@
 			delete(s.turns, id)
 		}
 	}
+	for id, neededUntil := range s.gaps {
+		if now.After(neededUntil) {
+			delete(s.gaps, id)
+		}
+	}
 	for id, p := range s.programs {
 		if now.After(p.expires) {
 			delete(s.programs, id)
@@ -317,17 +430,53 @@
 	}
 	oldest, lastWritten, ok := s.log.OldestClosedSegment()
 	if !ok || now.Sub(lastWritten) < retentionMargin {
-		return nil, false
+		return expiryPlan{}
 	}
-	for _, t := range s.turns {
-		if t.location.Segment == oldest {
-			return nil, false
+	plan := expiryPlan{removeOldest: true}
+	for id, t := range s.turns {
+		if t.location.Segment != oldest {
+			continue
+		}
+		if now.Before(t.logExpires) {
+			return expiryPlan{}
 		}
+		plan.turnsToMove = append(plan.turnsToMove, id)
 	}
 	for id, p := range s.programs {
 		l := &ledgerEntry{Program: id, Charges: p.ledger.Charges()}
-		toRewrite = append(toRewrite, entry{At: now, Retain: p.expires.Sub(now) - retentionMargin, Ledger: l})
+		plan.toRewrite = append(plan.toRewrite, entry{At: now, Retain: p.expires.Sub(now) - retentionMargin, Ledger: l})
 	}
 	view := s.view
-	return append(toRewrite, entry{At: now, View: &view}), true
+	plan.toRewrite = append(plan.toRewrite, entry{At: now, View: &view})
+	return plan
+}
+
+// maxMovedBytes limits the turns that are read and appended at once when a segment is freed.
+const maxMovedBytes = 1 << 20
+
+// moveTurns appends turns again with the rest of their retention.
+func (s *state) moveTurns(now time.Time, ids []string) error {
+	var batch []record
+	size := 0
+	for i, id := range ids {
+		s.mu.RLock()
+		expires := s.turns[id].expires
+		s.mu.RUnlock()
+		t, ok, err := s.readTurn(id)
+		if err != nil {
+			return err
+		}
+		if ok {
+			batch = append(batch, record{entry: entry{At: now, Retain: expires.Sub(now) - retentionMargin, Turn: &t}})
+			size += t.Sizes.Input + t.Sizes.Output
+		}
+		if len(batch) == 0 || size < maxMovedBytes && i < len(ids)-1 {
+			continue
+		}
+		if err := s.append(batch); err != nil {
+			return err
+		}
+		batch, size = nil, 0
+	}
+	return nil
 }
