Send a request again only over connections that have not carried it

Cause: a request that was rejected for the old ID of a restarted service went to its new ID at the same address over the same pooled connection. A late copy of the rejection bears the ID of this request and was taken for the response to the second send, so the request was sent once more while the service executed it. TestRejectionIsNotTakenTwice counts two executions on the code before.

Change: the pool skips the connections that a call has used before. This works because the ID identifies the response on every other connection.

The tests of daemon/gateway and daemon/forward pass three times with the race detector.

--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -8,6 +8,7 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -74,10 +75,12 @@
 	}
 }
 
-// Get returns a usable idle connection, or a new one. The error is ErrNotSent.
-func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+// Get returns a usable idle connection, or a new one. It does not return the connections that the caller excludes. A request
+// that is sent again must not use a connection that has carried it before: a late copy of the response to the earlier attempt
+// bears the same request ID as the response to the later one. The error is ErrNotSent.
+func (p *Pool) Get(ctx context.Context, address string, excluded ...*Conn) (*Conn, error) {
 	for {
-		c := p.popIdle(address)
+		c := p.popIdle(address, excluded)
 		if c == nil {
 			break
 		}
@@ -124,16 +127,18 @@
 	return n, err
 }
 
-func (p *Pool) popIdle(address string) *Conn {
+// popIdle removes the most recently used idle connection that is not excluded from the pool. It returns nil if there is none.
+func (p *Pool) popIdle(address string, excluded []*Conn) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		if c := conns[i]; !slices.Contains(excluded, c) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // isUsable reports whether nothing has arrived on an idle connection: neither its end nor bytes that belong to no request.
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -51,6 +51,7 @@
 
 	excluded        map[string]bool // Upstreams that may not get the request again.
 	mayHaveRun      map[string]bool // Upstreams that may have executed the request.
+	usedConns       []*forward.Conn // Connections that have carried the request.
 	sendCount       int
 	rejections      int
 	choice          placement.Choice
@@ -273,7 +274,7 @@
 // send sends the request to an upstream and forwards the response.
 func (c *call) send(u placement.Upstream) route.Outcome {
 	sentAt := time.Now()
-	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address)
+	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address, c.usedConns...)
 	if err != nil {
 		c.excluded[u.ID] = true
 		if c.ctx.Err() != nil {
@@ -283,6 +284,7 @@
 		}
 		return route.NotSent
 	}
+	c.usedConns = append(c.usedConns, conn)
 	c.g.upstreams.recordConnectTime(u.ID, conn.DialTime)
 	lastEvent := c.meta.LastEventID
 	if c.stream.lastEventID != "" {
--- a/daemon/gateway/upstream_fault_test.go
+++ b/daemon/gateway/upstream_fault_test.go
@@ -172,6 +172,46 @@
 	}
 }
 
+// TestRejectionIsNotTakenTwice guards against a late copy of a rejection that is taken for the response to the second send of
+// the same request. An upstream that has restarted at its address is listed under two IDs for a while, so a request that was
+// rejected for the old one may go to the same address for the new one.
+func TestRejectionIsNotTakenTwice(t *testing.T) {
+	for name, rejection := range map[string]string{
+		"misdirected": "HTTP/1.1 421 Other\r\nId: r\r\nContent-Length: 0\r\n\r\n",
+		"full":        "HTTP/1.1 503 Full\r\nId: r\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sends, runs atomic.Int64
+			address := startScriptedUpstream(t, func(_ int, kept bool, _ *http.Request) (string, bool) {
+				if sends.Add(1) == 1 {
+					return rejection, false
+				}
+				runs.Add(1)
+				response := "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r\r\nContent-Length: 2\r\n\r\nok"
+				if kept {
+					response = rejection + response
+				}
+				return response, false
+			})
+			other := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) {
+				runs.Add(1)
+				return "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r\r\nContent-Length: 2\r\n\r\nok", false
+			})
+			g := newFaultGateway()
+			g.upstreams.update(&catalog.Upstreams{ByService: map[string][]catalog.Upstream{"s": {
+				{ID: "before", Service: "s", Address: address, Slots: 64, StartMillis: 1},
+				{ID: "after", Service: "s", Address: address, Slots: 32, StartMillis: 2},
+				{ID: "other", Service: "s", Address: other, Slots: 1, StartMillis: 1, WarmUpRemaining: time.Hour},
+			}}})
+			w, _, aborted := dispatchRequest(t, g, &route.Route{Kind: route.NonIdempotent}, "r")
+			must.False(t, aborted)
+			test.EqOp(t, http.StatusOK, w.Code)
+			test.EqOp(t, 2, sends.Load(), test.Sprint("requests at the address"))
+			test.EqOp(t, 1, runs.Load(), test.Sprint("executions"))
+		})
+	}
+}
+
 // Guards against an error of the next upstream that is forwarded inside a stream that has begun, and against a stream that
 // ends as complete although its rest is missing.
 func TestResumedStreamForwardsOnlyEvents(t *testing.T) {
