Store the charges that a replica of the quorum lacks

After the tolerated loss of one disk, a program could be admitted beyond its token budget.

Cause: a replica drops a program's ledger unless it gets further charges of the program. When the nearest replicas change, one replica may be the only one that has both the first charges and later ones.

Change: the start of a turn compares the ledgers that the members of the quorum return, and queues the charges that one of them lacks for a write quorum. This works because each turn of the program repeats it within the retention.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -170,6 +170,9 @@
 		c.rejectTurn(err)
 		return false
 	}
+	if lacking := result.ChargesToSpread(); len(lacking) > 0 {
+		c.storeCharges(lacking...)
+	}
 	if hasBudget && !result.Ledger.CanAdmit(c.meta.RequestID, c.meta.MaxTokens, c.meta.TokenBudget) {
 		c.g.cfg.Log.Info("budget does not hold the turn", "request", c.meta.RequestID, "program", c.meta.Program,
 			"spent", result.Ledger.TotalExcept(c.meta.RequestID), "worst", c.meta.MaxTokens, "budget", c.meta.TokenBudget, "charges", len(result.Ledger))
@@ -198,11 +201,12 @@
 		return
 	}
 	c.charged = false
-	c.g.enqueueSettlement(settlement{
-		program:   c.meta.Program,
-		charge:    core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true},
-		retention: c.route.Retention,
-	})
+	c.storeCharges(core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true})
+}
+
+// storeCharges stores charges of the call's program in the background.
+func (c *call) storeCharges(charges ...core.Charge) {
+	c.g.enqueueSettlement(settlement{program: c.meta.Program, request: c.meta.RequestID, charges: charges, retention: c.route.Retention})
 }
 
 // canSendAgain reports whether another send is within the limits of time, sends and rejections.
--- a/daemon/gateway/turns.go
+++ b/daemon/gateway/turns.go
@@ -20,10 +20,12 @@
 	settlementRetryDelay = 400 * time.Millisecond
 )
 
-// settlement lowers the charge of a turn to the tokens that reached the caller.
+// settlement stores charges of a program after the turn has been admitted: the tokens that reached the caller, in place of
+// the upper bound of the turn, or earlier charges that not every replica of the quorum had.
 type settlement struct {
 	program   string
-	charge    core.Charge
+	request   string // ID of the turn.
+	charges   []core.Charge
 	retention time.Duration
 }
 
@@ -32,7 +34,7 @@
 	case g.settlements <- s:
 	default:
 		g.stats.settlementsDropped.Inc()
-		g.cfg.Log.Warn("charge was not settled: settlement queue is full", "program", s.program, "request", s.charge.Turn)
+		g.cfg.Log.Warn("charge was not settled: settlement queue is full", "program", s.program, "request", s.request)
 	}
 }
 
@@ -62,7 +64,7 @@
 func (g *Gateway) applySettlement(ctx context.Context, s settlement) {
 	for range settlementAttempts {
 		attempt, cancel := context.WithTimeout(ctx, settlementTimeout)
-		err := g.cfg.Replicas.StoreCharges(attempt, s.program, []core.Charge{s.charge}, s.retention)
+		err := g.cfg.Replicas.StoreCharges(attempt, s.program, s.charges, s.retention)
 		cancel()
 		if err == nil {
 			return
@@ -72,7 +74,7 @@
 		}
 	}
 	g.stats.settlementsDropped.Inc()
-	g.cfg.Log.Warn("charge was not settled: no quorum of replicas responded", "program", s.program, "request", s.charge.Turn, "tokens", s.charge.Tokens)
+	g.cfg.Log.Warn("charge was not settled: no quorum of replicas responded", "program", s.program, "request", s.request, "charges", len(s.charges))
 }
 
 // turnCache caches the most recently used turns.
--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -412,7 +412,7 @@
 	if charge != nil {
 		ops = append(ops, replica.Op{Kind: replica.OpCharge, Program: program, Charge: *charge, RetainMS: retention.Milliseconds()})
 	}
-	result := &BeginResult{Ledger: core.Ledger{}}
+	result := &BeginResult{Ledger: core.Ledger{}, ledgers: map[string]core.Ledger{}}
 	found := map[string]replica.Turn{}
 	firstMissing, complete := result.followChain(previousTurn, cached)
 	chargeOps := ops
@@ -468,9 +468,7 @@
 			}
 			if op.Kind == replica.OpCharge {
 				stored[key] = true
-				for _, c := range results[i].Charges {
-					r.Ledger.Add(c)
-				}
+				r.addLedger(key, results[i].Charges)
 				continue
 			}
 			readMembers[key] = true
@@ -482,6 +480,32 @@
 	return !hasCharge || v.IsWriteComplete(stored) && v.IsReadComplete(stored), readMembers
 }
 
+// addLedger adds the charges that a member returned.
+func (r *BeginResult) addLedger(key string, charges []core.Charge) {
+	ledger := core.Ledger{}
+	for _, c := range charges {
+		r.Ledger.Add(c)
+		ledger.Add(c)
+	}
+	r.ledgers[key] = ledger
+}
+
+// ChargesToSpread returns the charges that some member of the quorum lacked. A member that stores no further charge of the
+// program drops its ledger when the retention ends, so these must be stored by a write quorum again while others still have
+// them.
+func (r *BeginResult) ChargesToSpread() []core.Charge {
+	var lacking []core.Charge
+	for _, c := range r.Ledger {
+		for _, ledger := range r.ledgers {
+			if existing, ok := ledger[c.Turn]; !ok || existing.Merge(c) != existing {
+				lacking = append(lacking, c)
+				break
+			}
+		}
+	}
+	return lacking
+}
+
 func lookupFoundOrCached(cached func(string) (replica.Turn, bool), found map[string]replica.Turn) func(string) (replica.Turn, bool) {
 	return func(id string) (replica.Turn, bool) {
 		if t, ok := found[id]; ok {
@@ -496,6 +520,8 @@
 	Ledger      core.Ledger
 	Chain       []replica.Turn // Newest first.
 	MissingTurn string         // First turn of the chain that does not exist; empty if the chain is complete.
+
+	ledgers map[string]core.Ledger // The charges that each member of the quorum returned, by its key.
 }
 
 // followChain collects the chain from the turns that lookup finds. It returns the first turn that is missing.
