Answer the requests that are in flight at the stop deadline

Other operators reported that requests were cut without a response at the end of a planned stop.

Cause: a request is rejected if its deadline is after the stop deadline, but only when it arrives. One that was in flight before SIGTERM was cut when the process ended. TestStopAnswersEveryForwardedRequest shows this on the code before ("unexpected EOF" for orders that an upstream was working on).

Change: the stop deadline ends the contexts of all calls. A request that may have run gets 502 in place of a closed connection, one that was not sent gets 503, and the process waits up to 0.2 s until they are written.

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -29,8 +29,11 @@
 	drainDuration = 2500 * time.Millisecond
 	// minIdleBeforeClose is the time without a new request after which the listeners close.
 	minIdleBeforeClose = 500 * time.Millisecond
-	// stopMargin is the time before SIGKILL at which a stopping gateway no longer waits for requests in flight.
+	// stopMargin is the time before SIGKILL at which a stopping gateway no longer waits for upstreams. It covers
+	// maxResponseWait and maxSettleWait.
 	stopMargin = 600 * time.Millisecond
+	// maxResponseWait bounds the time to write the error responses of requests that are still in flight at the stop deadline.
+	maxResponseWait = 200 * time.Millisecond
 	// maxSettleWait bounds the wait for pending settlements after the listeners have closed.
 	maxSettleWait = 300 * time.Millisecond
 )
@@ -94,8 +97,9 @@
 		}
 		clock.Sleep(ctx, 50*time.Millisecond)
 	}
-	err := server.Shutdown(ctx)
-	if err != nil {
+	ctx, cancel = context.WithDeadline(context.Background(), deadline.Add(maxResponseWait))
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
 		p.log.Warn("requests were still in flight at the stop deadline", "error", err)
 	}
 	for range 10 {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -110,6 +110,7 @@
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(c.g.stopped, cancel)()
 	c.ctx = ctx
 	c.service = c.route.SelectService(c.meta.RequestID)
 	c.tokensPerEvent = max(table.Config.Services[c.service].TokensPerEvent, 1)
@@ -515,11 +516,11 @@
 	if c.headWritten {
 		c.abort("stream_broken")
 	}
-	if c.ctx.Err() != nil || time.Until(c.deadline) <= minRemaining {
+	if time.Until(c.deadline) <= minRemaining {
 		c.respondError(errkind.RouteTimeout, "", 0)
 		return
 	}
-	c.respondError(errkind.ResponseLost, "", 0)
+	c.respondError(errkind.ResponseLost, "", 0) // Also for a request that is in flight when the daemon stops.
 }
 
 func (c *call) logSend(u placement.Upstream, o route.Outcome, next route.Action) {
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -83,6 +83,8 @@
 type Gateway struct {
 	cfg           Config
 	stopDeadline  atomic.Pointer[time.Time] // Time by which every request must have its response. Set by Stop.
+	stopped       context.Context           // Ends at the stop deadline.
+	endRequests   context.CancelFunc        // Ends stopped.
 	lastQuorumAt  atomic.Int64              // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
 	inFlight      atomic.Int64
 	lastActivity  atomic.Int64 // Start or end of the last request in Unix nanoseconds.
@@ -104,6 +106,7 @@
 		stats:         newStats(cfg.Metrics),
 		rejectedTurns: newRejectedTurnLog(cfg.Log),
 	}
+	g.stopped, g.endRequests = context.WithCancel(context.Background())
 	g.lastActivity.Store(time.Now().UnixNano())
 	return g
 }
@@ -132,8 +135,11 @@
 }
 
 // Stop makes the daemon unready and signals callers to close their connections. Every request must have its response by the
-// deadline. A request whose own deadline is later is rejected.
-func (g *Gateway) Stop(deadline time.Time) { g.stopDeadline.Store(&deadline) }
+// deadline. A new request whose own deadline is later is rejected. One that is in flight then gets an error response.
+func (g *Gateway) Stop(deadline time.Time) {
+	g.stopDeadline.Store(&deadline)
+	time.AfterFunc(time.Until(deadline), g.endRequests)
+}
 
 // exceedsStopDeadline reports whether a request with this deadline could still be running when the daemon stops.
 func (g *Gateway) exceedsStopDeadline(deadline time.Time) bool {
--- a/testbed/deployment/forward_test.go
+++ b/testbed/deployment/forward_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -317,3 +318,79 @@
 	test.NoError(t, <-stopped)
 	test.Less(t, 6*time.Second, time.Since(stopStart))
 }
+
+// TestStopAnswersEveryForwardedRequest guards against a planned stop that cuts off requests without a response: ones that were
+// in flight with a deadline after the end of the grace period, and ones that callers send over kept connections until the
+// process is gone.
+func TestStopAnswersEveryForwardedRequest(t *testing.T) {
+	o := defaultOptions()
+	o.ResponseDelay, o.GraceS, o.TimeoutMS = 400*time.Millisecond, 5, 30_000
+	d := startDeployment(t, o)
+	g := d.Gateways[0]
+	hanging, err := d.AddUpstream(PlainService, "hanging")
+	must.NoError(t, err)
+	hanging.SetFault(backend.Hang)
+
+	// Requests in flight at SIGTERM. Some of them wait at the hanging upstream.
+	const inFlight, callers = 24, 12
+	type sent struct {
+		call Call
+		resp Response
+	}
+	results := make(chan sent, 1<<16)
+	var done sync.WaitGroup
+	for i := range inFlight {
+		path := PathOrder
+		if i%3 == 0 {
+			path = PathLookup
+		}
+		done.Go(func() {
+			c := Call{Path: path, ID: NewID(), Deadline: 20 * time.Second}
+			results <- sent{c, Send(g, c)}
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	stopped := make(chan error, 1)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		stopped <- g.Process.Stop(ctx)
+	}()
+	for i := range callers {
+		done.Go(func() {
+			for {
+				conn, err := Dial(t.Context(), g)
+				if err != nil {
+					return // The process no longer listens.
+				}
+				for closed := false; !closed; {
+					c := Call{Path: PathOrder, ID: NewID(), Deadline: time.Duration(200+100*i*i) * time.Millisecond}
+					resp := conn.Send(c)
+					results <- sent{c, resp}
+					closed = resp.Err != nil || resp.Close
+				}
+				conn.Close()
+			}
+		})
+	}
+	must.NoError(t, <-stopped)
+	done.Wait()
+	close(results)
+	served, ended := 0, 0
+	for r := range results {
+		switch runs := d.countRuns(r.call.ID); {
+		case r.resp.Err != nil:
+			test.EqOp(t, 0, runs, test.Sprintf("%s%s was forwarded and has no response: %v", r.call.Path, r.call.ID, r.resp.Err))
+		case r.resp.Status == http.StatusOK:
+			served++
+		case r.resp.Status == http.StatusServiceUnavailable:
+			test.EqOp(t, 0, runs)
+		case r.resp.Status == http.StatusBadGateway:
+			ended++
+		default:
+			test.EqOp(t, http.StatusGatewayTimeout, r.resp.Status)
+		}
+	}
+	test.Positive(t, served)
+	test.Positive(t, ended, test.Sprint("requests at the hanging upstream"))
+}
