Check the epoch of a batch when it is written

The fault needs no emptying: every change of the view has the window, for as long as one write and sync takes.

Cause: a replica checked the epoch when a batch arrived. A batch that arrived while a newer view was being synced was written behind that view and acknowledged as a write of the earlier one, and members that copied after the view missed it.

Change: the writer, which determines the order of the log, rejects the operations of a batch whose epoch is not that of the view before it. This works because no write of an earlier epoch can then follow a view in the log, which is what members that copy rely on.

--- a/daemon/replica/copy_stall_test.go
+++ b/daemon/replica/copy_stall_test.go
@@ -62,7 +62,7 @@
 				source, target := newServer(t, newFaultFS()), newServer(t, newFaultFS())
 				for i := range 5 {
 					turn := &Turn{ID: fmt.Sprint("t", i), Program: "p", Input: []byte("asked"), Output: []byte("said")}
-					_, ok := source.execute(t.Context(), []Op{{Kind: OpStore, Turn: turn, RetainMS: 60_000}})
+					_, ok := source.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: turn, RetainMS: 60_000}})
 					must.True(t, ok)
 				}
 				from := replica.Member{VM: "source", Disk: source.Disk(), Address: "source"}
--- a/daemon/replica/copy_test.go
+++ b/daemon/replica/copy_test.go
@@ -48,7 +48,7 @@
 
 func (s *copySource) storeTurn(t *testing.T, id string) {
 	t.Helper()
-	results, ok := s.execute(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: id, Input: []byte("said")}, RetainMS: 60000}})
+	results, ok := s.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: id, Input: []byte("said")}, RetainMS: 60000}})
 	must.True(t, ok)
 	must.False(t, results[0].Failed)
 }
--- a/daemon/replica/log_test.go
+++ b/daemon/replica/log_test.go
@@ -22,6 +22,7 @@
 	failWrites  bool
 	failSyncs   bool
 	maxWrite    atomic.Int64 // Size of the largest write in bytes.
+	onSync      func()       // Called before each sync of a file; may be nil.
 }
 
 type faultFile struct {
@@ -107,6 +108,9 @@
 func (f *faultFile) Close() error { return nil }
 
 func (f *faultFile) Sync() error {
+	if f.fs.onSync != nil {
+		f.fs.onSync()
+	}
 	if f.fs.failSyncs {
 		return errDisk
 	}
@@ -216,7 +220,7 @@
 	fs := newFaultFS()
 	s := newServer(t, fs)
 	store := func(id string) []Result {
-		results, ok := s.execute(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: id, Output: []byte("x")}, RetainMS: 1000}})
+		results, ok := s.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: id, Output: []byte("x")}, RetainMS: 1000}})
 		must.True(t, ok)
 		return results
 	}
--- a/daemon/replica/retention_test.go
+++ b/daemon/replica/retention_test.go
@@ -22,7 +22,7 @@
 
 func storeTurnOf(t *testing.T, s *Server, id, previous string) {
 	t.Helper()
-	results, ok := s.execute(t.Context(), []Op{storeOp(id, previous)})
+	results, ok := s.executeNow(t.Context(), []Op{storeOp(id, previous)})
 	must.True(t, ok)
 	must.False(t, results[0].Failed)
 }
@@ -70,7 +70,7 @@
 func TestChainIsRetainedInAnyOrder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newServer(t, newFaultFS())
-		results, ok := s.execute(t.Context(), []Op{storeOp("t3", "t2")})
+		results, ok := s.executeNow(t.Context(), []Op{storeOp("t3", "t2")})
 		must.True(t, ok)
 		test.EqOp(t, "t2", results[0].Missing)
 		old := func(id, previous string) record {
@@ -131,7 +131,7 @@
 			op.Turn.Input = bytes.Repeat([]byte{byte(i)}, maxMovedBytes/4)
 			ops = append(ops, op)
 		}
-		_, ok := s.execute(t.Context(), ops)
+		_, ok := s.executeNow(t.Context(), ops)
 		must.True(t, ok)
 		s.state.log.writeFailed = true // The next write starts a new segment.
 		time.Sleep(testRetention)
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -51,10 +51,12 @@
 // writeJob is a batch that waits for the disk.
 type writeJob struct {
 	ctx     context.Context // Ends when the caller no longer waits for the result.
+	epoch   uint64          // Epoch of the sender's view; used if there are ops.
 	ops     []Op
 	copied  []record      // Records copied from another replica; nil after a failed write.
 	view    *replica.View // View to adopt; nil if there is none and after a failed write.
 	results []Result
+	newer   *replica.View // The view in force, if its epoch is not that of the ops. In this case, none of them was executed.
 	done    chan struct{} // Closed after the write.
 }
 
@@ -145,7 +147,8 @@
 }
 
 // writeGroup writes a group of batches with one sync and sets their results. Batches whose callers no longer wait are
-// skipped.
+// skipped. The epoch of a batch is checked here, because the writer determines the order of the log: no operation of an earlier
+// epoch follows a view of a later one. A member that copies the data of this replica after that view relies on it.
 func (s *Server) writeGroup(group []*writeJob) {
 	now := time.Now()
 	var records []record
@@ -153,11 +156,19 @@
 	if len(group) == 0 {
 		return
 	}
+	view := s.state.currentView()
 	for _, job := range group {
 		if job.view != nil {
 			records = append(records, record{entry: entry{At: now, View: job.view}})
+			if job.view.Version > view.Version {
+				view = *job.view
+			}
 		}
 		records = append(records, job.copied...)
+		if len(job.ops) > 0 && job.epoch != view.Epoch {
+			inForce := view
+			job.newer, job.ops = &inForce, nil
+		}
 		job.results = make([]Result, len(job.ops))
 		for i, op := range job.ops {
 			records = append(records, toRecords(s.prepareEntries(now, op, &job.results[i]))...)
@@ -274,7 +285,12 @@
 		s.writeBatchResponse(w, BatchResponse{View: &v})
 		return
 	}
-	results, ok := s.execute(r.Context(), b.Ops)
+	results, newer, ok := s.execute(r.Context(), b.Epoch, b.Ops)
+	if ok && newer != nil {
+		s.countRejected(reasonOtherView)
+		s.writeBatchResponse(w, BatchResponse{View: newer})
+		return
+	}
 	if !ok {
 		reason := reasonWriteQueueFull
 		if r.Context().Err() != nil {
@@ -311,11 +327,12 @@
 }
 
 // execute executes the operations of a batch and returns a result for each. Chains are read directly; the other operations
-// are queued for the writer. The sender does not rely on the order in which the operations of a batch are executed. It
-// reports false if the queue is full or the context ends first.
-func (s *Server) execute(ctx context.Context, ops []Op) ([]Result, bool) {
-	results := make([]Result, len(ops))
-	job := &writeJob{done: make(chan struct{})}
+// are queued for the writer. The sender does not rely on the order in which the operations of a batch are executed. If the view
+// has changed by the time of the write, it returns the view in force instead. It reports false if the queue is full or the
+// context ends first.
+func (s *Server) execute(ctx context.Context, epoch uint64, ops []Op) (results []Result, newer *replica.View, ok bool) {
+	results = make([]Result, len(ops))
+	job := &writeJob{epoch: epoch, done: make(chan struct{})}
 	var positions []int
 	for i, op := range ops {
 		if op.Kind != OpReadChain {
@@ -333,13 +350,16 @@
 	}
 	if len(job.ops) > 0 {
 		if !s.submit(ctx, job) {
-			return nil, false
+			return nil, nil, false
+		}
+		if job.newer != nil {
+			return nil, job.newer, true
 		}
 		for k, i := range positions {
 			results[i] = job.results[k]
 		}
 	}
-	return results, true
+	return results, nil, true
 }
 
 // handleProbe responds only if the disk identity in the query, if any, is the one of this replica. A VM that has lost its
--- a/daemon/replica/state_test.go
+++ b/daemon/replica/state_test.go
@@ -31,6 +31,12 @@
 	return s
 }
 
+// executeNow executes operations at the epoch of the replica.
+func (s *Server) executeNow(ctx context.Context, ops []Op) ([]Result, bool) {
+	results, _, ok := s.execute(ctx, s.View().Epoch, ops)
+	return results, ok
+}
+
 func chargeOp(program, turn string, tokens int64, settled bool) Op {
 	return Op{Kind: OpCharge, Program: program, Charge: replica.Charge{Turn: turn, Tokens: tokens, Settled: settled}, RetainMS: 60_000}
 }
@@ -40,12 +46,12 @@
 func TestChargeResultsIncludeEarlierCharges(t *testing.T) {
 	fs := newFaultFS()
 	s := newServer(t, fs)
-	results, ok := s.execute(t.Context(), []Op{chargeOp("p", "a", 10, false), chargeOp("p", "b", 20, false), chargeOp("q", "c", 5, false)})
+	results, ok := s.executeNow(t.Context(), []Op{chargeOp("p", "a", 10, false), chargeOp("p", "b", 20, false), chargeOp("q", "c", 5, false)})
 	must.True(t, ok)
 	test.SliceLen(t, 1, results[0].Charges)
 	test.SliceLen(t, 2, results[1].Charges)
 	test.SliceLen(t, 1, results[2].Charges)
-	_, ok = s.execute(t.Context(), []Op{chargeOp("p", "a", 4, true)})
+	_, ok = s.executeNow(t.Context(), []Op{chargeOp("p", "a", 4, true)})
 	must.True(t, ok)
 	reopened := newServer(t, fs)
 	spent := replica.Ledger{}
@@ -61,7 +67,7 @@
 	previous := ""
 	for i := range 5 {
 		id := fmt.Sprint("t", i)
-		_, ok := s.execute(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: id, Previous: previous, Input: []byte(id)}, RetainMS: 60_000}})
+		_, ok := s.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: id, Previous: previous, Input: []byte(id)}, RetainMS: 60_000}})
 		must.True(t, ok)
 		previous = id
 	}
@@ -69,7 +75,7 @@
 	must.NoError(t, err)
 	test.EqOp(t, "", missing)
 	test.EqOp(t, "t4 t3 t2 t1 t0", fmt.Sprintf("%s %s %s %s %s", turns[0].ID, turns[1].ID, turns[2].ID, turns[3].ID, turns[4].ID))
-	_, ok := s.execute(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: "orphan", Previous: "gone"}, RetainMS: 60_000}})
+	_, ok := s.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: "orphan", Previous: "gone"}, RetainMS: 60_000}})
 	must.True(t, ok)
 	turns, missing, err = s.state.readChain("orphan")
 	must.NoError(t, err)
@@ -95,10 +101,10 @@
 	fs := newFaultFS()
 	s := newServer(t, fs)
 	long := Op{Kind: OpCharge, Program: "long", Charge: replica.Charge{Turn: "a", Tokens: 7}, RetainMS: time.Hour.Milliseconds()}
-	_, ok := s.execute(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: "short"}, RetainMS: 1}, long})
+	_, ok := s.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: "short"}, RetainMS: 1}, long})
 	must.True(t, ok)
 	s.state.log.writeFailed = true // The next write starts a new segment.
-	_, ok = s.execute(t.Context(), []Op{chargeOp("other", "b", 1, false)})
+	_, ok = s.executeNow(t.Context(), []Op{chargeOp("other", "b", 1, false)})
 	must.True(t, ok)
 	must.MapLen(t, 3, fs.files)
 	s.runExpiry(time.Now().Add(2 * retentionMargin))
@@ -119,7 +125,7 @@
 		id := fmt.Sprint("t", i)
 		ids = append(ids, id)
 		turn := &Turn{ID: id, Previous: "before", Program: "p", Input: []byte{byte(i), '\n', 0xff}, Output: []byte("said <&> \n")}
-		_, ok := source.execute(t.Context(), []Op{{Kind: OpStore, Turn: turn, RetainMS: 60_000}})
+		_, ok := source.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: turn, RetainMS: 60_000}})
 		must.True(t, ok)
 	}
 	listener := httptest.NewServer(source.Handler())
