Count a write of the store stand-in when it takes effect

TestPlatformFaults/slow_before_the_effect refused a landing with "object not found".

Cause: the stand-in counted a write before it read the body and stored the object, and the test reads the object as soon as the count is there. TestWriteIsCountedWithItsEffect fails on the stand-in before.

Change: a write is counted under the lock under which it takes effect, or when it is rejected. No other counter that a test waits for has this fault: waiting watches are counted before their events are read, and the counts of relays, upstreams and of the users' store are compared after the calls have ended.

--- a/testbed/standin/platform/platform_test.go
+++ b/testbed/standin/platform/platform_test.go
@@ -311,3 +311,32 @@
 	cancel()
 	wg.Wait()
 }
+
+// readFunc is a request body that calls a function for each read.
+type readFunc func(p []byte) (int, error)
+
+func (f readFunc) Read(p []byte) (int, error) { return f(p) }
+
+// TestWriteIsCountedWithItsEffect guards against a write that is counted before it takes effect. A test that waits for the count
+// would then not always find the object.
+func TestWriteIsCountedWithItsEffect(t *testing.T) {
+	p := New(Config{})
+	body := strings.NewReader(`{"value":1}`)
+	r := httptest.NewRequest(http.MethodPut, objectsPath+"/a", readFunc(func(b []byte) (int, error) {
+		test.EqOp(t, 0, p.Stats().Writes, test.Sprint("the body has not been read"))
+		return body.Read(b)
+	}))
+	w := httptest.NewRecorder()
+	p.Handler().ServeHTTP(w, r)
+	must.EqOp(t, http.StatusOK, w.Code)
+	test.EqOp(t, 1, p.Stats().Writes)
+	for _, invalid := range []*http.Request{
+		httptest.NewRequest(http.MethodPut, objectsPath+"/a", strings.NewReader("no JSON")),
+		httptest.NewRequest(http.MethodDelete, objectsPath+"/a?if_version=x", nil),
+	} {
+		w := httptest.NewRecorder()
+		p.Handler().ServeHTTP(w, invalid)
+		must.EqOp(t, http.StatusBadRequest, w.Code)
+	}
+	test.EqOp(t, 3, p.Stats().Writes, test.Sprint("rejected writes count, too"))
+}
--- a/testbed/standin/platform/server.go
+++ b/testbed/standin/platform/server.go
@@ -196,6 +196,8 @@
 // Unwrap gives http.ResponseController access to Flush.
 func (w *revisionWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
+// withRateLimit rejects calls above a rate. It counts rejected calls and reads. A write is counted when it takes effect or is
+// rejected, so that a test that has waited for the count finds the effect.
 func (s *Server) withRateLimit(limiter *rate.Limiter, next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		allowed := limiter.Allow()
@@ -203,9 +205,7 @@
 		switch {
 		case !allowed:
 			s.stats.RateLimited++
-		case limiter == s.writes:
-			s.stats.Writes++
-		default:
+		case limiter == s.reads:
 			s.stats.Reads++
 		}
 		s.mu.Unlock()
@@ -276,35 +276,50 @@
 	control.WriteJSON(w, http.StatusOK, o)
 }
 
-func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+// readPut reads the body of a write: the expected version and the compact value.
+func (s *Server) readPut(w http.ResponseWriter, r *http.Request) (ifVersion int64, value []byte, err error) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	s.mu.Lock()
 	s.stats.BytesIn += int64(len(raw))
 	s.mu.Unlock()
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		writeStoreError(w, ErrTooLarge, nil)
-		return
-	}
 	if err != nil {
-		writeBadRequest(w, err)
-		return
+		return 0, nil, err
 	}
 	var body struct {
 		IfVersion int64           `json:"if_version"`
 		Value     json.RawMessage `json:"value"`
 	}
 	if err := json.Unmarshal(raw, &body); err != nil {
-		writeBadRequest(w, err)
+		return 0, nil, err
+	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, body.Value); err != nil {
+		return 0, nil, errors.New("the field value is missing")
+	}
+	return body.IfVersion, compact.Bytes(), nil
+}
+
+// rejectWrite counts a write without an effect and writes the error response.
+func (s *Server) rejectWrite(w http.ResponseWriter, err error) {
+	s.mu.Lock()
+	s.stats.Writes++
+	s.mu.Unlock()
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		writeStoreError(w, ErrTooLarge, nil)
 		return
 	}
-	var value bytes.Buffer
-	if err := json.Compact(&value, body.Value); err != nil {
-		writeBadRequest(w, errors.New("the field value is missing"))
+	writeBadRequest(w, err)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	ifVersion, value, err := s.readPut(w, r)
+	if err != nil {
+		s.rejectWrite(w, err)
 		return
 	}
 	s.mu.Lock()
-	o, current, err := s.store.put(pathValue(r, "kind"), pathValue(r, "name"), body.IfVersion, value.Bytes())
+	o, current, err := s.store.put(pathValue(r, "kind"), pathValue(r, "name"), ifVersion, value)
 	s.finishWrite(err)
 	s.mu.Unlock()
 	if err != nil {
@@ -315,8 +330,9 @@
 	control.WriteJSON(w, http.StatusOK, o)
 }
 
-// finishWrite wakes the pending watches after a successful write and counts a conflict. The caller holds s.mu.
+// finishWrite counts a write and wakes the pending watches if it was successful. The caller holds s.mu.
 func (s *Server) finishWrite(err error) {
+	s.stats.Writes++
 	switch {
 	case err == nil:
 		s.notify()
@@ -328,7 +344,7 @@
 func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
 	ifVersion, err := queryInt(r, "if_version")
 	if err != nil {
-		writeBadRequest(w, err)
+		s.rejectWrite(w, err)
 		return
 	}
 	s.mu.Lock()
