Keep the number of tolerated failures for each set of a view

Cause: the next view applied the new number to the earlier set. Its writes are on two of three members, but its read quorum fell to one.

Change: the view keeps the number for each set, and a change that needs another quorum adds a set and copies, also with the same members. A fall is proposed only a minute after the settings have changed, since their age differs between VMs. Views of earlier versions are read as before. This works because each set is read with the quorum that its writes had. TestCopiesPreserveWriteQuorum and TestEarlierReadersDetectLaterWrites now cover changes of the number as well.

--- a/core/replica/explore_test.go
+++ b/core/replica/explore_test.go
@@ -279,7 +279,7 @@
 	v := x.toView(k.view)
 	var result proposalResult
 	if _, eligible := ProposerRank(v, f, vmName(int(k.self))); eligible {
-		if next, due := Propose(v, f); due {
+		if next, due := Propose(v, f, x.toleratedFailures); due {
 			var fits bool
 			result.next, fits = x.toViewState(next)
 			result.ok = fits
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -132,7 +132,7 @@
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
-			next, ok := Propose(c.view, c.f)
+			next, ok := Propose(c.view, c.f, c.view.ToleratedFailures)
 			test.EqOp(t, c.want != "", ok)
 			if !ok {
 				return
@@ -151,7 +151,7 @@
 	v := View{Version: 6, Epoch: 2, ToleratedFailures: 1, Sets: [][]Member{newSet("a", "b", "c"), newSet("a", "b", "d")}, Copied: []string{"a/d"}}
 	f := newFleet(newSet("a", "b", "c", "d"), nil)
 	f.Registered[1].Address = "elsewhere:1"
-	next, due := Propose(v, f)
+	next, due := Propose(v, f, v.ToleratedFailures)
 	must.True(t, due)
 	test.EqOp(t, 7, next.Version)
 	test.EqOp(t, v.Epoch, next.Epoch)
@@ -161,7 +161,7 @@
 	}
 	test.Eq(t, v.Copied, next.Copied)
 	test.EqOp(t, "b:1", v.Sets[0][1].Address, test.Sprint("the previous view must not change"))
-	_, due = Propose(next, f)
+	_, due = Propose(next, f, next.ToleratedFailures)
 	test.False(t, due)
 }
 
@@ -219,8 +219,8 @@
 }
 
 // Guards against a write that has fewer copies than its quorum after a view change, and against members that copy without
-// need. Covers every write quorum, every view change by one or two members, and every read quorum whose inventories the
-// copying members have read.
+// need. Covers every write quorum, every view change by one or two members, every change of the tolerated failures, and every
+// read quorum whose inventories the copying members have read.
 func TestCopiesPreserveWriteQuorum(t *testing.T) {
 	all := []string{"a", "b", "c", "d", "e", "f", "g"}
 	subsets := func(names []string, size int) [][]string {
@@ -238,13 +238,13 @@
 		}
 		return out
 	}
-	for _, toleratedFailures := range []int{1, 2} {
-		before := all[:TargetSetSize(toleratedFailures)]
-		for size := len(before) - 1; size <= len(before); size++ {
+	for _, tolerated := range [][]int{{1, 1}, {2, 2}, {1, 2}, {2, 1}} {
+		before := all[:TargetSetSize(tolerated[0])]
+		for size := min(len(before), TargetSetSize(tolerated[1])) - 1; size <= max(len(before), TargetSetSize(tolerated[1])); size++ {
 			for _, after := range subsets(all, size) {
-				v := View{ToleratedFailures: toleratedFailures, Sets: [][]Member{newSet(before...), newSet(after...)}}
-				for _, holders := range subsets(before, WriteQuorum(v.Sets[0], toleratedFailures)) {
-					for _, read := range subsets(before, ReadQuorum(v.Sets[0], toleratedFailures)) {
+				v := View{ToleratedFailures: tolerated[1], ToleratedBySet: tolerated, Sets: [][]Member{newSet(before...), newSet(after...)}}
+				for _, holders := range subsets(before, v.WriteQuorumOf(0)) {
+					for _, read := range subsets(before, v.ReadQuorumOf(0)) {
 						storedBy := map[string]bool{}
 						var knownHolders []Member
 						for _, h := range holders {
@@ -258,9 +258,9 @@
 								storedBy[m.Key()] = true
 							}
 						}
-						settled := View{ToleratedFailures: toleratedFailures, Sets: [][]Member{v.CurrentSet()}}
+						settled := View{ToleratedFailures: tolerated[1], Sets: [][]Member{v.CurrentSet()}}
 						if !settled.IsWriteComplete(storedBy) {
-							t.Fatalf("tolerate %d: sets %v to %v, write on %v, inventories read from %v: copies %v", toleratedFailures, before, after, holders, read, storedBy)
+							t.Fatalf("tolerate %v: sets %v to %v, write on %v, inventories read from %v: copies %v", tolerated, before, after, holders, read, storedBy)
 						}
 					}
 				}
@@ -283,9 +283,10 @@
 		}
 		return out
 	}
-	all := []string{"a", "b", "c", "d"}
-	for before := 1; before <= 3; before++ {
-		earlier := View{Version: 1, Epoch: 1, ToleratedFailures: 1, Sets: [][]Member{newSet(all[:before]...)}}
+	all := []string{"a", "b", "c", "d", "e"}
+	for change := range 20 { // Every size of the earlier set, with every change of the tolerated failures between 1 and 2.
+		before, tolerated := 1+change%5, []int{1 + change/5%2, 1 + change/10}
+		earlier := View{Version: 1, Epoch: 1, ToleratedFailures: tolerated[0], Sets: [][]Member{newSet(all[:before]...)}}
 		for after := range 1 << len(all) {
 			var last []string
 			for i, vm := range all {
@@ -293,7 +294,7 @@
 					last = append(last, vm)
 				}
 			}
-			later := View{Version: 2, Epoch: 2, ToleratedFailures: 1, Sets: [][]Member{earlier.Sets[0], newSet(last...)}}
+			later := View{Version: 2, Epoch: 2, ToleratedFailures: tolerated[1], ToleratedBySet: tolerated, Sets: [][]Member{earlier.Sets[0], newSet(last...)}}
 			for holders := range 1 << len(all) {
 				var adopted, others []string // Members that have adopted the later view, and the others.
 				for i, vm := range all {
@@ -304,10 +305,10 @@
 					}
 				}
 				// A copy makes a read quorum of the earlier set adopt the later epoch.
-				settled := View{Version: 3, Epoch: 2, ToleratedFailures: 1, Sets: later.Sets[1:]}
+				settled := View{Version: 3, Epoch: 2, ToleratedFailures: tolerated[1], Sets: later.Sets[1:]}
 				acknowledged := later.IsWriteComplete(keys(adopted...)) || earlier.HasReadQuorum(keys(adopted...)) && settled.IsWriteComplete(keys(adopted...))
 				if len(last) > 0 && acknowledged && earlier.IsReadComplete(keys(others...)) {
-					t.Fatalf("%v to %v: write on %v, read from %v", memberNames(earlier.Sets[0]), last, adopted, others)
+					t.Fatalf("%v to %v, tolerate %v: write on %v, read from %v", memberNames(earlier.Sets[0]), last, tolerated, adopted, others)
 				}
 			}
 		}
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -25,10 +25,14 @@
 type View struct {
 	Version           uint64     `json:"version"`
 	Epoch             uint64     `json:"epoch"`    // Changes whenever the sets change. Replicas reject writes of another epoch.
-	ToleratedFailures int        `json:"tolerate"` // Number of VMs with a disk that may be lost at the same time.
+	ToleratedFailures int        `json:"tolerate"` // Number of VMs with a disk that may be lost at the same time, for the last set.
 	Sets              [][]Member `json:"sets"`
 	Copied            []string   `json:"copied"` // Keys of the members of the last set that have copied the earlier sets.
 
+	// ToleratedBySet has the number for each set, since the writes to a set have the quorum of the number at that time. A view
+	// that was written before this field existed has none; ToleratedFailures then holds for all of its sets.
+	ToleratedBySet []int `json:"tolerate_by_set,omitempty"`
+
 	// VMs that store no data that is still needed, so that they may be removed. They are not added to a set again.
 	Evacuated []string `json:"emptied,omitempty"`
 }
@@ -81,12 +85,26 @@
 	return len(set) - WriteQuorum(set, toleratedFailures) + 1
 }
 
+// toleratedBy returns the tolerated failures for which the writes to a set were made.
+func (v View) toleratedBy(set int) int {
+	if set < len(v.ToleratedBySet) {
+		return v.ToleratedBySet[set]
+	}
+	return v.ToleratedFailures
+}
+
+// ReadQuorumOf returns the read quorum of the set at an index.
+func (v View) ReadQuorumOf(set int) int { return ReadQuorum(v.Sets[set], v.toleratedBy(set)) }
+
+// WriteQuorumOf returns the write quorum of the set at an index.
+func (v View) WriteQuorumOf(set int) int { return WriteQuorum(v.Sets[set], v.toleratedBy(set)) }
+
 // HasReadQuorum reports whether the members that responded include a read quorum of every set, so that their data can be
 // copied without loss. The caller must ensure that no write accepted by one of these members at an earlier epoch completes
 // afterwards.
 func (v View) HasReadQuorum(responded map[string]bool) bool {
-	for _, set := range v.Sets {
-		if countMembers(set, responded) < ReadQuorum(set, v.ToleratedFailures) {
+	for i, set := range v.Sets {
+		if countMembers(set, responded) < v.ReadQuorumOf(i) {
 			return false
 		}
 	}
@@ -109,8 +127,7 @@
 
 // isWriteQuorum reports whether the members with the keys include a write quorum of the last set.
 func (v View) isWriteQuorum(keys map[string]bool) bool {
-	current := v.CurrentSet()
-	return len(current) > 0 && countMembers(current, keys) >= WriteQuorum(current, v.ToleratedFailures)
+	return len(v.Sets) > 0 && len(v.CurrentSet()) > 0 && countMembers(v.CurrentSet(), keys) >= v.WriteQuorumOf(len(v.Sets)-1)
 }
 
 // IsStoredByQuorum reports whether the holders of a write include a write quorum of the last set. In that case, members
@@ -174,18 +191,18 @@
 // possible.
 const ReplaceWhileCopyingAfter = ReplaceBySpareAfter + 3*time.Second
 
-// Propose returns the next view if a change is due. The caller must write it with a conditional write on the view that it
-// read. Only enough members to read every completed write have to be responsive, because a change needs just the
+// Propose returns the next view if a change is due. The argument toleratedFailures is the number of VMs with a disk that may be
+// lost at the same time from now on. The caller must write the view with a conditional write on the view that it read. Only enough members to read every completed write have to be responsive, because a change needs just the
 // conditional write to the store and sources for the copies. A write quorum is not required, since it may be larger than
 // the set of members that remain after a tolerated loss.
-func Propose(v View, f Fleet) (View, bool) {
+func Propose(v View, f Fleet, toleratedFailures int) (View, bool) {
 	if v.Version == 0 {
-		return nextView(View{ToleratedFailures: v.ToleratedFailures}, f, nil)
+		return nextView(View{}, f, nil, toleratedFailures)
 	}
 	if !v.HasReadQuorum(f.responsiveMembers()) {
 		return v, false // The observer itself may be partitioned, and no copy could complete.
 	}
-	return nextView(v, f, v.CurrentSet())
+	return nextView(v, f, v.CurrentSet(), toleratedFailures)
 }
 
 // ProposerRank returns the rank of a VM among the VMs that may propose a view, and whether the VM is eligible. The eligible
@@ -212,8 +229,10 @@
 	return rank, eligible
 }
 
-// nextView returns the view that follows v, with the member set that replaces current, if a change is due.
-func nextView(v View, f Fleet, current []Member) (View, bool) {
+// nextView returns the view that follows v, with the member set that replaces current, if a change is due. A change of the
+// tolerated failures is due if the current set needs another quorum for it. It adds a set, too, even if its members are the
+// same: its writes have the new quorum, and earlier ones are copied until they have it.
+func nextView(v View, f Fleet, current []Member, toleratedFailures int) (View, bool) {
 	registered := map[string]Member{}
 	for _, m := range f.Registered {
 		registered[m.VM] = m
@@ -256,13 +275,13 @@
 		// Removing a failed member makes the set tolerate the next loss. The remaining members must be able to serve
 		// without it.
 		removable := v.IsSettled() && f.UnresponsiveFor(m.VM) > replaceAfter || v.isCopyPending(m)
-		if countMembers(next, f.responsiveMembers()) > v.ToleratedFailures && (f.EvacuateWithoutSuccessor[m.VM] || removable) {
+		if countMembers(next, f.responsiveMembers()) > toleratedFailures && (f.EvacuateWithoutSuccessor[m.VM] || removable) {
 			changed = true
 			continue
 		}
 		next = append(next, m)
 	}
-	for len(next) < TargetSetSize(v.ToleratedFailures) && v.IsSettled() {
+	for len(next) < TargetSetSize(toleratedFailures) && v.IsSettled() {
 		s, ok := takeSpare(&spares, next, "")
 		if !ok {
 			break
@@ -270,12 +289,21 @@
 		next = append(next, s)
 		changed = true
 	}
+	if len(v.Sets) == 1 && WriteQuorum(next, toleratedFailures) != v.WriteQuorumOf(0) {
+		changed = true
+	}
 	if !changed {
 		return updateAddresses(v, registered)
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
-	sets := append(append([][]Member{}, v.Sets...), next)
-	return View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: v.ToleratedFailures, Sets: sets, Evacuated: v.Evacuated}, true
+	proposed := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated}
+	for i, set := range v.Sets {
+		proposed.Sets = append(proposed.Sets, set)
+		proposed.ToleratedBySet = append(proposed.ToleratedBySet, v.toleratedBy(i))
+	}
+	proposed.Sets = append(proposed.Sets, next)
+	proposed.ToleratedBySet = append(proposed.ToleratedBySet, toleratedFailures)
+	return proposed, true
 }
 
 // updateAddresses sets the new address of members whose address has changed. They remain the same members, so no set is
@@ -359,7 +387,7 @@
 			added++
 		}
 	}
-	allReplaced := added >= len(earlier)-remaining && WriteQuorum(current, v.ToleratedFailures) <= WriteQuorum(earlier, v.ToleratedFailures)
+	allReplaced := added >= len(earlier)-remaining && v.WriteQuorumOf(1) <= v.WriteQuorumOf(0)
 	return !allReplaced || !wasMember(m)
 }
 
@@ -392,6 +420,7 @@
 		}
 	}
 	next.Sets = [][]Member{v.CurrentSet()}
+	next.ToleratedBySet = []int{v.toleratedBy(len(v.Sets) - 1)}
 	next.Copied = nil
 	return next, true
 }
--- a/daemon/quorum/failure.go
+++ b/daemon/quorum/failure.go
@@ -57,14 +57,14 @@
 func firstFailedSet(v core.View, responsive map[string]bool) SetCounts {
 	var counts SetCounts
 	for i, set := range v.Sets {
-		counts = SetCounts{Position: i + 1, Members: len(set), RequiredForRead: core.ReadQuorum(set, v.ToleratedFailures)}
+		counts = SetCounts{Position: i + 1, Members: len(set), RequiredForRead: v.ReadQuorumOf(i)}
 		for _, m := range set {
 			if responsive[m.Key()] {
 				counts.Responsive++
 			}
 		}
 		if i == len(v.Sets)-1 {
-			counts.RequiredForWrite = core.WriteQuorum(set, v.ToleratedFailures)
+			counts.RequiredForWrite = v.WriteQuorumOf(i)
 		}
 		if counts.Responsive < max(counts.RequiredForRead, counts.RequiredForWrite) {
 			break
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -44,6 +44,7 @@
 	maxSuccessorWait           = 2 * time.Second         // Time for which a VM that is to be evacuated waits for a successor.
 	proposerRankDelay          = 1200 * time.Millisecond // Additional delay for each proposer rank; above a slow write to the store.
 	registrationQuietTime      = 500 * time.Millisecond  // Time without a new registration after which VMs that start together count as registered.
+	maxSettingsAge             = time.Minute             // Time within which a change of the settings reaches all VMs.
 	groupObservationTime       = time.Second             // Time for which a VM without a group probes the others before it chooses one.
 )
 
@@ -96,6 +97,7 @@
 	viewRevision           uint64                    // Store revision of the view; zero before the view has been read.
 	layoutDueSince         time.Time                 // Time since when the first layout is due; zero if it is not.
 	changeDueSince         time.Time                 // Time since when a change of the view is due; zero if none is due.
+	lowerToleranceSince    time.Time                 // Time since when the settings tolerate fewer failures than the view; zero if they do not.
 	copiedEpoch            uint64                    // Epoch for which the earlier sets were copied last.
 	startTime              time.Time
 	wakeups                chan struct{} // Wakes Run.
@@ -472,9 +474,9 @@
 	m.mu.Lock()
 	v := m.view
 	m.mu.Unlock()
-	v.ToleratedFailures = m.ToleratedFailures()
+	tolerated := m.proposedTolerance(v)
 	rank, canPropose := replica.ProposerRank(v, f, m.Self.VM)
-	_, due := replica.Propose(v, f)
+	_, due := replica.Propose(v, f, tolerated)
 	m.logStatusChanges(v, f, due && canPropose)
 	if !due || !canPropose {
 		m.changeDueSince = time.Time{}
@@ -487,11 +489,28 @@
 		return
 	}
 	m.writeView(ctx, "proposed", func(v replica.View) (replica.View, bool) {
-		v.ToleratedFailures = m.ToleratedFailures()
-		return replica.Propose(v, f)
+		return replica.Propose(v, f, tolerated)
 	})
 }
 
+// proposedTolerance returns the number of tolerated failures that this replica proposes for a view. A higher number in the
+// settings is proposed at once. A lower one is proposed after maxSettingsAge, since the settings files of the VMs do not change at
+// the same time, and a replica with older settings must not undo a rise.
+func (m *Membership) proposedTolerance(v replica.View) int {
+	wanted := m.ToleratedFailures()
+	if v.Version == 0 || wanted >= v.ToleratedFailures {
+		m.lowerToleranceSince = time.Time{}
+		return wanted
+	}
+	if m.lowerToleranceSince.IsZero() {
+		m.lowerToleranceSince = time.Now()
+	}
+	if time.Since(m.lowerToleranceSince) < maxSettingsAge {
+		return v.ToleratedFailures
+	}
+	return wanted
+}
+
 // memberStatus is the status of a member of the current set, as observed by this replica.
 type memberStatus string
 
