Form no first view below one member more than the tolerated losses

Cause: the first view took whichever replicas had registered. With one member, turns are acknowledged on one disk, and without it the view can never change.

Change: no first view and no first layout with fewer responsive replicas than tolerated failures plus one. A waiting replica logs the numbers every 5 s; until then, turns get 503. This works because a set of that size keeps a read quorum and a copy of each write after the tolerated losses.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -81,8 +81,12 @@
 		f    Fleet
 		want string // Members of the last set; empty if no change is due.
 	}{
-		"first view":                                         {View{ToleratedFailures: 1}, newFleet(newSet("a", "b", "c"), nil), "ad bd cd "},
-		"first view has the target size":                     {View{ToleratedFailures: 1}, newFleet(newSet("a", "b", "c", "d"), nil), "ad bd cd "},
+		"first view":                                {View{ToleratedFailures: 1}, newFleet(newSet("a", "b", "c"), nil), "ad bd cd "},
+		"first view has the target size":            {View{ToleratedFailures: 1}, newFleet(newSet("a", "b", "c", "d"), nil), "ad bd cd "},
+		"first view needs more members than losses": {View{ToleratedFailures: 1}, newFleet(newSet("a"), nil), ""},
+		"first view of two":                         {View{ToleratedFailures: 1}, newFleet(newSet("a", "b"), nil), "ad bd "},
+		"first view of two, tolerating two":         {View{ToleratedFailures: 2}, newFleet(newSet("a", "b"), nil), ""},
+		"unresponsive VM is not in the first view":  {View{ToleratedFailures: 1}, newFleet(newSet("a", "b"), map[string]time.Duration{"b": sparePeriod}), ""},
 		"no change":                                          {settled, newFleet(newSet("a", "b", "c"), nil), ""},
 		"added VM stays a spare":                             {settled, newFleet(newSet("a", "b", "c", "d"), nil), ""},
 		"unresponsive without a spare":                       {settled, newFleet(newSet("a", "b", "c"), map[string]time.Duration{"c": sparePeriod}), "ad bd "},
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -153,6 +153,10 @@
 // TargetSetSize returns the smallest set size that keeps a majority when the tolerated number of VMs is lost.
 func TargetSetSize(toleratedFailures int) int { return 2*toleratedFailures + 1 }
 
+// MinFirstSetSize returns the smallest size of the first set. With fewer members, the tolerated number of losses could take every
+// copy of a write, and no read quorum would be left from which the view could change.
+func MinFirstSetSize(toleratedFailures int) int { return toleratedFailures + 1 }
+
 // Fleet is a replica's snapshot of the VMs with a disk. It is the input to a view change.
 type Fleet struct {
 	Registered               []Member                      // One entry per VM, with its current disk.
@@ -289,6 +293,9 @@
 		next = append(next, s)
 		changed = true
 	}
+	if v.Version == 0 && len(next) < MinFirstSetSize(toleratedFailures) {
+		return v, false
+	}
 	if len(v.Sets) == 1 && WriteQuorum(next, toleratedFailures) != v.WriteQuorumOf(0) {
 		changed = true
 	}
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -44,6 +44,7 @@
 	maxSuccessorWait           = 2 * time.Second         // Time for which a VM that is to be evacuated waits for a successor.
 	proposerRankDelay          = 1200 * time.Millisecond // Additional delay for each proposer rank; above a slow write to the store.
 	registrationQuietTime      = 500 * time.Millisecond  // Time without a new registration after which VMs that start together count as registered.
+	firstViewLogInterval       = 5 * time.Second         // Interval of the log lines about a first view that cannot be formed.
 	maxSettingsAge             = time.Minute             // Time within which a change of the settings reaches all VMs.
 	groupObservationTime       = time.Second             // Time for which a VM without a group probes the others before it chooses one.
 )
@@ -97,6 +98,7 @@
 	viewRevision           uint64                    // Store revision of the view; zero before the view has been read.
 	layoutDueSince         time.Time                 // Time since when the first layout is due; zero if it is not.
 	changeDueSince         time.Time                 // Time since when a change of the view is due; zero if none is due.
+	firstViewLoggedAt      time.Time                 // Time of the last log line about a first view that cannot be formed. Used only by Run.
 	lowerToleranceSince    time.Time                 // Time since when the settings tolerate fewer failures than the view; zero if they do not.
 	copiedEpoch            uint64                    // Epoch for which the earlier sets were copied last.
 	startTime              time.Time
@@ -419,7 +421,7 @@
 		}
 		return
 	}
-	if time.Since(m.startTime) < firstViewDelay || time.Since(registeredAt) < registrationQuietTime {
+	if time.Since(m.startTime) < firstViewDelay || time.Since(registeredAt) < registrationQuietTime || !m.canFormFirstView(f) {
 		return
 	}
 	if m.layoutDueSince.IsZero() {
@@ -434,6 +436,26 @@
 	})
 }
 
+// canFormFirstView reports whether enough replicas are registered and responsive for the first view. If not, it logs this.
+func (m *Membership) canFormFirstView(f replica.Fleet) bool {
+	responsive := 0
+	for _, member := range f.Registered {
+		if f.IsResponsive(member.VM) {
+			responsive++
+		}
+	}
+	required := replica.MinFirstSetSize(m.ToleratedFailures())
+	if responsive >= required {
+		return true
+	}
+	if time.Since(m.firstViewLoggedAt) > firstViewLogInterval {
+		m.firstViewLoggedAt = time.Now()
+		m.Log.Warn("first view waits for more replicas; no turn is served before", "responsive", responsive, "registered", len(f.Registered), "required", required,
+			"tolerate", m.ToleratedFailures())
+	}
+	return false
+}
+
 // writeLayout writes the layout that update returns, if it reports a change. After a conflict, it updates the layout from the
 // store.
 func (m *Membership) writeLayout(ctx context.Context, update func(replica.Layout) (replica.Layout, bool)) {
@@ -474,6 +496,9 @@
 	m.mu.Lock()
 	v := m.view
 	m.mu.Unlock()
+	if v.Version == 0 && !m.canFormFirstView(f) {
+		return
+	}
 	tolerated := m.proposedTolerance(v)
 	rank, canPropose := replica.ProposerRank(v, f, m.Self.VM)
 	_, due := replica.Propose(v, f, tolerated)
--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -498,26 +498,44 @@
 	return ports, nil
 }
 
-// IsViewSettledWith reports whether the view has exactly one set and that set has a member with the given disk identity.
-func (d *Deployment) IsViewSettledWith(disk string) bool {
+// viewMember is a member in the stored view of the replicas.
+type viewMember struct {
+	VM   string `json:"vm"`
+	Disk string `json:"disk"`
+}
+
+// viewSets returns the sets of the view in the store, oldest first. It returns none if the store has no view.
+func (d *Deployment) viewSets() [][]viewMember {
 	o, ok := d.Store.Get("jackdawbay-views", "main")
 	if !ok {
-		return false
+		return nil
 	}
 	var view struct {
-		Sets [][]struct {
-			Disk string `json:"disk"`
-		} `json:"sets"`
+		Sets [][]viewMember `json:"sets"`
 	}
-	if err := json.Unmarshal(o.Spec, &view); err != nil || len(view.Sets) != 1 {
-		return false
+	if err := json.Unmarshal(o.Spec, &view); err != nil {
+		return nil
 	}
-	for _, m := range view.Sets[0] {
-		if m.Disk == disk {
-			return true
+	return view.Sets
+}
+
+// IsViewSettledWith reports whether the view has exactly one set and that set has a member with the given disk identity.
+func (d *Deployment) IsViewSettledWith(disk string) bool {
+	sets := d.viewSets()
+	return len(sets) == 1 && slices.ContainsFunc(sets[0], func(m viewMember) bool { return m.Disk == disk })
+}
+
+// CurrentMembers returns the replicas in the last set of the view.
+func (d *Deployment) CurrentMembers() []*VM {
+	var members []*VM
+	if sets := d.viewSets(); len(sets) > 0 {
+		for _, vm := range d.Replicas {
+			if slices.ContainsFunc(sets[len(sets)-1], func(m viewMember) bool { return m.VM == vm.Name }) {
+				members = append(members, vm)
+			}
 		}
 	}
-	return false
+	return members
 }
 
 // allVMs returns all gateways and replicas.
--- a/testbed/deployment/membership_test.go
+++ b/testbed/deployment/membership_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"jackdawbay.dev/core/replica"
+	"jackdawbay.dev/testbed/relay"
 )
 
 // continueChain sends the next turn of a chain and returns its call. It retries like a caller while the response is 503, and
@@ -158,3 +159,39 @@
 	}
 	test.EqOp(t, 1, layouts, test.Sprint("one replica divides the VMs into groups"))
 }
+
+// TestFirstViewBearsTheToleratedLoss guards against a first view with so few members that a tolerated loss ends service for good.
+// The store turns two of three replicas away while the deployment starts for the first time, and the third one loses its disk.
+func TestFirstViewBearsTheToleratedLoss(t *testing.T) {
+	o := defaultOptions()
+	o.Gateways, o.Replicas, o.UseRelays = 0, 0, true
+	d := startDeployment(t, o)
+	for i := range 3 {
+		rules := []relay.Rule{}
+		if i > 0 {
+			rules = []relay.Rule{{Mode: relay.Refuse}}
+		}
+		must.NoError(t, d.SetStoreRules(rules))
+		_, err := d.AddVM("replica")
+		must.NoError(t, err)
+	}
+	must.NoError(t, d.SetStoreRules(nil))
+	for _, vm := range d.Replicas[1:] {
+		must.NoError(t, vm.StoreRelay.SetRules([]relay.Rule{{Mode: relay.Refuse}}))
+	}
+	g, err := d.AddVM("gateway")
+	must.NoError(t, err)
+	first := d.Replicas[0]
+	for deadline := time.Now().Add(recoveryTimeout); !strings.Contains(d.ReadLog(first), "first view waits for more replicas"); time.Sleep(50 * time.Millisecond) {
+		must.True(t, time.Now().Before(deadline), must.Sprint("the replica states why there is no view"))
+	}
+	c := Call{Path: PathRetained, ID: NewID(), Program: NewID(), Budget: 1 << 20, MaxTokens: 4 * TokensPerEvent, Body: "turn;"}
+	test.EqOp(t, http.StatusServiceUnavailable, Send(g, c).Status, test.Sprint("a turn would be stored on one disk"))
+	test.EqOp(t, 0, d.countRuns(c.ID))
+
+	d.KillVM(first)
+	must.NoError(t, d.WipeDisk(first))
+	must.NoError(t, d.StartVM(first))
+	must.NoError(t, d.SetStoreRules(nil))
+	must.NoError(t, d.WaitUntilServing(recoveryTimeout))
+}
