Send no repeat to an upstream that drains or leaves

A request that may have run goes back to the same upstream if no other one may execute it. It did so even if that one had begun to drain or had stated that it leaves; with a long route timeout it could arrive after the time to drain.

Cause: the repeat asked only whether the upstream was still listed.

Change: a repeat needs the same process, listed, neither draining nor leaving.

Measured: with the check taken out, two cases of TestRepeatIsNotSentToDrainingUpstream fail; with it, daemon/gateway and core/placement pass twice with the race detector.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -155,6 +155,13 @@
 	return ok
 }
 
+// AcceptsRepeat reports whether a request may be sent once more to the process of an upstream: it is listed, and has not stated
+// that it leaves.
+func (g *Group) AcceptsRepeat(u Upstream) bool {
+	current, ok := g.upstreams[u.ID]
+	return ok && current.info.processKey() == u.processKey() && !current.info.Draining && !g.isLeaving(u.ID)
+}
+
 // Choose returns the upstream with the lowest estimated cost, or false if no upstream is eligible. Ejected upstreams are
 // considered only if no other upstream is eligible.
 func (g *Group) Choose(now time.Time, r Request) (Choice, bool) {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -250,7 +250,7 @@
 }
 
 // chooseUpstream returns the upstream for the next send. A request that may have run, and that no other upstream may
-// execute, goes back to the same upstream.
+// execute, goes back to the same upstream, unless that one drains or leaves by now.
 func (c *call) chooseUpstream() (placement.Upstream, bool) {
 	c.sendCount++
 	if len(c.mayHaveRun) > 0 && !c.canUseAnotherUpstream() {
@@ -258,7 +258,7 @@
 		if c.bufferExceeded {
 			return lastUpstream, false
 		}
-		if !c.excluded[lastUpstream.ID] && c.g.upstreams.recordStartIfListed(c.service, lastUpstream.ID, c.meta.Prompt) {
+		if !c.excluded[lastUpstream.ID] && c.g.upstreams.recordRepeat(c.service, lastUpstream, c.meta.Prompt) {
 			return lastUpstream, true
 		}
 		if !c.route.Resumable {
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -111,16 +111,17 @@
 	return c, ok
 }
 
-// recordStartIfListed counts another request at an upstream that was chosen before. It reports whether the upstream is still
-// listed.
-func (g *upstreamGroups) recordStartIfListed(service, upstream string, parts []placement.PromptPart) bool {
+// recordRepeat counts another request at an upstream that was chosen before. It reports false if that one no longer accepts
+// requests.
+func (g *upstreamGroups) recordRepeat(service string, u placement.Upstream, parts []placement.PromptPart) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	u, ok := g.current.ByID[upstream]
-	if ok && u.Service == service {
-		g.group(service).RecordStart(time.Now(), upstream, parts)
+	group := g.group(service)
+	if !group.AcceptsRepeat(u) {
+		return false
 	}
-	return ok
+	group.RecordStart(time.Now(), u.ID, parts)
+	return true
 }
 
 func (g *upstreamGroups) recordLoad(service, upstream string, l placement.Load) {
--- a/daemon/gateway/upstream_fault_test.go
+++ b/daemon/gateway/upstream_fault_test.go
@@ -212,6 +212,43 @@
 	}
 }
 
+// TestRepeatIsNotSentToDrainingUpstream guards against a request that is sent once more to an upstream that has begun to drain, or
+// has stated that it leaves, since the first send. With a long timeout, it could reach it after its time to drain.
+func TestRepeatIsNotSentToDrainingUpstream(t *testing.T) {
+	for name, c := range map[string]struct {
+		header   string
+		draining bool
+		sends    int64
+	}{
+		"ready":   {"", false, 2},
+		"leaving": {"Leaving: 1\r\n", false, 1},
+		"drains":  {"", true, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var g *Gateway
+			var list *catalog.Upstreams
+			var sends atomic.Int64
+			address := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) {
+				if sends.Add(1) > 1 {
+					return "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r\r\nContent-Length: 0\r\n\r\n", false
+				}
+				if c.draining {
+					g.upstreams.update(list)
+				}
+				return "HTTP/1.1 503 Unclear\r\nId: r\r\n" + c.header + "Content-Length: 0\r\n\r\n", false
+			})
+			g = newFaultGateway(address)
+			draining := upstreamList(address).ByID["a"]
+			draining.Draining = true
+			list = &catalog.Upstreams{ByService: map[string][]catalog.Upstream{"s": {draining}}, ByID: map[string]catalog.Upstream{"a": draining}}
+			w, _, aborted := dispatchRequest(t, g, &route.Route{Kind: route.Idempotent, MaxUpstreams: 1}, "r")
+			must.False(t, aborted)
+			test.EqOp(t, c.sends, sends.Load())
+			test.EqOp(t, c.sends == 2, w.Code == http.StatusOK, test.Sprintf("status %d", w.Code))
+		})
+	}
+}
+
 // Guards against an error of the next upstream that is forwarded inside a stream that has begun, and against a stream that
 // ends as complete although its rest is missing.
 func TestResumedStreamForwardsOnlyEvents(t *testing.T) {
