Let the soak lose several disks at once and end with a final fault

The users saw service that did not come back after all machines had been killed. The soak now draws up to as many losses at once as are tolerated, with ten replicas for two, and ends with a kill of all processes and the loss of as many disks of the current members as are tolerated. Turns may have inputs of a given size.

What the users saw is not reproduced.

--- a/testbed/soak/callers.go
+++ b/testbed/soak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -101,7 +102,7 @@
 // sendTurn sends one attempt of a turn on the retained route and records its result.
 func (s *soakRun) sendTurn(g *deployment.VM, c *callerConnection, program string, previous *turn, budget int64) deployment.Response {
 	call := deployment.Call{Path: deployment.PathRetained, ID: deployment.NewID(), Program: program, Budget: budget, MaxTokens: turnTokens,
-		Body: "input-" + deployment.NewID() + ";", Deadline: 2500 * time.Millisecond}
+		Body: "input-" + deployment.NewID() + strings.Repeat(".", s.cfg.BodyBytes) + ";", Deadline: 2500 * time.Millisecond}
 	if previous != nil {
 		call.PreviousTurn = previous.id
 	}
--- a/testbed/soak/losses.go
+++ b/testbed/soak/losses.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"jackdawbay.dev/testbed/deployment"
@@ -92,7 +93,7 @@
 			s.recordFault("drop write responses of the store")
 			s.d.Store.DropWriteResponses(1+r.IntN(3), time.Duration(r.IntN(2))*1500*time.Millisecond)
 		}
-		s.injectLoss(r, fullCount)
+		s.injectLossesAtOnce(r, fullCount)
 		<-outageStarted
 		s.d.Store.DropWriteResponses(0, 0)
 		time.Sleep(time.Until(outageEnd))
@@ -100,9 +101,24 @@
 	}
 }
 
+// injectLossesAtOnce causes up to as many losses as tolerated at the same time. It returns when all VMs that failed, or their
+// replacements, have been started.
+func (s *soakRun) injectLossesAtOnce(r *rand.Rand, fullCount int) {
+	vms := s.d.CurrentMembers()
+	if s.cfg.Tolerated == 1 || len(vms) < s.cfg.Tolerated {
+		s.injectLoss(r, s.d.Replicas[r.IntN(len(s.d.Replicas))], fullCount)
+		return
+	}
+	var losses sync.WaitGroup
+	for _, i := range r.Perm(len(vms))[:1+r.IntN(s.cfg.Tolerated)] {
+		lossRand := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+		losses.Go(func() { s.injectLoss(lossRand, vms[i], fullCount) })
+	}
+	losses.Wait()
+}
+
 // injectLoss causes the loss of a replica VM or its disk. It returns when the VM, or its replacement, has been started.
-func (s *soakRun) injectLoss(r *rand.Rand, fullCount int) {
-	vm := s.d.Replicas[r.IntN(len(s.d.Replicas))]
+func (s *soakRun) injectLoss(r *rand.Rand, vm *deployment.VM, fullCount int) {
 	downtime := randomDuration(r, 200*time.Millisecond, maxDowntime)
 	kind := r.IntN(8)
 	switch {
@@ -132,6 +148,34 @@
 	}
 }
 
+// injectFinalFault kills all processes at the same moment while callers send requests, empties as many disks of the current
+// members as tolerated, and starts all VMs again. It waits before that until every earlier loss counts as over.
+func (s *soakRun) injectFinalFault(r *rand.Rand) {
+	time.Sleep(minLossInterval)
+	vms := append(append([]*deployment.VM{}, s.d.Gateways...), s.d.Replicas...)
+	lost := map[*deployment.VM]bool{}
+	members := s.d.CurrentMembers()
+	for _, i := range r.Perm(len(members))[:min(s.cfg.FinalLosses, len(members))] {
+		lost[members[i]] = true
+		s.recordFault("kill all and lose the disk of %s", members[i].Name)
+	}
+	var killed sync.WaitGroup
+	for _, vm := range vms {
+		killed.Go(func() { s.d.KillVM(vm) })
+	}
+	killed.Wait()
+	for vm := range lost {
+		if err := s.d.WipeDisk(vm); err != nil {
+			s.checks.addViolation("%s cannot be wiped: %v", vm.Name, err)
+		}
+	}
+	time.Sleep(randomDuration(r, 200*time.Millisecond, time.Second))
+	r.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	for _, vm := range vms {
+		s.startVM(vm)
+	}
+}
+
 // evacuate requests the evacuation of a VM. It removes the VM and its disk once the VM is reported as evacuated. If that does
 // not happen within evacuationTimeout, it withdraws the request.
 func (s *soakRun) evacuate(vm *deployment.VM) {
--- a/testbed/soak/soak.go
+++ b/testbed/soak/soak.go
@@ -18,14 +18,17 @@
 
 // Config configures a run.
 type Config struct {
-	Seed     uint64
-	Duration time.Duration // Time during which faults of any kind are injected.
-	Losses   int           // Number of losses of replica VMs and disks in series. If positive, Duration is ignored.
-	Binaries string        // Directory of the jackdawbayd binary.
-	Dir      string        // Directory for logs, settings and data directories.
-	Gateways int
-	Replicas int
-	Callers  int
+	Seed        uint64
+	Duration    time.Duration // Time during which faults of any kind are injected.
+	Losses      int           // Number of losses of replica VMs and disks in series. If positive, Duration is ignored.
+	FinalLosses int           // Number of disks that are lost at the end while all processes are killed; zero for no such fault.
+	Tolerated   int           // Number of VMs with a disk that may be lost at the same time.
+	Binaries    string        // Directory of the jackdawbayd binary.
+	Dir         string        // Directory for logs, settings and data directories.
+	Gateways    int
+	Replicas    int
+	Callers     int
+	BodyBytes   int // Bytes that are added to the input of each turn.
 }
 
 // Parameters of a run.
@@ -52,7 +55,7 @@
 // Run runs the calls and faults of one seed.
 func Run(cfg Config) (Report, error) {
 	d, err := deployment.Start(deployment.Options{
-		Binaries: cfg.Binaries, Dir: cfg.Dir, Gateways: cfg.Gateways, Replicas: cfg.Replicas, Engines: 4, Services: 3, ToleratedVMFailures: 1,
+		Binaries: cfg.Binaries, Dir: cfg.Dir, Gateways: cfg.Gateways, Replicas: cfg.Replicas, Engines: 4, Services: 3, ToleratedVMFailures: cfg.Tolerated,
 		EventsPerStream: eventsPerStream, ResponseDelay: 8 * time.Millisecond, GraceS: 5, RetainS: retainSeconds, TimeoutMS: 2500, UseRelays: true,
 	})
 	if d != nil {
@@ -71,6 +74,9 @@
 	}
 	s.injectFaults(rand.New(rand.NewPCG(cfg.Seed, 1)))
 	s.clearStoreFaults()
+	if cfg.FinalLosses > 0 {
+		s.injectFinalFault(rand.New(rand.NewPCG(cfg.Seed, 3)))
+	}
 	s.checkRecovery(s.newTimeLimit(recoveryTimeout))
 	close(s.stop)
 	callers.Wait()
--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -18,6 +18,8 @@
 	duration      = flag.Duration("faults", 6*time.Second, "Duration of fault injection for each seed.")
 	losses        = flag.Int("losses", 3, "Number of losses of replica VMs in series for each seed.")
 	large         = flag.Bool("large", false, "Use 30 gateways, 5 replicas and 60 callers.")
+	tolerated     = flag.Int("tolerated", 1, "Number of VMs with a disk that may be lost at the same time. If it is above 1, there are five replicas for each.")
+	bodyBytes     = flag.Int("body", 0, "Bytes that are added to the input of each turn.")
 	parallelSeeds = flag.Int("together", 5, "Number of seeds to run concurrently.")
 )
 
@@ -60,6 +62,10 @@
 // enough time to catch up.
 func TestLossesInSeries(t *testing.T) { runSeeds(t, lossRegressions, Config{Losses: *losses}) }
 
+// Guards against a permanent loss of service, and against lost turns, when all processes are killed at the same moment and as
+// many disks as tolerated are lost, after a series of losses.
+func TestFinalFault(t *testing.T) { runSeeds(t, nil, Config{Losses: *losses, FinalLosses: 1}) }
+
 func runSeeds(t *testing.T, regressions []regression, cfg Config) {
 	slots := make(chan struct{}, *parallelSeeds)
 	cases := regressions[:len(regressions):len(regressions)]
@@ -80,10 +86,15 @@
 
 func runSeed(t *testing.T, cfg Config, cause string) {
 	cfg.Binaries, cfg.Dir = binariesDir, t.TempDir()
-	cfg.Gateways, cfg.Replicas, cfg.Callers = 3, 3, 10
+	cfg.Gateways, cfg.Replicas, cfg.Callers, cfg.Tolerated = 3, 3, 10, 1
+	cfg.BodyBytes = *bodyBytes
 	if *large {
 		cfg.Gateways, cfg.Replicas, cfg.Callers = 30, 5, 60
 	}
+	if *tolerated > 1 {
+		cfg.Tolerated, cfg.Replicas = *tolerated, 5**tolerated
+		cfg.FinalLosses *= *tolerated
+	}
 	if dir := os.Getenv("JACKDAWBAY_SOAK_DIR"); dir != "" {
 		cfg.Dir = fmt.Sprintf("%s/seed-%d", dir, cfg.Seed)
 		must.NoError(t, os.MkdirAll(cfg.Dir, 0o700))
