--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -196,9 +196,10 @@
 const ReplaceWhileCopyingAfter = ReplaceBySpareAfter + 3*time.Second
 
 // Propose returns the next view if a change is due. The argument toleratedFailures is the number of VMs with a disk that may be
-// lost at the same time from now on. The caller must write the view with a conditional write on the view that it read. Only enough members to read every completed write have to be responsive, because a change needs just the
-// conditional write to the store and sources for the copies. A write quorum is not required, since it may be larger than
-// the set of members that remain after a tolerated loss.
+// lost at the same time from now on. The caller must write the view with a conditional write on the view that it read. Only
+// enough members to read every completed write have to be responsive, because a change needs just the conditional write to the
+// store and sources for the copies. A write quorum is not required, since it may be larger than the set of members that remain
+// after a tolerated loss.
 func Propose(v View, f Fleet, toleratedFailures int) (View, bool) {
 	if v.Version == 0 {
 		return nextView(View{}, f, nil, toleratedFailures)
