--- a/testbed/soak/soak_test.go
+++ b/testbed/soak/soak_test.go
@@ -4,6 +4,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -96,7 +98,7 @@
 		cfg.FinalLosses *= *tolerated
 	}
 	if dir := os.Getenv("JACKDAWBAY_SOAK_DIR"); dir != "" {
-		cfg.Dir = fmt.Sprintf("%s/seed-%d", dir, cfg.Seed)
+		cfg.Dir = filepath.Join(dir, strings.NewReplacer("/", "-", " ", "-").Replace(t.Name())) // Disks of another test must not be used again.
 		must.NoError(t, os.MkdirAll(cfg.Dir, 0o700))
 	}
 	r, err := Run(cfg)
