Let a copy end while gateways store turns with missing chains

Gateways store turns of running programs meanwhile, whose chains this replica lacks, so the copy found new gaps for as long as there was traffic.

Change: a copy follows the gaps that exist when it begins and the previous turns of the turns it copies. The gateways fill the others before they acknowledge a turn.

Measured: TestCopyDoesNotFollowNewTurns fails with the rule before and passes; daemon/replica passes with the race detector.

--- a/daemon/replica/copy_test.go
+++ b/daemon/replica/copy_test.go
@@ -63,7 +63,7 @@
 }
 
 func newCopyProgress(m *Membership) *copyProgress {
-	return &copyProgress{responded: map[string]bool{m.Self.Key(): true}, turnSources: map[string][]replica.Member{}}
+	return &copyProgress{responded: map[string]bool{m.Self.Key(): true}, turnSources: map[string][]replica.Member{}, needed: m.Server.state.gapIDs()}
 }
 
 // Guards against a copy that never completes because the source chosen for a turn returns its inventory but no turns,
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -362,7 +362,7 @@
 	defer m.copying.Store(false)
 	start := time.Now()
 	if m.progress == nil || m.progress.epoch != v.Epoch {
-		m.progress = &copyProgress{epoch: v.Epoch, responded: map[string]bool{m.Self.Key(): true}, turnSources: map[string][]replica.Member{}}
+		m.progress = &copyProgress{epoch: v.Epoch, responded: map[string]bool{m.Self.Key(): true}, turnSources: map[string][]replica.Member{}, needed: m.Server.state.gapIDs()}
 	}
 	if err := m.copyEarlierSets(ctx, v, m.progress); err != nil {
 		m.Log.Warn("copy of the earlier sets failed", "view", v.Version, "error", err)
@@ -380,6 +380,10 @@
 	epoch       uint64
 	responded   map[string]bool             // Keys of members whose inventory was read, and the key of this replica.
 	turnSources map[string][]replica.Member // Members that store a turn, by turn ID.
+
+	// needed has the turns that are missing in chains of this replica when the copy begins, and the previous turns of copied ones.
+	// Gaps before turns that gateways store meanwhile do not count: the gateways fill them, and the copy would not end.
+	needed map[string]bool
 }
 
 // removeSource discards the inventory of a source that does not return its turns, since it may have failed. The copy
@@ -803,7 +807,7 @@
 		idsBySource := map[string][]string{}
 		sourceByKey := map[string]replica.Member{}
 		for id, sources := range progress.turnSources {
-			if len(sources) == 0 || m.Server.state.hasTurn(id) || v.IsStoredByQuorum(sources) && !m.Server.state.isGap(id) {
+			if len(sources) == 0 || m.Server.state.hasTurn(id) || v.IsStoredByQuorum(sources) && !progress.needed[id] {
 				continue
 			}
 			source := slices.MinFunc(sources, func(a, b replica.Member) int { return m.distance(a) - m.distance(b) })
@@ -831,6 +835,11 @@
 						return err
 					}
 				}
+				for _, r := range records {
+					if r.entry.Turn != nil {
+						progress.needed[r.entry.Turn.Previous] = true
+					}
+				}
 				for _, id := range ids[:n] {
 					delete(progress.turnSources, id) // Turns that the source no longer has are expired.
 				}
--- a/daemon/replica/retention_test.go
+++ b/daemon/replica/retention_test.go
@@ -189,3 +189,21 @@
 	test.EqOp(t, "", missing)
 	test.False(t, d.state.hasTurn("gap"), test.Sprint("no write quorum has stored a turn whose chain has a gap"))
 }
+
+// TestCopyDoesNotFollowNewTurns guards against a copy that does not end while gateways store turns whose chains this replica
+// does not have. It followed each of their chains, although enough other members store them.
+func TestCopyDoesNotFollowNewTurns(t *testing.T) {
+	a, b, c, d := newCopySource(t, "a"), newCopySource(t, "b"), newCopySource(t, "c"), newCopySource(t, "d")
+	v := replica.View{Version: 2, Epoch: 2, ToleratedFailures: 1, Sets: [][]replica.Member{
+		{a.member, b.member, c.member}, {a.member, b.member, d.member},
+	}}
+	for _, s := range []*copySource{a, b} {
+		storeTurnOf(t, s.Server, "t1", "")
+	}
+	m := newMembership(d)
+	must.True(t, d.adopt(t.Context(), v))
+	p := newCopyProgress(m)
+	storeTurnOf(t, d.Server, "t2", "t1") // A gateway stores it after the copy has begun.
+	must.NoError(t, m.copyEarlierSets(t.Context(), v, p))
+	test.False(t, d.state.hasTurn("t1"), test.Sprint("the gateway copies it"))
+}
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -212,12 +212,15 @@
 	return ""
 }
 
-// isGap reports whether a turn is not indexed although an indexed turn continues it.
-func (s *state) isGap(id string) bool {
+// gapIDs returns the turns that are not indexed although indexed turns continue them.
+func (s *state) gapIDs() map[string]bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	_, ok := s.gaps[id]
-	return ok
+	ids := make(map[string]bool, len(s.gaps))
+	for id := range s.gaps {
+		ids[id] = true
+	}
+	return ids
 }
 
 // ensureProgram returns the state of a program. It creates the state if the program has none.
