--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -800,8 +800,8 @@
 }
 
 // copyTurns fetches the turns that this replica does not have and that are not yet stored by a write quorum of the last
-// set, and the turns that are missing in the chains that this replica stores. It prefers sources in its own data centre, then in its own region. It continues without a failed source as long as
-// the remaining ones are a read quorum of each earlier set.
+// set, and the needed ones of the progress. It prefers sources in its own data centre, then in its own region. It continues
+// without a failed source as long as the remaining ones are a read quorum of each earlier set.
 func (m *Membership) copyTurns(ctx context.Context, v replica.View, progress *copyProgress) error {
 	for {
 		idsBySource := map[string][]string{}
