--- /dev/null
+++ b/daemon/gateway/begin.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"jackdawbay.dev/api/errkind"
+	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/core/route"
+)
+
+// beginTurn charges the turn to its program and prepends the history to the new input. It reports whether the turn may be
+// sent. If not, the caller has received an error response.
+func (c *call) beginTurn() bool {
+	hasBudget := c.route.Kind == route.Stream && c.meta.TokenBudget >= 0 && c.meta.Program != ""
+	continuesTurn := c.route.StoreTurns && c.meta.PreviousTurn != ""
+	if !hasBudget && !continuesTurn {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, beginTimeout)
+	defer cancel()
+	var charge *core.Charge
+	if hasBudget {
+		charge = &core.Charge{Turn: c.meta.RequestID, Tokens: c.meta.MaxTokens}
+		c.charged = true
+	}
+	previousTurn := ""
+	if continuesTurn {
+		previousTurn = c.meta.PreviousTurn
+	}
+	startedAt := time.Now()
+	result, err := c.g.cfg.Replicas.BeginTurn(ctx, c.meta.Program, charge, previousTurn, c.route.Retention, c.g.turnCache.get)
+	c.beginDuration = time.Since(startedAt)
+	if err != nil {
+		if c.r.Context().Err() != nil {
+			c.abort("caller_gone")
+		}
+		c.rejectTurn(err)
+		return false
+	}
+	if lacking := result.ChargesToSpread(); len(lacking) > 0 {
+		c.storeCharges(lacking...)
+	}
+	if hasBudget && !result.Ledger.CanAdmit(c.meta.RequestID, c.meta.MaxTokens, c.meta.TokenBudget) {
+		c.g.cfg.Log.Info("budget does not hold the turn", "request", c.meta.RequestID, "program", c.meta.Program,
+			"spent", result.Ledger.TotalExcept(c.meta.RequestID), "worst", c.meta.MaxTokens, "budget", c.meta.TokenBudget, "charges", len(result.Ledger))
+		c.respondError(errkind.ProgramBudgetExhausted, "", 0)
+		return false
+	}
+	if result.MissingTurn != "" {
+		c.respondError(errkind.TurnNotFound, "", 0)
+		return false
+	}
+	if len(result.Chain) > 0 {
+		var history []byte
+		for i := len(result.Chain) - 1; i >= 0; i-- {
+			t := result.Chain[i]
+			history = append(append(history, t.Input...), t.Output...)
+			c.g.turnCache.put(t)
+		}
+		c.upstreamBody = append(history, c.callerBody...)
+	}
+	return true
+}
+
+// settleCharge lowers the charge of a turn to the tokens that reached the caller. This is zero for a turn that was not sent.
+func (c *call) settleCharge() {
+	if !c.charged {
+		return
+	}
+	c.charged = false
+	c.storeCharges(core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true})
+}
+
+// storeCharges stores charges of the call's program in the background.
+func (c *call) storeCharges(charges ...core.Charge) {
+	c.g.enqueueSettlement(settlement{program: c.meta.Program, request: c.meta.RequestID, charges: charges, retention: c.route.Retention})
+}
