--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -56,6 +56,7 @@
 // Load is the load that an upstream reported.
 type Load struct {
 	Running, Waiting, Slots int
+	Slowdown                float64 // Time that work takes now, relative to the usual time; zero if it is not reported.
 }
 
 type upstreamState struct {
@@ -216,9 +217,25 @@
 	if u.info.WarmUpRemaining > 0 {
 		c.CostMS += g.meanServiceMS
 	}
+	if extra := u.slowdown(now) - 1; extra != 0 {
+		c.CostMS += extra * (g.meanServiceMS + float64(c.MissingTokens)/g.weights.PrefillTokensPerMS)
+	}
 	return c
 }
 
+// slowdownHalfLife is the age at which the weight of a reported slowdown is one half. The figure changes several times per
+// second, faster than the number of requests.
+const slowdownHalfLife = 200 * time.Millisecond
+
+// slowdown estimates the time that work takes at an upstream relative to the usual time, from the last report.
+func (u *upstreamState) slowdown(now time.Time) float64 {
+	if u.reportedLoad.Slowdown <= 0 {
+		return 1
+	}
+	halfLives := float64(now.Sub(u.reportedAt)) / float64(slowdownHalfLife)
+	return 1 + (u.reportedLoad.Slowdown-1)*math.Exp2(-halfLives)
+}
+
 // estimateLoad estimates the number of requests at an upstream: the reported load, corrected by the change of this daemon's
 // own requests since the report. As the report ages, the share of other daemons decays towards the mean of all upstreams.
 func (g *Group) estimateLoad(now time.Time, u *upstreamState, meanOther float64) float64 {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -57,6 +57,17 @@
 	test.EqOp(t, "u0", mustChoose(t, g, later, Request{}).Upstream.ID, test.Sprint("an old report must not affect the choice"))
 }
 
+// Load: a VM shared with other work slows an engine down for a moment. Guards against requests that go there although another
+// engine works at its usual speed, and against avoiding it after the moment has passed.
+func TestSlowUpstreamGetsFewerRequests(t *testing.T) {
+	g := newGroup(2, 8)
+	g.RecordLoad(startTime, "u0", Load{Slots: 8, Slowdown: 3})
+	g.RecordLoad(startTime, "u1", Load{Running: 3, Slots: 8, Slowdown: 1})
+	test.EqOp(t, "u1", mustChoose(t, g, startTime.Add(10*time.Millisecond), Request{}).Upstream.ID)
+	g.RecordLoad(startTime.Add(time.Second), "u1", Load{Running: 3, Slots: 8, Slowdown: 1})
+	test.EqOp(t, "u0", mustChoose(t, g, startTime.Add(time.Second), Request{}).Upstream.ID)
+}
+
 // Guards against processing a long prompt again although an engine has cached it, and against queueing at the only engine
 // that has cached it.
 func TestPrefixAffinityYieldsToQueueing(t *testing.T) {
