Decode organisations, their keys and public routes

The gateway has to authenticate requests and to limit them by organisation.

Invalid entries are left out with a warning; the warnings do not contain keys.

Not measured.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -42,6 +42,7 @@
 	Resumable      bool          // A stream may be resumed at another engine.
 	StoreTurns     bool          // The turns are stored.
 	Retention      time.Duration // Time for which a turn and the token count of a program are retained.
+	Public         bool          // Requests need no key.
 }
 
 // IsRepeatable reports whether a request of the route may run more than once.
@@ -94,6 +95,9 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+
+	Organisations *Organisations // Nil if requests are not authenticated.
+	Warnings      []string       // Entries that were left out, without their keys.
 }
 
 // Table maps requests to routes. It is immutable.
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -34,6 +34,7 @@
 	meta           RequestMeta
 	route          *route.Route
 	configVersion  uint64
+	organisation   *route.Organisation // Nil without a valid key, which only public routes accept, or if the configuration has no organisations.
 	service        string
 	upstreamBody   []byte // Body that is sent to the upstream.
 	callerBody     []byte // Body that was received from the caller.
