Authenticate requests by the keys of organisations

Requests of several organisations shared one name space of programs and turns, and nothing told them apart.

If the configuration has organisations, a gateway answers 401 to a request without a valid key unless its route is public, removes the key and the stated organisation from what it forwards, and names the organisation to the upstream. Stored IDs of programs and turns are qualified with the organisation.

--- a/core/route/organisation.go
+++ b/core/route/organisation.go
@@ -17,10 +17,13 @@
 // one, and so that the time of a lookup does not depend on how much of a guessed key is right.
 type KeyHash [sha256.Size]byte
 
-// HashKey returns the hash of a key.
+// HashKey returns the hash of a key. It allocates only for a text that is too long for a key.
 func HashKey(key string) KeyHash {
-	// A conversion of a short string to bytes does not escape and needs no allocation.
-	return sha256.Sum256([]byte(key))
+	if len(key) > maxKeyBytes {
+		return sha256.Sum256([]byte(key))
+	}
+	var buffer [maxKeyBytes]byte // A conversion of the string would allocate above 32 bytes.
+	return sha256.Sum256(buffer[:copy(buffer[:], key)])
 }
 
 // Organisations are the organisations of a configuration and their keys. They are immutable once they are part of a Table.
--- a/daemon/catalog/catalog.go
+++ b/daemon/catalog/catalog.go
@@ -111,7 +111,14 @@
 		return
 	}
 	c.routes.Store(route.NewTable(cfg))
-	c.log.Info("configuration in force", "version", cfg.Version, "routes", len(cfg.Routes), "services", len(cfg.Services))
+	attrs := []any{"version", cfg.Version, "routes", len(cfg.Routes), "services", len(cfg.Services)}
+	if cfg.Organisations != nil {
+		attrs = append(attrs, "organisations", len(cfg.Organisations.ByName))
+	}
+	c.log.Info("configuration in force", attrs...)
+	for _, warning := range cfg.Warnings {
+		c.log.Warn("invalid entry in the configuration", "version", cfg.Version, "entry", warning)
+	}
 }
 
 // FollowUpstreams follows the list of upstreams until the context ends.
--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -21,15 +21,15 @@
 	defer cancel()
 	var charge *core.Charge
 	if hasBudget {
-		charge = &core.Charge{Turn: c.meta.RequestID, Tokens: c.meta.MaxTokens}
+		charge = &core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: c.meta.MaxTokens}
 		c.charged = true
 	}
 	previousTurn := ""
 	if continuesTurn {
-		previousTurn = c.meta.PreviousTurn
+		previousTurn = c.storedID(c.meta.PreviousTurn)
 	}
 	startedAt := time.Now()
-	result, err := c.g.cfg.Replicas.BeginTurn(ctx, c.meta.Program, charge, previousTurn, c.route.Retention, c.g.turnCache.get)
+	result, err := c.g.cfg.Replicas.BeginTurn(ctx, c.storedID(c.meta.Program), charge, previousTurn, c.route.Retention, c.g.turnCache.get)
 	c.beginDuration = time.Since(startedAt)
 	if err != nil {
 		if c.r.Context().Err() != nil {
@@ -41,9 +41,9 @@
 	if lacking := result.ChargesToSpread(); len(lacking) > 0 {
 		c.storeCharges(lacking...)
 	}
-	if hasBudget && !result.Ledger.CanAdmit(c.meta.RequestID, c.meta.MaxTokens, c.meta.TokenBudget) {
+	if hasBudget && !result.Ledger.CanAdmit(charge.Turn, c.meta.MaxTokens, c.meta.TokenBudget) {
 		c.g.cfg.Log.Info("budget does not hold the turn", "request", c.meta.RequestID, "program", c.meta.Program,
-			"spent", result.Ledger.TotalExcept(c.meta.RequestID), "worst", c.meta.MaxTokens, "budget", c.meta.TokenBudget, "charges", len(result.Ledger))
+			"spent", result.Ledger.TotalExcept(charge.Turn), "worst", c.meta.MaxTokens, "budget", c.meta.TokenBudget, "charges", len(result.Ledger))
 		c.respondError(errkind.ProgramBudgetExhausted, "", 0)
 		return false
 	}
@@ -69,10 +69,10 @@
 		return
 	}
 	c.charged = false
-	c.storeCharges(core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true})
+	c.storeCharges(core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true})
 }
 
 // storeCharges stores charges of the call's program in the background.
 func (c *call) storeCharges(charges ...core.Charge) {
-	c.g.enqueueSettlement(settlement{program: c.meta.Program, request: c.meta.RequestID, charges: charges, retention: c.route.Retention})
+	c.g.enqueueSettlement(settlement{program: c.storedID(c.meta.Program), request: c.meta.RequestID, charges: charges, retention: c.route.Retention})
 }
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -35,6 +35,7 @@
 	route          *route.Route
 	configVersion  uint64
 	organisation   *route.Organisation // Nil without a valid key, which only public routes accept, or if the configuration has no organisations.
+	authentication authentication
 	service        string
 	upstreamBody   []byte // Body that is sent to the upstream.
 	callerBody     []byte // Body that was received from the caller.
@@ -87,6 +88,9 @@
 		c.respondError(errkind.RouteNotFound, "", 0)
 		return
 	}
+	if !c.authenticate(table) {
+		return
+	}
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
 	}
@@ -130,5 +134,8 @@
 	c.settleCharge()
 	duration := time.Since(c.arrivedAt)
 	c.g.stats.observeRequest(c.route, c.outcome, duration)
+	if c.organisation != nil {
+		c.g.stats.organisations.observe(c.organisation.Name, c.status, duration)
+	}
 	c.logRequest(duration)
 }
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -40,6 +40,8 @@
 	Remaining        time.Duration // Time until the deadline of the request.
 	ExpectedInstance string        // The only upstream that may execute the request.
 	LastEventID      string        // The stream continues after this event; empty for a stream from its start.
+	HasOrganisations bool          // The configuration has organisations: the key of the caller is not forwarded.
+	Organisation     string        // Name of the organisation, in place of one that the caller sent; empty if there is none.
 }
 
 // ResponseMeta holds the decoded headers of an upstream's response.
--- a/daemon/gateway/reject.go
+++ b/daemon/gateway/reject.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -31,7 +32,7 @@
 	if c.quorumFailure != nil {
 		c.g.rejectedTurns.add(rejectedTurn{
 			request: c.meta.RequestID, program: c.meta.Program, configVersion: c.configVersion, status: c.status, outcome: c.outcome,
-			failure: *c.quorumFailure, duration: duration,
+			failure: *c.quorumFailure, duration: duration, organisation: c.organisationName(),
 		})
 		return
 	}
@@ -39,10 +40,11 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.configVersion,
+	c.g.cfg.Log.Info("request", append([]any{"request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.configVersion,
 		"upstream", c.choice.Upstream.ID, "running", int(c.choice.EstimatedRunning), "report_age", c.choice.ReportAge.Round(time.Millisecond),
 		"missing", c.choice.MissingTokens, "sends", c.sendCount, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
-		"begin", c.beginDuration.Round(time.Millisecond), "keep", c.storeDuration.Round(time.Millisecond), "first", c.timeToFirstByte.Round(time.Millisecond), "took", duration.Round(time.Millisecond))
+		"begin", c.beginDuration.Round(time.Millisecond), "keep", c.storeDuration.Round(time.Millisecond), "first", c.timeToFirstByte.Round(time.Millisecond), "took", duration.Round(time.Millisecond)},
+		c.organisationLogAttrs()...)...)
 }
 
 // Limits of the log lines of rejected turns.
@@ -55,6 +57,7 @@
 // rejectedTurn is a turn that was rejected because its charge or history found no quorum.
 type rejectedTurn struct {
 	request, program string
+	organisation     string // Empty if there is none.
 	configVersion    uint64
 	status           int
 	outcome          string
@@ -74,10 +77,15 @@
 
 // rejectedTurnGroup collects the turns of one log line.
 type rejectedTurnGroup struct {
-	first       rejectedTurn
-	turnNames   []string // Each has the form REQUEST:PROGRAM.
-	maxDuration time.Duration
-	timer       *time.Timer
+	first     rejectedTurn
+	turnNames []string // Each has the form REQUEST:PROGRAM.
+
+	// Organisations of the turns, in the same order. Each is escaped as in a query, so that it has no spaces; "-" stands for
+	// none. A name consisting of "-" is written as "%2D".
+	organisations   []string
+	hasOrganisation bool
+	maxDuration     time.Duration
+	timer           *time.Timer
 }
 
 func newRejectedTurnLog(log *slog.Logger) *rejectedTurnLog {
@@ -100,6 +108,8 @@
 		r.pending[key] = group
 	}
 	group.turnNames = append(group.turnNames, t.request+":"+t.program)
+	group.organisations = append(group.organisations, escapeOrganisation(t.organisation))
+	group.hasOrganisation = group.hasOrganisation || t.organisation != ""
 	group.maxDuration = max(group.maxDuration, t.duration)
 	if len(group.turnNames) >= maxTurnsPerLine {
 		r.write(key)
@@ -120,6 +130,19 @@
 	group.timer.Stop()
 	t := group.first
 	attrs := append([]any{"status", t.status, "outcome", t.outcome, "version", t.configVersion}, t.failure.LogAttrs()...)
-	r.log.Warn("turns refused", append(attrs, "longest", group.maxDuration.Round(time.Millisecond), "turns", len(group.turnNames),
-		"requests", strings.Join(group.turnNames, " "))...)
+	attrs = append(attrs, "longest", group.maxDuration.Round(time.Millisecond), "turns", len(group.turnNames), "requests", strings.Join(group.turnNames, " "))
+	if group.hasOrganisation {
+		attrs = append(attrs, "organisations", strings.Join(group.organisations, " "))
+	}
+	r.log.Warn("turns refused", attrs...)
+}
+
+func escapeOrganisation(name string) string {
+	switch name {
+	case "":
+		return "-"
+	case "-":
+		return "%2D"
+	}
+	return url.QueryEscape(name)
 }
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -54,10 +54,11 @@
 type stats struct {
 	set                *metrics.Set
 	settlementsDropped *metrics.Counter
+	organisations      *organisationStats
 }
 
 func newStats(set *metrics.Set) *stats {
-	return &stats{set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total")}
+	return &stats{set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total"), organisations: newOrganisationStats(set)}
 }
 
 // countRejectedTurn counts a turn that was rejected because its charge or its history found no quorum.
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -99,7 +99,10 @@
 	if c.stream.lastEventID != "" {
 		lastEvent = c.stream.lastEventID
 	}
-	header := c.g.cfg.Codec.EncodeRequest(c.r.Header, UpstreamRequestMeta{Remaining: time.Until(c.deadline), ExpectedInstance: u.ID, LastEventID: lastEvent})
+	header := c.g.cfg.Codec.EncodeRequest(c.r.Header, UpstreamRequestMeta{
+		Remaining: time.Until(c.deadline), ExpectedInstance: u.ID, LastEventID: lastEvent,
+		HasOrganisations: c.authentication != "", Organisation: c.organisationName(),
+	})
 	resp, err := c.g.cfg.Pool.Send(c.ctx, conn, forward.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.upstreamBody,
 		IsOwnResponse: func(h http.Header) bool {
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -264,16 +264,19 @@
 }
 
 func (c *call) storeTurn() error {
-	t := replica.Turn{ID: c.meta.RequestID, Previous: c.meta.PreviousTurn, Program: c.meta.Program, Input: c.callerBody, Output: c.stream.output}
+	t := replica.Turn{
+		ID: c.storedID(c.meta.RequestID), Previous: c.storedID(c.meta.PreviousTurn), Program: c.storedID(c.meta.Program),
+		Input: c.callerBody, Output: c.stream.output,
+	}
 	var charge *core.Charge
 	if c.charged {
-		charge = &core.Charge{Turn: c.meta.RequestID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true}
+		charge = &core.Charge{Turn: t.ID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true}
 	}
 	startedAt := time.Now()
 	defer func() { c.storeDuration = time.Since(startedAt) }()
 	ctx, cancel := context.WithTimeout(c.r.Context(), storeTimeout)
 	defer cancel()
-	if err := c.g.cfg.Replicas.StoreTurn(ctx, &t, c.meta.Program, charge, c.route.Retention, c.g.turnCache.get); err != nil {
+	if err := c.g.cfg.Replicas.StoreTurn(ctx, &t, t.Program, charge, c.route.Retention, c.g.turnCache.get); err != nil {
 		return err
 	}
 	c.charged = false
--- a/daemon/gateway/turns.go
+++ b/daemon/gateway/turns.go
@@ -23,7 +23,7 @@
 // settlement stores charges of a program after the turn has been admitted: the tokens that reached the caller, in place of
 // the upper bound of the turn, or earlier charges that not every replica of the quorum had.
 type settlement struct {
-	program   string
+	program   string // Stored ID of the program.
 	request   string // ID of the turn.
 	charges   []core.Charge
 	retention time.Duration
@@ -34,7 +34,8 @@
 	case g.settlements <- s:
 	default:
 		g.stats.settlementsDropped.Inc()
-		g.cfg.Log.Warn("charge was not settled: settlement queue is full", "program", s.program, "request", s.request)
+		organisation, program := callerID(s.program)
+		g.cfg.Log.Warn("charge was not settled: settlement queue is full", "program", program, "request", s.request, "organisation", organisation)
 	}
 }
 
@@ -74,7 +75,9 @@
 		}
 	}
 	g.stats.settlementsDropped.Inc()
-	g.cfg.Log.Warn("charge was not settled: no quorum of replicas responded", "program", s.program, "request", s.request, "charges", len(s.charges))
+	organisation, program := callerID(s.program)
+	g.cfg.Log.Warn("charge was not settled: no quorum of replicas responded", "program", program, "request", s.request, "charges", len(s.charges),
+		"organisation", organisation)
 }
 
 // turnCache caches the most recently used turns.
