--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/daemon/clock"
@@ -47,6 +48,26 @@
 	idleUntil time.Time
 	Reused    bool
 	DialTime  time.Duration // Zero for a reused connection.
+
+	carried      [maxCarriedIDs]uint64 // Hashes of the IDs of the last requests, as a ring.
+	carriedCount int
+}
+
+// maxCarriedIDs is the number of request IDs that a connection remembers. A copy of a response that is later than this many
+// further requests would be taken for the response to a request with the same ID.
+const maxCarriedIDs = 16
+
+// MarkRequest records that the connection carries a request with this ID. It reports false if it has carried one with the same
+// ID before, in which case it must not be used: a late copy of the earlier response could not be told from the response to this
+// request. The IDs of two organisations may be equal, so that the response could be that of another organisation.
+func (c *Conn) MarkRequest(id string) bool {
+	hash := xxhash.Sum64String(id)
+	if slices.Contains(c.carried[:min(c.carriedCount, maxCarriedIDs)], hash) {
+		return false
+	}
+	c.carried[c.carriedCount%maxCarriedIDs] = hash
+	c.carriedCount++
+	return true
 }
 
 // Pool holds idle connections to upstreams. It is safe for concurrent use.
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -80,10 +80,21 @@
 	return choice.Upstream, ok
 }
 
+// connect returns a connection that has not carried a request with the same ID.
+func (c *call) connect(address string) (*forward.Conn, error) {
+	for {
+		conn, err := c.g.cfg.Pool.Get(c.ctx, address, c.usedConns...)
+		if err != nil || conn.MarkRequest(c.meta.RequestID) {
+			return conn, err
+		}
+		_ = conn.Close() // It has no request in flight.
+	}
+}
+
 // send sends the request to an upstream and forwards the response.
 func (c *call) send(u placement.Upstream) route.Outcome {
 	sentAt := time.Now()
-	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address, c.usedConns...)
+	conn, err := c.connect(u.Address)
 	if err != nil {
 		c.excluded[u.ID] = true
 		if c.ctx.Err() != nil {
