Explain a 401 in the trace of a request

The trace says whether the key was missing, malformed or unknown, and with which version of the configuration the gateway checked it. It names the organisation of a request, also of turns that are logged together.

--- a/cli/command/trace.go
+++ b/cli/command/trace.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"fmt"
 	"io"
+	"net/http"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -86,7 +88,7 @@
 	}
 	r.Lines = append(r.Lines, text)
 	for _, id := range rejected {
-		r.setSummary(id, l.rejectionSummary())
+		r.setSummary(id.request, l.rejectionSummary(id.organisation))
 	}
 	if l.values["msg"] == "request" {
 		r.setSummary(l.values["request"], l.requestSummary())
@@ -100,20 +102,36 @@
 	r.Requests[id] = summary
 }
 
-// rejectedRequests returns the request IDs with the given request or program ID in a line about several rejected turns.
-// Such a line lists them as pairs of the form REQUEST:PROGRAM.
-func (l logLine) rejectedRequests(id string) []string {
-	var ids []string
-	for _, pair := range strings.Fields(l.values["requests"]) {
-		if request, program, _ := strings.Cut(pair, ":"); request == id || program == id {
-			ids = append(ids, request)
+// rejectedRequest is one request of a line about several rejected turns.
+type rejectedRequest struct {
+	request      string
+	organisation string // Empty if there is none.
+}
+
+// rejectedRequests returns the requests with the given request or program ID in a line about several rejected turns. Such a
+// line lists them as pairs of the form REQUEST:PROGRAM. If any of them has an organisation, the line lists the organisations in
+// the same order, escaped as in a query, with "-" for none.
+func (l logLine) rejectedRequests(id string) []rejectedRequest {
+	var found []rejectedRequest
+	organisations := strings.Fields(l.values["organisations"])
+	for i, pair := range strings.Fields(l.values["requests"]) {
+		request, program, _ := strings.Cut(pair, ":")
+		if request != id && program != id {
+			continue
 		}
+		r := rejectedRequest{request: request}
+		if i < len(organisations) && organisations[i] != "-" {
+			if name, err := url.QueryUnescape(organisations[i]); err == nil {
+				r.organisation = name
+			}
+		}
+		found = append(found, r)
 	}
-	return ids
+	return found
 }
 
 // rejectionSummary describes why several turns were rejected together.
-func (l logLine) rejectionSummary() string {
+func (l logLine) rejectionSummary(organisation string) string {
 	v := l.values
 	s := fmt.Sprintf("%s at gateway %s: status %s after at most %s. It was not sent to an upstream.", v["outcome"], v["vm"], v["status"], v["longest"])
 	if properties := errkind.Lookup(errkind.Kind(v["outcome"])); properties.Status == parseStatus(v["status"]) {
@@ -124,6 +142,9 @@
 	if v["silent"] != "" {
 		s += " Unresponsive: " + v["silent"] + "."
 	}
+	if organisation != "" {
+		s += fmt.Sprintf(" Organisation %q.", organisation)
+	}
 	return s + fmt.Sprintf(" The gateway received the view %s earlier; the last store response about it was received %s earlier.", v["view_age"], v["store_answer_age"])
 }
 
@@ -134,6 +155,7 @@
 	if properties := errkind.Lookup(errkind.Kind(v["outcome"])); v["outcome"] != "internal" && properties.Status == parseStatus(v["status"]) {
 		s += " " + properties.Meaning
 	}
+	s += l.organisationSummary()
 	if v["sends"] == "0" {
 		return s + " It was not sent to an upstream." + l.durationSummary()
 	}
@@ -142,6 +164,32 @@
 	return s + l.durationSummary()
 }
 
+// organisationSummary describes the organisation of a request and the check of its key. It is empty for a gateway whose
+// configuration has no organisations.
+func (l logLine) organisationSummary() string {
+	v := l.values
+	route := fmt.Sprintf("route %s", v["route"])
+	if v["status"] != strconv.Itoa(http.StatusUnauthorized) {
+		if v["organisation"] != "" {
+			return fmt.Sprintf(" Organisation %q.", v["organisation"])
+		}
+		if v["auth"] != "" {
+			return fmt.Sprintf(" No organisation: the key was %s, and the %s is public.", v["auth"], route)
+		}
+		return ""
+	}
+	switch v["auth"] {
+	case "missing":
+		return fmt.Sprintf(" The request had no header Authorization, and the %s is not public.", route)
+	case "malformed":
+		return fmt.Sprintf(" The request had several headers Authorization or one that is not \"Bearer KEY\", and the %s is not public.", route)
+	case "unknown":
+		return fmt.Sprintf(" The key belongs to no organisation of configuration version %s, which the gateway used: it was never added, it was withdrawn,"+
+			" it is in a later version, or the entry was left out (the gateway logs \"invalid entry in the configuration\" for that version).", v["version"])
+	}
+	return ""
+}
+
 // parseStatus returns the status in text, or 0 if it is not a number.
 func parseStatus(text string) int {
 	n, err := strconv.Atoi(text)
--- a/core/route/organisation_test.go
+++ b/core/route/organisation_test.go
@@ -64,6 +64,32 @@
 	test.False(t, ok, test.Sprint("an empty list of organisations is not a missing one"))
 }
 
+// Guards against a malformed key that is hashed and counted as unknown, and against a key of the configuration that no request
+// can carry.
+func TestBearerKey(t *testing.T) {
+	for authorization, want := range map[string]string{
+		"Bearer k":   "k",
+		"bearer  !~": "!~",
+		"Bearer " + strings.Repeat("k", maxKeyBytes):   strings.Repeat("k", maxKeyBytes),
+		"Bearer " + strings.Repeat("k", maxKeyBytes+1): "",
+		"Bearer a b":   "",
+		"Bearer a\tb":  "",
+		"Bearer a\x7f": "",
+		"Bearer ä":     "",
+		"Bearer":       "",
+		"Bearer ":      "",
+		"Basic k":      "",
+		"k":            "",
+		"":             "",
+	} {
+		key, ok := BearerKey(authorization)
+		test.EqOp(t, want != "", ok, test.Sprint(authorization))
+		if ok {
+			test.EqOp(t, want, key)
+		}
+	}
+}
+
 // Guards against a key that appears in a dump of the configuration, for example in a log line or a panic.
 func TestConfigurationDoesNotContainKeys(t *testing.T) {
 	table := newAuthenticatingTable(2)
--- a/daemon/gateway/organisation_test.go
+++ b/daemon/gateway/organisation_test.go
@@ -384,6 +384,42 @@
 	})
 }
 
+// Guards against the settlement of a charge under the ID of another organisation's program or turn, which would leave the program
+// at its upper bound, or lower the charge of the other organisation.
+func TestChargeIsSettledInItsOrganisation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		_, g := startReplicas(t, ctx, "a", "b", "c")
+		begin := func(organisation, id string) *call {
+			t.Helper()
+			c, _ := organisationCall(ctx, g, organisation, id, "p", "", "")
+			must.True(t, c.beginTurn(), must.Sprint(organisation, id))
+			return c
+		}
+		organisations := []string{"north", "south", ""}
+		for i := range organisations {
+			running := []*call{begin(organisations[(i+1)%3], fmt.Sprint("t", i)), begin(organisations[(i+2)%3], fmt.Sprint("t", i))}
+			begin(organisations[i], fmt.Sprint("t", i)).settleCharge()
+			synctest.Wait() // The settlement has been stored.
+			for _, other := range running {
+				c, w := organisationCall(ctx, g, other.organisationName(), "other", "p", "", "")
+				test.False(t, c.beginTurn())
+				test.EqOp(t, http.StatusPaymentRequired, w.Code, test.Sprint("60 of 100 tokens are charged"))
+				c.settleCharge()
+			}
+			synctest.Wait()
+			begin(organisations[i], "next").settleCharge()
+			synctest.Wait()
+			for _, other := range running {
+				other.settleCharge()
+			}
+			synctest.Wait()
+		}
+	})
+}
+
 // Guards against IDs of stored data that change for deployments without organisations, whose turns must stay readable, and
 // against different pairs of organisation and ID with the same stored ID.
 func TestStoredIDs(t *testing.T) {
@@ -434,15 +470,22 @@
 func TestRejectedTurnsNameTheirOrganisations(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
+		g := newFaultGateway()
 		log := newRejectedTurnLog(slog.New(slog.NewTextHandler(&out, nil)))
-		log.add(rejectedTurn{request: "r0", program: "p"})
+		g.rejectedTurns = log
+		add := func(id, organisation string) {
+			c, _ := organisationCall(t.Context(), g, organisation, id, "p", "", "")
+			c.quorumFailure = &quorum.Failure{}
+			c.logRequest(0)
+		}
+		add("r0", "")
 		time.Sleep(time.Second)
 		synctest.Wait()
 		test.StrContains(t, out.String(), `requests=r0:p`)
 		test.StrNotContains(t, out.String(), "organisations")
 		out.Reset()
 		for i, organisation := range []string{"north", "", "Süd \"1\"", "-"} {
-			log.add(rejectedTurn{request: fmt.Sprint("r", i), program: "p", organisation: organisation, failure: quorum.Failure{}})
+			add(fmt.Sprint("r", i), organisation)
 		}
 		time.Sleep(time.Second)
 		synctest.Wait()
