--- a/testbed/deployment/client.go
+++ b/testbed/deployment/client.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -58,6 +59,16 @@
 	return events
 }
 
+// WithKey returns a copy of the call that carries the key of an organisation.
+func (c Call) WithKey(key string) Call {
+	c.Header = maps.Clone(c.Header)
+	if c.Header == nil {
+		c.Header = map[string]string{}
+	}
+	c.Header["Authorization"] = "Bearer " + key
+	return c
+}
+
 // Send sends a call over a new connection.
 func Send(g *VM, c Call) Response {
 	start := time.Now()
--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -56,7 +56,15 @@
 	RetainS             float64
 	MaxAttempts         map[string]int // The attempts setting of a route, by path; overrides the default.
 	TimeoutMS           int
-	UseRelays           bool // Runs a relay in front of each upstream and replica, and between each VM and the store.
+	Organisations       []Organisation // Nil for a configuration without organisations.
+	PublicPaths         []string       // Paths of the routes that need no key.
+	UseRelays           bool           // Runs a relay in front of each upstream and replica, and between each VM and the store.
+}
+
+// Organisation is an organisation of the configuration.
+type Organisation struct {
+	Name string   `json:"name"`
+	Keys []string `json:"apiKeys"`
 }
 
 // VM is one VM of the deployment and its process.
@@ -240,6 +248,9 @@
 			"name": strings.Trim(path, "/"), "host": Host, "pathPrefix": path, "kind": kind, "timeoutMs": timeout, "sloMs": 300,
 			"priority": 0, "service": service, "retain": false, "retainS": d.Options.RetainS,
 		}
+		if slices.Contains(d.Options.PublicPaths, path) {
+			r["public"] = true
+		}
 		for k, v := range extra {
 			r[k] = v
 		}
@@ -254,14 +265,18 @@
 	if editRoutes != nil {
 		routes = editRoutes(routes)
 	}
-	d.Store.Put("config", "main", map[string]any{
+	config := map[string]any{
 		"version": version, "routes": routes,
 		"services": []map[string]any{
 			{"name": EngineService, "healthPath": "/health", "maxConns": 100, "engine": map[string]any{"slots": 8, "tokensPerEvent": TokensPerEvent}},
 			{"name": PlainService, "healthPath": "/health", "maxConns": 100},
 		},
 		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-	})
+	}
+	if d.Options.Organisations != nil {
+		config["tenants"] = d.Options.Organisations
+	}
+	d.Store.Put("config", "main", config)
 	return version
 }
 
@@ -476,7 +491,13 @@
 	if d.Options.Engines == 0 {
 		return true
 	}
-	resp := Send(g, Call{Path: PathResumable, ID: NewID(), Program: NewID(), Budget: 1 << 20, MaxTokens: 1, Deadline: 2 * time.Second})
+	c := Call{Path: PathResumable, ID: NewID(), Program: NewID(), Budget: 1 << 20, MaxTokens: 1, Deadline: 2 * time.Second}
+	for _, o := range d.Options.Organisations {
+		if len(o.Keys) > 0 {
+			c = c.WithKey(o.Keys[0])
+		}
+	}
+	resp := Send(g, c)
 	return resp.Status == http.StatusOK
 }
 
