Send a second attempt when a repeatable response is late

The tail latency of idempotent requests and of resumable streams follows the slowest upstream of the moment. The first successful response head wins and the other exchange is aborted. Without the flag the path of a request is as before.

--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -32,9 +32,10 @@
 
 // roleFlags are the flags of the gateway and replica roles. Their other settings are in the platform's settings file.
 type roleFlags struct {
-	LogLevel   string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
-	Advertise  string `help:"Address at which others reach the replica listener. Default: the listener." env:"JACKDAWBAY_ADVERTISE"`
-	CacheBytes int64  `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
+	LogLevel              string  `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
+	Advertise             string  `help:"Address at which others reach the replica listener. Default: the listener." env:"JACKDAWBAY_ADVERTISE"`
+	CacheBytes            int64   `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
+	SecondAttemptsPercent float64 `help:"Percentage of requests, 0 to 100, for which a gateway may send a second attempt if a response that may be repeated is late; 0 disables them." default:"0" env:"JACKDAWBAY_SECOND_ATTEMPTS_PERCENT"`
 	// MetricsPort is for monitoring systems that use one port for all VMs. The ports in the settings file differ by
 	// deployment.
 	MetricsPort uint16 `help:"Port at which /metrics is served besides the role's own listener; 0 for none." default:"0" env:"JACKDAWBAY_METRICS_PORT"`
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -83,6 +83,9 @@
 	if err := level.UnmarshalText([]byte(flags.LogLevel)); err != nil {
 		exitOnInvalidSettings(errors.Newf("log-level: want debug, info, warn or error, have %q", flags.LogLevel))
 	}
+	if percent := flags.SecondAttemptsPercent; !(percent >= 0 && percent <= 100) {
+		exitOnInvalidSettings(errors.Newf("second-attempts-percent: want a number from 0 to 100, have %v", percent))
+	}
 	siteSettings, err := platform.LoadSettings(platform.SettingsPath())
 	if err != nil {
 		exitOnInvalidSettings(err)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -75,6 +75,10 @@
 	Metrics    *metrics.Set
 	CacheBytes int64 // Limit of the turns that are cached in memory.
 
+	// SecondAttemptShare is the share of requests, from 0 to 1, for which a late response may be requested from a second
+	// upstream. Zero disables second attempts.
+	SecondAttemptShare float64
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
@@ -94,6 +98,7 @@
 	settlements   chan settlement
 	stats         *stats
 	rejectedTurns *rejectedTurnLog
+	seconds       *secondAttempts
 }
 
 // New returns a gateway. Run must be called for its background work.
@@ -105,6 +110,7 @@
 		settlements:   make(chan settlement, settlementQueueSize),
 		stats:         newStats(cfg.Metrics),
 		rejectedTurns: newRejectedTurnLog(cfg.Log),
+		seconds:       newSecondAttempts(cfg),
 	}
 	g.stopped, g.endRequests = context.WithCancel(context.Background())
 	g.lastActivity.Store(time.Now().UnixNano())
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"syscall"
 	"time"
@@ -80,66 +81,103 @@
 	return choice.Upstream, ok
 }
 
-// send sends the request to an upstream and forwards the response.
-func (c *call) send(u placement.Upstream) route.Outcome {
-	sentAt := time.Now()
-	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address, c.usedConns...)
-	if err != nil {
-		c.excluded[u.ID] = true
-		if c.ctx.Err() != nil {
-			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
-		} else {
-			c.g.upstreams.recordUnreachable(c.service, u)
-		}
-		return route.NotSent
+// attempt is one exchange with an upstream, up to the head of the response.
+type attempt struct {
+	choice placement.Choice
+	sentAt time.Time
+	conn   *forward.Conn     // Nil if no connection to the upstream could be made.
+	resp   *forward.Response // Nil if err is set.
+	meta   ResponseMeta
+	err    error
+}
+
+// exchange sends the request to an upstream and reads the head of the response. It does not change the call, so that two
+// exchanges may run concurrently. If the context ends, it is aborted, including a later read of the body.
+func (c *call) exchange(ctx context.Context, choice placement.Choice, usedConns []*forward.Conn) attempt {
+	a := attempt{choice: choice, sentAt: time.Now()}
+	u := choice.Upstream
+	a.conn, a.err = c.g.cfg.Pool.Get(ctx, u.Address, usedConns...)
+	if a.err != nil {
+		return a
 	}
-	c.usedConns = append(c.usedConns, conn)
-	c.g.upstreams.recordConnectTime(u.ID, conn.DialTime)
 	lastEvent := c.meta.LastEventID
 	if c.stream.lastEventID != "" {
 		lastEvent = c.stream.lastEventID
 	}
 	header := c.g.cfg.Codec.EncodeRequest(c.r.Header, UpstreamRequestMeta{Remaining: time.Until(c.deadline), ExpectedInstance: u.ID, LastEventID: lastEvent})
-	resp, err := c.g.cfg.Pool.Send(c.ctx, conn, forward.Request{
+	a.resp, a.err = c.g.cfg.Pool.Send(ctx, a.conn, forward.Request{
 		Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host, Header: header, Body: c.upstreamBody,
 		IsOwnResponse: func(h http.Header) bool {
 			id := c.g.cfg.Codec.DecodeResponse(h).RequestID
 			return id == "" || id == c.meta.RequestID
 		},
 	})
-	if err != nil {
-		return c.handleSendError(u, err)
+	if a.err == nil {
+		a.meta = c.g.cfg.Codec.DecodeResponse(a.resp.Header)
+	}
+	return a
+}
+
+// recordAttempt records what an exchange has shown about its upstream. If there is no response to forward, it ends the
+// exchange and returns its outcome.
+func (c *call) recordAttempt(a attempt) (outcome route.Outcome, hasResponse bool) {
+	u := a.choice.Upstream
+	if a.conn == nil {
+		c.excluded[u.ID] = true
+		if c.ctx.Err() != nil {
+			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
+		} else {
+			c.g.upstreams.recordUnreachable(c.service, u)
+		}
+		return route.NotSent, false
+	}
+	c.usedConns = append(c.usedConns, a.conn)
+	c.g.upstreams.recordConnectTime(u.ID, a.conn.DialTime)
+	if a.err != nil {
+		return c.handleSendError(u, a.err), false
 	}
-	responseMeta := c.g.cfg.Codec.DecodeResponse(resp.Header)
-	if responseMeta.HasLoad {
-		c.g.upstreams.recordLoad(c.service, u.ID, responseMeta.Load)
+	if a.meta.HasLoad {
+		c.g.upstreams.recordLoad(c.service, u.ID, a.meta.Load)
 	}
-	if responseMeta.Leaving && c.g.upstreams.recordLeaving(c.service, u) {
+	if a.meta.Leaving && c.g.upstreams.recordLeaving(c.service, u) {
 		c.g.cfg.Log.Info("upstream states that it leaves", "upstream", u.ID, "address", u.Address, "request", c.meta.RequestID)
 	}
-	isRejection := responseMeta.NotExecuted || resp.StatusCode == http.StatusMisdirectedRequest
-	if responseMeta.RequestID == "" {
+	isRejection := a.meta.NotExecuted || a.resp.StatusCode == http.StatusMisdirectedRequest
+	if a.meta.RequestID == "" {
 		// A copy of this response that arrives later could not be told from the response to a later request.
-		resp.DisableReuse()
-		if isRejection && !resp.IsFirstOnConnection() {
-			return c.handleUnidentifiedRejection(u, resp)
+		a.resp.DisableReuse()
+		if isRejection && !a.resp.IsFirstOnConnection() {
+			return c.handleUnidentifiedRejection(u, a.resp), false
 		}
 	}
 	if isRejection {
-		return c.handleRejection(u, resp)
+		return c.handleRejection(u, a.resp), false
 	}
 	c.mayHaveRun[u.ID] = true
-	c.timeToFirstByte = time.Since(sentAt)
-	var outcome route.Outcome
+	return "", true
+}
+
+// send sends the request to the chosen upstream, and to a second one if the response is late, and forwards the response.
+func (c *call) send(u placement.Upstream) route.Outcome {
+	first := c.choice
+	first.Upstream = u
+	a, outcome, hasResponse, cancel := c.sendWithSecondAttempt(first)
+	defer cancel()
+	if !hasResponse {
+		return outcome
+	}
+	u = a.choice.Upstream
+	c.choice = a.choice
+	c.timeToFirstByte = time.Since(a.sentAt)
 	received := false
 	defer func() { // Runs also if the response to the caller is aborted. An abort is no failure of the upstream.
 		if !received {
 			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
 			return
 		}
-		c.g.upstreams.recordEnd(c.service, u.ID, outcome != route.ResponseComplete && c.ctx.Err() == nil, time.Since(sentAt))
+		c.g.upstreams.recordEnd(c.service, u.ID, outcome != route.ResponseComplete && c.ctx.Err() == nil, time.Since(a.sentAt))
 	}()
-	outcome = c.receive(resp, responseMeta)
+	outcome = c.receive(a.resp, a.meta)
 	received = true
 	if c.bufferExceeded {
 		c.excluded[u.ID] = true
