Enforce limits of organisations on requests per second at gateways

Gateways take a unit for each request with an organisation that has a limit, before the body is read, and return it if the request never ran. Replicas issue the units on their listener. A request whose unit has expired before it is sent takes another one, since requests that were held back could otherwise exceed the bound of a window together.

--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -84,6 +84,8 @@
 	TurnNotFound           Kind = "turn_not_found"
 	ResponseLost           Kind = "response_lost"
 	RouteTimeout           Kind = "route_timeout"
+	OrganisationLimit      Kind = "organisation_limit"
+	QuotaUnavailable       Kind = "quota_unavailable"
 	Internal               Kind = "internal"
 )
 
@@ -148,6 +150,8 @@
 	TurnNotFound:           {http.StatusNotFound, NotRunTrue, RetryNever, "The turn that the request continues does not exist."},
 	ResponseLost:           {http.StatusBadGateway, NotRunUnknown, RetrySame, "The response of the upstream was lost; the request may have run."},
 	RouteTimeout:           {http.StatusGatewayTimeout, NotRunUnknown, RetrySame, "The upstream did not answer within the time of the route."},
+	OrganisationLimit:      {http.StatusTooManyRequests, NotRunTrue, RetrySame, "The organisation has reached its limit of requests per second."},
+	QuotaUnavailable:       {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "No issuer of the organisation's limit can be reached now."},
 	Internal:               {http.StatusInternalServerError, NotRunUnknown, RetrySame, "The daemon has a fault."},
 }
 
--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -7,9 +7,8 @@
 
 // Times of an allowance.
 const (
-	// UnitLifetime is the time after the request to an issuer until its units expire. Within a window of 5 s, a longer time
-	// would take more than half of the tolerance of 0.1.
-	UnitLifetime = 200 * time.Millisecond
+	// maxLifetime is the longest time after the request to an issuer until its units expire.
+	maxLifetime = 200 * time.Millisecond
 	// MaxWait is the longest time for which a request waits for a unit.
 	MaxWait = 200 * time.Millisecond
 	// IssuerTimeout is the time after which the next issuer is asked. It is above a round trip between regions.
@@ -31,6 +30,12 @@
 	unavailableAfter = 250 * time.Millisecond
 )
 
+// Lifetime returns the time until a unit expires, for a window of the bound and its relative tolerance. A unit may be used as
+// much later than it was issued, and its request may be sent after the same time again. Both together take 0.8 of the tolerance.
+func Lifetime(window time.Duration, over float64) time.Duration {
+	return min(time.Duration(float64(window)*over*0.4), maxLifetime)
+}
+
 // lot is a number of units that expire together.
 type lot struct {
 	expires time.Time
@@ -48,6 +53,7 @@
 // many units. A gateway asks one issuer at a time. Allowance is not safe for concurrent use.
 type Allowance struct {
 	limit   Limit
+	life    time.Duration
 	lots    []lot // In the order of their expiry.
 	held    int
 	issuers map[string]issuerState
@@ -57,9 +63,9 @@
 	expired uint64
 }
 
-// NewAllowance returns an allowance without units.
-func NewAllowance() *Allowance {
-	return &Allowance{issuers: map[string]issuerState{}, tried: map[string]bool{}}
+// NewAllowance returns an allowance without units. Units that it gets expire after a lifetime.
+func NewAllowance(lifetime time.Duration) *Allowance {
+	return &Allowance{life: lifetime, issuers: map[string]issuerState{}, tried: map[string]bool{}}
 }
 
 // SetLimit updates the limit to that of a newer version of the configuration.
@@ -155,13 +161,21 @@
 	return int(min(a.demandAt(now), a.limit.RatePerSecond) * expectedPeriod.Seconds())
 }
 
+// Wants returns the number of units to ask for, which is zero if none are needed. Half of the expected units are held before
+// more are asked for.
+func (a *Allowance) Wants(now time.Time, waiting int) int {
+	expected, held := a.expected(now), a.Held(now)
+	if waiting == 0 && 2*held >= expected {
+		return 0
+	}
+	return max(waiting+expected-held, 0)
+}
+
 // Next returns the issuer to ask and the number of units for the waiting requests and the expected ones. The argument order
 // lists the issuers, nearest first. The result is false if no units are needed, or if no issuer is left in this round.
 func (a *Allowance) Next(now time.Time, order []string, waiting int) (issuer string, units int, ok bool) {
-	expected := a.expected(now)
-	held := a.Held(now)
-	units = waiting + expected - held
-	if waiting == 0 && 2*held >= expected || units <= 0 {
+	units = a.Wants(now, waiting)
+	if units == 0 {
 		return "", 0, false
 	}
 	unreachable := ""
@@ -216,7 +230,7 @@
 	if units <= 0 {
 		return
 	}
-	if expires := sentAt.Add(UnitLifetime); now.Before(expires) {
+	if expires := sentAt.Add(a.life); now.Before(expires) {
 		a.add(lot{expires: expires, units: units})
 	} else {
 		a.expired += uint64(units)
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -72,6 +72,7 @@
 	generation   uint64 // Counts the leases. A bucket of an earlier lease starts again.
 	leaseUntil   time.Time
 	share        float64
+	minCapacity  float64
 	shareSeconds float64 // Integral of the share over time. Buckets are refilled in proportion to it.
 	leaseStart   float64 // shareSeconds at the start of the lease.
 	refreshedAt  time.Time
@@ -93,10 +94,11 @@
 }
 
 // NewIssuer returns the issuer of a member. The process forgets on a restart what it confirmed, so it waits for
-// LeaseDuration first.
-func NewIssuer(self string, now time.Time) *Issuer {
+// LeaseDuration first. Buckets hold at least minCapacity units. With a minimum of 1, a fifth of a limit of 2 per second was lost,
+// since a full bucket waits for the next request; see MinCapacity.
+func NewIssuer(self string, minCapacity float64, now time.Time) *Issuer {
 	return &Issuer{
-		self: self, quietUntil: now.Add(LeaseDuration), refreshedAt: now,
+		self: self, minCapacity: minCapacity, quietUntil: now.Add(LeaseDuration), refreshedAt: now,
 		addedAt: map[string]time.Time{}, askedAt: map[string]time.Time{}, excludedAt: map[string]time.Time{},
 		confirmedBy: map[string]receivedConfirmation{}, buckets: map[string]*bucket{},
 	}
@@ -219,6 +221,14 @@
 	i.recompute(now)
 }
 
+// Activate prepares for the first requests after a time without any, in which the members did not ask for confirmations. None
+// of them counts as lost because of that.
+func (i *Issuer) Activate(now time.Time) {
+	for _, m := range i.members(now) {
+		i.askedAt[m] = now
+	}
+}
+
 // Tick renews the confirmation that this member gives to itself. It is called before the others are asked.
 func (i *Issuer) Tick(now time.Time) { i.Receive(i.self, i.Confirm(i.self, now), now, now) }
 
@@ -341,9 +351,11 @@
 	return issued, retryAfter
 }
 
-// capacity returns the units that a bucket may hold. With a minimum of 1, a fifth of a limit of 2 per second was lost, since a
-// full bucket waits for the next request. The minimum of 2 for each of 5 issuers is within the slack of 20.
-func (i *Issuer) capacity(b *bucket) float64 { return max(b.limit.Burst*i.share, 2) }
+// capacity returns the units that a bucket may hold.
+func (i *Issuer) capacity(b *bucket) float64 { return max(b.limit.Burst*i.share, i.minCapacity) }
+
+// MinCapacity returns the minimum capacity of a bucket for the slack of the bound. The minima of 5 issuers take half of it.
+func MinCapacity(slack float64) float64 { return min(max(slack/10, 1), 2) }
 
 func (i *Issuer) fill(b *bucket) {
 	b.units += b.limit.RatePerSecond * (i.shareSeconds - b.filledAt)
--- a/core/quota/property_test.go
+++ b/core/quota/property_test.go
@@ -133,11 +133,11 @@
 	s := &simulation{sc: sc, rng: rand.New(rand.NewPCG(seed, 7)), views: []View{{}}}
 	for i := range sc.replicas {
 		r := &simReplica{name: fmt.Sprintf("r%d", i), dataCentre: i % 6}
-		r.issuer = NewIssuer(r.name, s.clock())
+		r.issuer = NewIssuer(r.name, MinCapacity(testSlack), s.clock())
 		s.replicas = append(s.replicas, r)
 	}
 	for i := range 60 {
-		s.gateways = append(s.gateways, &simGateway{dataCentre: i % 6, allowance: NewAllowance()})
+		s.gateways = append(s.gateways, &simGateway{dataCentre: i % 6, allowance: NewAllowance(Lifetime(testWindow, testOver))})
 	}
 	var members []string
 	for _, r := range s.replicas[:sc.setSize] {
@@ -222,7 +222,7 @@
 		if r.process != process {
 			return
 		}
-		r.issuer = NewIssuer(r.name, s.clock())
+		r.issuer = NewIssuer(r.name, MinCapacity(testSlack), s.clock())
 		if r.version > 0 {
 			r.issuer.SetView(s.views[r.version], s.clock())
 		}
@@ -415,7 +415,7 @@
 		case 1: // A restarted gateway has no units and no waiting requests.
 			g := s.gateways[s.rng.IntN(len(s.gateways))]
 			g.process++
-			g.allowance, g.inFlight, g.waiters = NewAllowance(), false, nil
+			g.allowance, g.inFlight, g.waiters = NewAllowance(Lifetime(testWindow, testOver)), false, nil
 		case 2, 3: // Some replicas and gateways are on the side without the store for a while.
 			for _, r := range s.replicas {
 				if s.rng.Float64() < 0.25 {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -94,6 +94,8 @@
 	Routes   []Route
 	Services map[string]Service
 	Limits   Limits
+
+	Organisations []Organisation
 }
 
 // Table maps requests to routes. It is immutable.
--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"jackdawbay.dev/core/placement"
+	corequota "jackdawbay.dev/core/quota"
+	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/catalog"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/forward"
 	"jackdawbay.dev/daemon/gateway"
 	"jackdawbay.dev/daemon/quorum"
+	"jackdawbay.dev/daemon/quota"
 	"jackdawbay.dev/daemon/replica"
 	"jackdawbay.dev/daemon/transport"
 	"jackdawbay.dev/platform"
@@ -48,20 +52,28 @@
 	if err != nil {
 		return err
 	}
+	replicaClient := transport.NewClient(transport.Options{DialTimeout: peerDialTimeout})
 	replicas := quorum.New(root, quorum.Config{
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf,
-		Client: transport.NewClient(transport.Options{DialTimeout: peerDialTimeout}), Log: p.log, Metrics: p.metrics,
+		Client: replicaClient, Log: p.log, Metrics: p.metrics,
+	})
+	unitLifetime := corequota.Lifetime(p.site.QuotaWindow, p.site.QuotaOver)
+	var cat *catalog.Catalog
+	limiter := quota.NewClient(root, quota.Config{
+		VM: p.site.VM, DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf,
+		ViewOf: replicas.ViewOf, Views: replicas.Views, HasLimits: func() (uint64, bool) { return hasLimits(cat.Table()) },
+		Lifetime: unitLifetime, Client: replicaClient, Log: p.log, Metrics: p.metrics,
 	})
 	pool := forward.NewPool(upstreamDialTimeout, maxIdlePerUpstream, p.metrics)
 	var g *gateway.Gateway
 	formats := platform.Formats{}
 	mirror := p.newMirror([]string{formats.ConfigKind(), formats.UpstreamKind(), replica.ViewKind},
 		func(suspected []placement.Process) { g.Suspect(suspected) })
-	cat := catalog.New(mirror, formats, p.log, p.metrics, func(u *catalog.Upstreams) { g.UpdateUpstreams(u) })
+	cat = catalog.New(mirror, formats, p.log, p.metrics, func(u *catalog.Upstreams) { g.UpdateUpstreams(u) })
 	g = gateway.New(gateway.Config{
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
-		ReportUnreachable: mirror.ReportUnreachable,
+		ReportUnreachable: mirror.ReportUnreachable, Limiter: limiter, UnitLifetime: unitLifetime,
 	})
 	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.ConnState()}
 	p.tree.Add(serverTask("callers", server, callers))
@@ -71,6 +83,7 @@
 	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
 	p.tree.Add(supervisedTask{"mirror", mirror.Run})
 	p.tree.Add(supervisedTask{"reports", mirror.RunReports})
+	p.tree.Add(supervisedTask{"limits", limiter.Run})
 	p.tree.Add(supervisedTask{"settlement", g.Run})
 	p.tree.Add(supervisedTask{"connections", pool.Run})
 	p.tree.ServeBackground(root)
@@ -81,6 +94,14 @@
 	return stopGateway(p, g, server)
 }
 
+// hasLimits reports whether an organisation of the configuration has a limit of requests per second.
+func hasLimits(t *route.Table) (configVersion uint64, ok bool) {
+	if t == nil {
+		return 0, false
+	}
+	return t.Config.Version, slices.ContainsFunc(t.Config.Organisations, func(o route.Organisation) bool { return o.RatePerSecond > 0 })
+}
+
 // stopGateway drains the gateway: it accepts requests until the balancer has removed this VM, waits for the requests in
 // flight, and then for the settlements.
 func stopGateway(p *process, g *gateway.Gateway, server *http.Server) error {
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -9,6 +9,7 @@
 
 	core "jackdawbay.dev/core/replica"
 	store "jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/quota"
 	"jackdawbay.dev/daemon/relay"
 	"jackdawbay.dev/daemon/replica"
 	"jackdawbay.dev/daemon/transport"
@@ -42,6 +43,7 @@
 	mirror := p.newMirror(membershipKinds, nil)
 	relays := relay.NewServer(store.StoreFollower{Store: p.store},
 		append([]string{replica.RegistrationKind, formats.ConfigKind(), formats.UpstreamKind()}, membershipKinds...), p.log, p.metrics)
+	peers := transport.NewClient(transport.Options{DialTimeout: peerDialTimeout})
 	members := &replica.Membership{
 		Self:              core.Member{VM: p.site.VM, Disk: server.Disk(), Address: address, DataCentre: p.site.DataCentre},
 		RegionOf:          p.site.RegionOf,
@@ -50,11 +52,16 @@
 		Store:             p.store,
 		Follower:          mirror,
 		Retirements:       retirements,
-		Client:            transport.NewClient(transport.Options{DialTimeout: peerDialTimeout}),
+		Client:            peers,
 		Log:               p.log,
 	}
 	members.Init()
+	issuer := quota.NewIssuer(quota.IssuerConfig{
+		VM: p.site.VM, Disk: server.Disk(), View: server.View, Slack: p.site.QuotaSlack, Client: peers, Log: p.log, Metrics: p.metrics,
+	})
 	router := server.Router()
+	router.HandleFunc(quota.PathQuota, issuer.HandleQuota).Methods(http.MethodPost)
+	router.HandleFunc(quota.PathConfirm, issuer.HandleConfirm).Methods(http.MethodPost)
 	router.Handle(relay.PathStream, relays).Methods(http.MethodGet)
 	router.HandleFunc(relay.PathReports, relays.HandleReports).Methods(http.MethodPost)
 	p.tree.Add(supervisedTask{"writer", server.RunWriter})
@@ -62,6 +69,7 @@
 	p.tree.Add(supervisedTask{"relay", relays.Run})
 	p.tree.Add(supervisedTask{"watchers", members.RunWatchers})
 	p.tree.Add(supervisedTask{"membership", members.Run})
+	p.tree.Add(supervisedTask{"issuer", issuer.Run})
 	p.tree.Add(serverTask("replica", &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, l))
 	p.tree.Add(serverTask("metrics", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, ops))
 	p.tree.ServeBackground(root)
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -34,6 +34,8 @@
 	meta           RequestMeta
 	route          *route.Route
 	configVersion  uint64
+	organisation   *route.Organisation // Nil for a request without one.
+	unit           quotaUnit
 	service        string
 	upstreamBody   []byte // Body that is sent to the upstream.
 	callerBody     []byte // Body that was received from the caller.
@@ -86,6 +88,9 @@
 		c.respondError(errkind.RouteNotFound, "", 0)
 		return
 	}
+	if !c.acquireUnit() {
+		return
+	}
 	if !c.readBody(table.Config.Limits.BodyBytes) {
 		return
 	}
@@ -125,6 +130,7 @@
 		return
 	}
 	c.finished = true
+	c.releaseUnit()
 	c.buffer.release()
 	c.settleCharge()
 	duration := time.Since(c.arrivedAt)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -75,6 +75,9 @@
 	Metrics    *metrics.Set
 	CacheBytes int64 // Limit of the turns that are cached in memory.
 
+	Limiter      Limiter       // Enforces the limits of organisations; nil for none.
+	UnitLifetime time.Duration // Time after which a request that was not sent needs another unit.
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -35,6 +35,9 @@
 			c.respondNoUpstream()
 			return
 		}
+		if !c.renewUnit(upstream) {
+			return
+		}
 		outcome := c.send(upstream)
 		next := route.NextAction(c.route, outcome, c.canSendAgain())
 		c.logSend(upstream, outcome, next)
--- a/daemon/site/site.go
+++ b/daemon/site/site.go
@@ -24,6 +24,11 @@
 	ToleratedFailures int           // Number of VMs with a disk that may fail at the same time.
 	StopTimeout       time.Duration // Time between SIGTERM and SIGKILL.
 
+	// In a window, (rate*QuotaWindow + burst)*(1 + QuotaOver) + QuotaSlack requests of an organisation may run.
+	QuotaWindow time.Duration
+	QuotaOver   float64
+	QuotaSlack  float64
+
 	StoreAddress         string
 	StoreWritesPerSecond float64 // Max writes per second that the store accepts from all daemons together.
 	StoreReadsPerSecond  float64
