--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -223,7 +223,9 @@
 // have been delayed. A retryAfter above zero states that the issuer has no further units for this time.
 func (a *Allowance) Granted(now, sentAt time.Time, issuer string, units int, retryAfter time.Duration) {
 	s := issuerState{}
-	if retryAfter > 0 {
+	if retryAfter <= 0 {
+		delete(a.tried, issuer) // It may have more for requests that arrived during the call.
+	} else {
 		s.emptyUntil, s.nextUnitAt = now.Add(min(max(retryAfter, minEmptyPeriod), maxEmptyPeriod)), now.Add(retryAfter)
 	}
 	a.issuers[issuer] = s
--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -72,6 +72,8 @@
 	generation   uint64 // Counts the leases. A bucket of an earlier lease starts again.
 	leaseUntil   time.Time
 	share        float64
+	raisedFrom   float64 // Smallest share of this lease.
+	raisedAt     float64 // shareSeconds when the share last rose.
 	minCapacity  float64
 	shareSeconds float64 // Integral of the share over time. Buckets are refilled in proportion to it.
 	leaseStart   float64 // shareSeconds at the start of the lease.
@@ -249,7 +251,7 @@
 
 // recompute derives the share and its end from the confirmations. The end covers both the lease and the exclusions.
 func (i *Issuer) recompute(now time.Time) {
-	hadLease := i.share > 0
+	previous := i.share
 	i.share, i.leaseUntil = 0, now
 	sets := i.requiredSets(now)
 	if len(sets) == 0 || now.Before(i.quietUntil) {
@@ -288,10 +290,14 @@
 		}
 	}
 	i.share, i.leaseUntil = 1/float64(max(n, 1)), until
-	if !hadLease {
+	switch {
+	case previous == 0:
 		i.generation++
-		i.leaseStart = i.shareSeconds
+		i.leaseStart, i.raisedFrom, i.raisedAt = i.shareSeconds, i.share, i.shareSeconds
+	case i.share > previous:
+		i.raisedAt = i.shareSeconds
 	}
+	i.raisedFrom = min(i.raisedFrom, i.share)
 }
 
 // quorumEnd returns the time until which a quorum of confirmations with these times is valid.
@@ -343,7 +349,7 @@
 		b.limit = l
 		i.fill(b)
 	}
-	issued = min(units, int(b.units))
+	issued = min(units, int(b.units+1e-9)) // The sum of refills is not exact.
 	b.units -= float64(issued)
 	if issued < units {
 		retryAfter = time.Duration(math.Ceil((1 - b.units) / max(b.limit.RatePerSecond*i.share, 1e-3) * float64(time.Second)))
@@ -358,7 +364,12 @@
 func MinCapacity(slack float64) float64 { return min(max(slack/10, 1), 2) }
 
 func (i *Issuer) fill(b *bucket) {
-	b.units += b.limit.RatePerSecond * (i.shareSeconds - b.filledAt)
+	rate := b.limit.RatePerSecond
+	b.units += rate * (i.shareSeconds - b.filledAt)
+	if b.filledAt <= i.raisedAt {
+		// The lost issuers may just have issued what their buckets held, so a higher share starts with the earlier capacity.
+		b.units = min(b.units, max(b.limit.Burst*i.raisedFrom, i.minCapacity)+rate*(i.shareSeconds-i.raisedAt))
+	}
 	b.filledAt = i.shareSeconds
 	b.units = min(b.units, i.capacity(b))
 }
