--- a/core/quota/property_test.go
+++ b/core/quota/property_test.go
@@ -100,6 +100,7 @@
 	refused  int
 	failed   int
 	calls    int
+	maxShare float64         // Largest sum of the shares of all issuers at any time.
 	configAt []time.Duration // When each gateway gets the later limit.
 }
 
@@ -189,6 +190,7 @@
 // confirm asks the other members for their confirmation.
 func (s *simulation) confirm(r *simReplica) {
 	s.after(ConfirmInterval, func() { s.confirm(r) })
+	s.checkShares()
 	if s.now < r.downUntil {
 		return
 	}
@@ -216,6 +218,17 @@
 	}
 }
 
+// checkShares records the sum of the shares. The bound holds for any demand as long as the sum is at most 1.
+func (s *simulation) checkShares() {
+	sum := 0.0
+	for _, r := range s.replicas {
+		if s.now >= r.downUntil {
+			sum += r.issuer.Share(s.clock())
+		}
+	}
+	s.maxShare = max(s.maxShare, sum)
+}
+
 func (s *simulation) restart(r *simReplica, down time.Duration) {
 	r.process++
 	r.downUntil = s.now + down
@@ -234,21 +247,52 @@
 // replace starts a change of the view that replaces the member at an index of the current set by a spare.
 func (s *simulation) replace(index int) {
 	v := s.views[len(s.views)-1]
-	if s.changing || len(v.Sets) > 1 {
+	set := v.Sets[len(v.Sets)-1].Members
+	if spare, ok := s.spare(set); ok && len(v.Sets) == 1 {
+		members := slices.Clone(set)
+		members[index%len(members)] = spare
+		s.change(members)
+	}
+}
+
+// changeAtRandom starts a change that replaces, adds or removes a member, also while up to two earlier sets are still read.
+func (s *simulation) changeAtRandom() {
+	v := s.views[len(s.views)-1]
+	members := slices.Clone(v.Sets[len(v.Sets)-1].Members)
+	if len(v.Sets) > 2 || len(v.Sets) == 2 && s.rng.Float64() < 0.7 {
 		return
 	}
-	old := v.Sets[len(v.Sets)-1]
-	for _, spare := range s.rng.Perm(len(s.replicas)) {
-		r := s.replicas[spare]
-		if r.side != 0 || slices.Contains(old.Members, r.name) {
-			continue
+	spare, ok := s.spare(members)
+	index := s.rng.IntN(len(members))
+	switch kind := s.rng.IntN(6); {
+	case kind == 0 && len(members) > 1 && len(members) >= s.sc.setSize:
+		members = slices.Delete(members, index, index+1)
+	case kind <= 2 && ok && len(members) <= s.sc.setSize:
+		members = append(members, spare)
+	case ok:
+		members[index] = spare
+	default:
+		return
+	}
+	s.change(members)
+}
+
+// spare returns a replica that reaches the store and is not in the set.
+func (s *simulation) spare(set []string) (string, bool) {
+	for _, i := range s.rng.Perm(len(s.replicas)) {
+		if r := s.replicas[i]; r.side == 0 && !slices.Contains(set, r.name) {
+			return r.name, true
 		}
-		members := append([]string{}, old.Members...)
-		members[index] = r.name
+	}
+	return "", false
+}
+
+func (s *simulation) change(members []string) {
+	v := s.views[len(s.views)-1]
+	s.publish(View{Version: v.Version + 1, Sets: append(slices.Clone(v.Sets), newSet(members))})
+	if !s.changing {
 		s.changing = true
-		s.publish(View{Version: v.Version + 1, Sets: []Set{old, newSet(members)}})
 		s.after(500*time.Millisecond, s.settle)
-		return
 	}
 }
 
@@ -439,7 +483,7 @@
 			r.side = -1
 			s.after(time.Duration(s.rng.Float64()*float64(3*time.Second)), func() { r.side = 0; s.learn(r) })
 		case 5, 6:
-			s.replace(s.rng.IntN(s.sc.setSize))
+			s.changeAtRandom()
 		}
 		s.fault()
 	})
@@ -566,6 +610,11 @@
 	}
 	add("large, load 50", func(sc *scenario) { sc.limit, sc.load, sc.minUsable, sc.seconds = large, 50, 0.95, 8 })
 	add("small, load 50", func(sc *scenario) { sc.limit, sc.load, sc.minUsable, sc.seconds = small, 50, 0.95, secondsFor(small) })
+	for _, size := range []int{1, 2, 3, 4, 7} {
+		add(fmt.Sprintf("medium, %d issuers, faults", size), func(sc *scenario) {
+			sc.limit, sc.skew, sc.faults, sc.seconds, sc.setSize, sc.replicas = medium, 5, true, 40, size, size+3
+		})
+	}
 	// All buckets are full when the requests and the faults begin.
 	burst := Limit{RatePerSecond: 5, Burst: 1000, Version: 1}
 	for _, skew := range []float64{1, 50} {
@@ -590,6 +639,7 @@
 				s := newSimulation(sc, uint64(seed)+1)
 				s.run()
 				excess, relative := s.checkBound()
+				test.LessEq(t, 1+1e-9, s.maxShare, test.Sprintf("seed %d: shares of all issuers", seed+1))
 				test.LessEq(t, 0, excess, test.Sprintf("seed %d: requests over the bound", seed+1))
 				worst, maxRelative = max(worst, excess), max(maxRelative, relative)
 				from := max(sc.warmUp, 3*time.Second) + 2*time.Second
