--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -36,6 +36,7 @@
 	configVersion  uint64
 	organisation   *route.Organisation // Nil without a valid key, which only public routes accept, or if the configuration has no organisations.
 	authentication authentication
+	unit           quotaUnit
 	service        string
 	upstreamBody   []byte // Body that is sent to the upstream.
 	callerBody     []byte // Body that was received from the caller.
@@ -88,7 +89,7 @@
 		c.respondError(errkind.RouteNotFound, "", 0)
 		return
 	}
-	if !c.authenticate(table) {
+	if !c.authenticate(table) || !c.acquireUnit() {
 		return
 	}
 	if !c.readBody(table.Config.Limits.BodyBytes) {
@@ -130,6 +131,7 @@
 		return
 	}
 	c.finished = true
+	c.releaseUnit()
 	c.buffer.release()
 	c.settleCharge()
 	duration := time.Since(c.arrivedAt)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -81,6 +81,9 @@
 	// upstream. Zero disables second attempts.
 	SecondAttemptShare float64
 
+	Limiter      Limiter       // Enforces the limits of organisations; nil for none.
+	UnitLifetime time.Duration // Time after which a request that was not sent needs another unit.
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
