--- a/daemon/quota/client.go
+++ b/daemon/quota/client.go
@@ -209,7 +209,7 @@
 	return c.finish(e, <-w.result) // It was decided at the same time.
 }
 
-// finish returns the result of a waiter. A caller that has gone releases the unit.
+// finish returns the result of a waiter.
 func (c *Client) finish(e *entry, r result) (release func(), err error) {
 	if r.err != nil {
 		return nil, r.err
