Limit what issuers issue within the window of a limit

Issuers now count what they issued within the window, and the bucket holds half of the rate of a window besides the burst.

--- a/core/quota/issuer.go
+++ b/core/quota/issuer.go
@@ -74,6 +74,7 @@
 	share        float64
 	raisedFrom   float64 // Smallest share of this lease.
 	raisedAt     float64 // shareSeconds when the share last rose.
+	raisedTime   time.Time
 	minCapacity  float64
 	tolerance    Tolerance
 	shareSeconds float64 // Integral of the share over time. Buckets are refilled in proportion to it.
@@ -81,8 +82,10 @@
 	refreshedAt  time.Time
 }
 
-// bucket is the token bucket of one organisation.
+// bucket is the token bucket of one organisation. It bounds what is issued at once, and the window what is issued within the
+// window of the limit.
 type bucket struct {
+	window     window
 	limit      Limit
 	units      float64
 	filledAt   float64 // shareSeconds of the last refill.
@@ -294,9 +297,9 @@
 	switch {
 	case previous == 0:
 		i.generation++
-		i.leaseStart, i.raisedFrom, i.raisedAt = i.shareSeconds, i.share, i.shareSeconds
+		i.leaseStart, i.raisedFrom, i.raisedAt, i.raisedTime = i.shareSeconds, i.share, i.shareSeconds, time.Time{}
 	case i.share > previous:
-		i.raisedAt = i.shareSeconds
+		i.raisedAt, i.raisedTime = i.shareSeconds, now
 	}
 	i.raisedFrom = min(i.raisedFrom, i.share)
 }
@@ -350,14 +353,37 @@
 		b.limit = l
 		i.fill(b)
 	}
-	issued = min(units, int(b.units+1e-9)) // The sum of refills is not exact.
+	windowLeft := i.windowLimit(now, b.limit) - float64(b.window.sum(now, i.windowDuration()))
+	issued = max(min(units, int(min(b.units, windowLeft)+1e-9)), 0) // The sum of refills is not exact.
 	b.units -= float64(issued)
+	b.window.add(now, i.windowDuration(), issued)
 	if issued < units {
 		retryAfter = time.Duration(math.Ceil((1 - b.units) / max(b.limit.RatePerSecond*i.share, 1e-3) * float64(time.Second)))
+		if windowLeft-float64(issued) < 1 {
+			retryAfter = max(retryAfter, b.window.untilNextExpiry(now, i.windowDuration()))
+		}
 	}
 	return issued, retryAfter
 }
 
+// windowDuration returns the period over which issued units are limited. A unit may be used for a while after it was issued.
+func (i *Issuer) windowDuration() time.Duration { return i.tolerance.Window + maxLifetime }
+
+// windowLimit returns the units that this issuer may issue within windowDuration. Without a window there is no such limit. After
+// the share has risen, the lost issuers may have issued theirs within the window.
+func (i *Issuer) windowLimit(now time.Time, l Limit) float64 {
+	t := i.tolerance
+	if t.Window <= 0 {
+		return math.Inf(1)
+	}
+	share := i.share
+	if now.Sub(i.raisedTime) < i.windowDuration() {
+		share = i.raisedFrom
+	}
+	limit := l.RatePerSecond*t.Window.Seconds() + l.Burst
+	return max((limit*(1+usedOver*t.Over)+usedSlack*t.Slack)*share, i.minCapacity)
+}
+
 // Tolerance is the inaccuracy that a limit may have: in any window, (rate*Window + burst)*(1 + Over) + Slack requests.
 type Tolerance struct {
 	Window time.Duration
@@ -365,23 +391,25 @@
 	Slack  float64
 }
 
-// Parts of the tolerance that buckets hold beyond the burst. The rest covers the lifetime of units, which takes 0.04 of the
-// rate with 200 ms of 5 s, and the unit with which a bucket starts.
+// Parts of the tolerance that issuers use. The rest covers changes of the shares and the unit with which a bucket starts.
 const (
 	usedOver  = 0.5
 	usedSlack = 0.5
 )
 
+// windowAtOnce is the part of the rate of a window that may be issued at once. Callers of an organisation send several times the
+// rate within a second: with the burst alone, 0.07 of the programs of a calm day were refused below the limit of the window. The
+// whole window at once would double what is issued around a restart of all issuers.
+const windowAtOnce = 0.5
+
 // MinCapacity returns the minimum capacity of a bucket for the slack of the bound. The minima of 5 issuers take half of it.
 func MinCapacity(slack float64) float64 { return min(max(slack/10, 1), 2) }
 
-// capacity returns the units that the bucket of an issuer with a share may hold. Callers of an organisation send in bursts of
-// several times the rate within a second that the limit of a window allows, so that the capacity uses the tolerance: with the
-// burst alone, 0.07 of the programs of a calm day were refused below their limit.
+// capacity returns the units that the bucket of an issuer with a share may hold.
 func (i *Issuer) capacity(l Limit, share float64) float64 {
 	t := i.tolerance
-	extra := usedOver*t.Over*(l.RatePerSecond*t.Window.Seconds()+l.Burst) + usedSlack*t.Slack
-	return max((l.Burst+extra)*share, i.minCapacity)
+	atOnce := l.Burst + windowAtOnce*l.RatePerSecond*t.Window.Seconds() + usedSlack*t.Slack
+	return max(atOnce*share, i.minCapacity)
 }
 
 func (i *Issuer) fill(b *bucket) {
