--- a/core/quota/window_test.go
+++ b/core/quota/window_test.go
@@ -57,7 +57,7 @@
 	}
 	test.EqOp(t, 9, issue(0, 9), test.Sprint("a fifth of 45 of the 90 requests of a window"))
 	test.EqOp(t, 9, issue(3*time.Second, 9))
-	atMost := int(((15*5+15)*(1+testOver) + testSlack) / members)
+	const atMost = 23 // A fifth of (15*5+15)*1.1+20.
 	total := 18
 	for ms := 3000; ms < 5000; ms += 10 {
 		total += issue(time.Duration(ms)*time.Millisecond, 9)
