Count issued units for the whole window

The slots of the window covered up to one slot less than its period, so that units left it too early. The property test of the window found it: a sum of 0 instead of 1.

--- a/core/quota/window.go
+++ b/core/quota/window.go
@@ -2,10 +2,12 @@
 
 import "time"
 
-// windowSlots is the number of slots into which a window is divided. A slot counts until all of it is over, so that the window
-// is longer by up to one slot.
+// windowSlots is the number of slots of a window. All but the current one cover the period, so that units count for up to one slot
+// longer.
 const windowSlots = 50
 
+func slotDuration(period time.Duration) int64 { return int64(period)/(windowSlots-1) + 1 }
+
 // window counts the units that were issued within a sliding period.
 type window struct {
 	units  [windowSlots]uint32
@@ -14,7 +16,7 @@
 }
 
 func slotNumber(now time.Time, period time.Duration) int64 {
-	return now.UnixNano() / (int64(period)/windowSlots + 1)
+	return now.UnixNano() / slotDuration(period)
 }
 
 // advance drops the slots that are over.
@@ -45,8 +47,7 @@
 	w.advance(now, period)
 	for age := int64(windowSlots - 1); age >= 0; age-- {
 		if w.units[(w.newest-age+windowSlots)%windowSlots] > 0 {
-			slot := int64(period)/windowSlots + 1
-			return time.Duration((w.newest-age+windowSlots)*slot - now.UnixNano())
+			return time.Duration((w.newest-age+windowSlots)*slotDuration(period) - now.UnixNano())
 		}
 	}
 	return 0
