Place requests for many gateways by homes of shared prompt parts

Cause: each gateway learns by itself which engine has read a prompt, so each shared part is read by most engines; reports are forgotten within a second although a gateway hears of an engine every few seconds, so busy engines get as much as others; failures count only in a row.

Change: Group.SetBalanced selects a placement that compares few candidates: the engine of the session, two homes of the shared parts in rendezvous order, and others at random by slots. Homes are as many as the part's share of the requests needs. Load and work time are remembered for seconds, failures count as a rate, an engine that flaps stays away longer, and one that returns gets few requests at first. Without SetBalanced the decision is as before.

--- /dev/null
+++ b/core/placement/balance_test.go
@@ -0,0 +1,336 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+)
+
+// chooseTwoRandom is the alternative that was weighed against homes: the upstream of the session and two others at random,
+// compared by the same estimate.
+func chooseTwoRandom(g *Group, now time.Time, r Request) (Choice, bool) {
+	b := &g.balance
+	b.decisions++
+	b.random = math.Float64bits(r.TieBreak) + b.decisions*0x9e3779b97f4a7c15
+	g.prefixHashes = appendPrefixHashes(g.prefixHashes[:0], r.Parts)
+	b.candidates = b.candidates[:0]
+	for i := len(g.prefixHashes) - 1; i >= 0; i-- {
+		if u := b.holder(g.prefixHashes[i]); u != nil {
+			g.addCandidate(now, r, u)
+			break
+		}
+	}
+	g.addRandom(now, r, 2)
+	if c, ok := g.cheapest(now, r, b.candidates, g.meanLoadPerSlot(now)); ok {
+		return c, true
+	}
+	return g.chooseFallback(now, r, g.meanLoadPerSlot(now))
+}
+
+// chooseBounded is the alternative of hashing with a bound on the load: the first upstream in rendezvous order whose load is not
+// above 1.15 times the mean.
+func chooseBounded(g *Group, now time.Time, r Request) (Choice, bool) {
+	b := &g.balance
+	b.decisions++
+	b.random = math.Float64bits(r.TieBreak) + b.decisions*0x9e3779b97f4a7c15
+	g.prefixHashes = appendPrefixHashes(g.prefixHashes[:0], r.Parts)
+	b.observe(now, g.prefixHashes)
+	mean := g.meanLoadPerSlot(now)
+	key := g.prefixHashes[min(1, len(g.prefixHashes)-1)]
+	d := b.demands[key]
+	if d.epoch != b.epoch {
+		d.order, d.epoch = b.rendezvousOrder(d.order[:0], key), b.epoch
+	}
+	for _, i := range d.order {
+		u := b.list[i]
+		if !g.mayGet(now, r, u) {
+			continue
+		}
+		c := g.estimateBalanced(now, candidate{u: u}, r, mean)
+		if c.EstimatedRunning/float64(u.info.Slots) <= 1.15*max(mean, 0.1) {
+			return c, true
+		}
+	}
+	return g.chooseFallback(now, r, mean)
+}
+
+func newBalancedGroup() *Group {
+	g := NewGroup(DefaultWeights())
+	g.SetBalanced(true)
+	return g
+}
+
+// faultyEngines is the number of engines with the fault of a case, of 50.
+const faultyEngines = 3
+
+// Load: 57 gateways in front of 50 engines, at about 0.5 and 0.9 of their capacity. A quarter of the programs has one prompt, and some
+// gateways get several times the requests of others. Guards against shared prompt parts that many engines read, against an engine
+// far above the mean load, and against engines with faults that get more than they can handle. The figures of the alternatives are
+// logged; the bounds are for the placement in use, with a margin for
+// other seeds.
+func TestManyGateways(t *testing.T) {
+	cases := map[string]struct {
+		faultOf         func(at time.Duration) fault
+		reportsSlowdown bool
+		maxReadAgain    [2]float64 // By load.
+		maxBusiest      [2]float64
+		maxFailedSends  [2]int
+		faultyShare     [2]float64 // Bounds of the requests of a faulty engine relative to the mean.
+	}{
+		"no faults":     {maxReadAgain: [2]float64{0.12, 0.16}, maxBusiest: [2]float64{1.2, 1.15}, faultyShare: [2]float64{0.5, 1.5}},
+		"slow, unknown": {faultOf: func(time.Duration) fault { return fault{slowdown: 5} }, maxReadAgain: [2]float64{0.12, 0.24}, maxBusiest: [2]float64{2, 1.5}, faultyShare: [2]float64{0.05, 0.35}},
+		"slow, reported": {faultOf: func(time.Duration) fault { return fault{slowdown: 5} }, reportsSlowdown: true, maxReadAgain: [2]float64{0.12, 0.24},
+			maxBusiest: [2]float64{1.35, 1.25}, faultyShare: [2]float64{0.03, 0.25}},
+		"failing 0.45": {faultOf: func(time.Duration) fault { return fault{failing: 0.45} }, maxReadAgain: [2]float64{0.12, 0.24},
+			maxBusiest: [2]float64{1.35, 1.25}, maxFailedSends: [2]int{220, 380}, faultyShare: [2]float64{0.05, 0.7}},
+		"flapping": {faultOf: func(at time.Duration) fault { return fault{down: at/(1400*time.Millisecond)%2 == 1} }, maxReadAgain: [2]float64{0.12, 0.24},
+			maxBusiest: [2]float64{1.35, 1.25}, maxFailedSends: [2]int{220, 320}, faultyShare: [2]float64{0.03, 0.4}},
+		"away for 6 s, then cold for 3 s": {faultOf: func(at time.Duration) fault {
+			switch {
+			case at > 10*time.Second && at < 16*time.Second:
+				return fault{down: true}
+			case at > 16*time.Second && at < 19*time.Second:
+				return fault{slowdown: 4}
+			}
+			return fault{}
+		}, maxReadAgain: [2]float64{0.12, 0.24}, maxBusiest: [2]float64{1.35, 1.25}, maxFailedSends: [2]int{150, 190}, faultyShare: [2]float64{0.2, 0.85}},
+	}
+	variants := []struct {
+		name     string
+		newGroup func() *Group
+		choose   func(g *Group, now time.Time, r Request) (Choice, bool)
+	}{
+		{"homes", newBalancedGroup, (*Group).Choose},
+		{"two at random", newBalancedGroup, chooseTwoRandom},
+		{"bounded hashing", newBalancedGroup, chooseBounded},
+		{"one gateway's view", func() *Group { return NewGroup(DefaultWeights()) }, (*Group).Choose},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			for i, perSecond := range []float64{100, 145} {
+				for j, v := range variants {
+					if j > 0 && !testing.Verbose() {
+						continue
+					}
+					m := loadModel{gateways: 57, engines: 50, shares: skewedShares(57), perSecond: perSecond, duration: 30 * time.Second, hotShare: 0.25, seed: 1,
+						reportsSlowdown: c.reportsSlowdown, newGroup: v.newGroup, choose: v.choose}
+					m.faultOf = func(engine int, at time.Duration) fault {
+						if engine >= faultyEngines || c.faultOf == nil {
+							return fault{}
+						}
+						return c.faultOf(at)
+					}
+					result := m.run()
+					faulty, all := 0, 0
+					for e, n := range result.perEngine {
+						all += n
+						if e < faultyEngines {
+							faulty += n
+						}
+					}
+					faultyShare := float64(faulty) / faultyEngines / (float64(all) / 50)
+					t.Logf("%-18s %.0f programs/s: %v, faulty engines get %.2f of the mean", v.name, perSecond, result, faultyShare)
+					if j > 0 {
+						continue
+					}
+					test.LessEq(t, c.maxReadAgain[i], result.readAgainShare())
+					test.LessEq(t, c.maxBusiest[i], result.busiest)
+					test.LessEq(t, c.maxFailedSends[i], result.failedSends)
+					test.Between(t, c.faultyShare[0], faultyShare, c.faultyShare[1])
+					test.EqOp(t, 0, result.lost)
+				}
+			}
+		})
+	}
+}
+
+// Load: a shared prompt that many gateways see for the first time. Guards against gateways with different homes for it, also when
+// their lists are in different orders.
+func TestGatewaysAgreeOnHomes(t *testing.T) {
+	chosen := map[string]bool{}
+	for gateway := range 57 {
+		g := newBalancedGroup()
+		var list []Upstream
+		for i := range 50 {
+			list = append(list, Upstream{ID: fmt.Sprint("u", (i+gateway*7)%50), Slots: 8})
+		}
+		g.Update(list)
+		for i := range 40 { // Other prompts, so that the share of the prompt is small.
+			mustChoose(t, g, startTime, Request{Parts: []PromptPart{{fmt.Sprint("other", i), 4000}}})
+		}
+		parts := []PromptPart{{"system", 12000}, {fmt.Sprint("turn", gateway), 100}}
+		c := mustChoose(t, g, startTime, Request{Parts: parts, TieBreak: float64(gateway) / 57})
+		chosen[c.Upstream.ID] = true
+	}
+	test.LessEq(t, minHomes, len(chosen))
+}
+
+// Load: one prompt with a quarter of the traffic. Guards against few homes that are full while other upstreams are idle.
+func TestHomesFollowDemand(t *testing.T) {
+	g := newBalancedGroup()
+	g.Update(newGroup(50, 8).infos())
+	counts := map[string]int{}
+	for i := range 400 {
+		prompt := PromptPart{"hot", 8000}
+		if i%4 != 0 {
+			prompt.ID = fmt.Sprint("other", i%60)
+		}
+		r := Request{Parts: []PromptPart{prompt, {fmt.Sprint("turn", i), 100}}, TieBreak: float64(i%16) / 16}
+		c := mustChoose(t, g, startTime.Add(time.Duration(i)*10*time.Millisecond), r)
+		g.RecordStart(startTime, c.Upstream.ID, r.Parts)
+		if prompt.ID == "hot" {
+			counts[c.Upstream.ID]++
+		}
+	}
+	test.GreaterEq(t, 10, len(counts), test.Sprintf("upstreams of the prompt in demand: %v", counts))
+}
+
+func (g *Group) infos() []Upstream {
+	var list []Upstream
+	for _, id := range g.ids {
+		list = append(list, g.upstreams[id].info)
+	}
+	return list
+}
+
+func countChoices(t *testing.T, g *Group, now time.Time, id string, n int) int {
+	t.Helper()
+	count := 0
+	for i := range n {
+		if mustChoose(t, g, now, Request{TieBreak: float64(i) / float64(n)}).Upstream.ID == id {
+			count++
+		}
+	}
+	return count
+}
+
+// Load: an upstream comes back after failures, or is added. Guards against all gateways that send to it at once because it is
+// idle, and against one that gets too few requests after the slow start.
+func TestReturningUpstreamGetsFewRequestsAtFirst(t *testing.T) {
+	const n = 1000
+	for name, back := range map[string]func(g *Group) time.Time{
+		"added": func(g *Group) time.Time {
+			g.Update(append(g.infos(), Upstream{ID: "new", Slots: 8, RoundTrip: time.Millisecond}))
+			return startTime
+		},
+		"after an ejection": func(g *Group) time.Time {
+			g.RecordUnreachable(startTime, "new")
+			return startTime.Add(DefaultWeights().InitialEjection)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newBalancedGroup()
+			g.Update(newGroup(3, 8).infos())
+			if name != "added" {
+				g = newBalancedGroup()
+				g.Update(append(newGroup(3, 8).infos(), Upstream{ID: "new", Slots: 8, RoundTrip: time.Millisecond}))
+			}
+			backAt := back(g)
+			if name != "added" {
+				test.EqOp(t, 0, countChoices(t, g, backAt.Add(-time.Millisecond), "new", n))
+			}
+			first := countChoices(t, g, backAt.Add(10*time.Millisecond), "new", n)
+			test.Between(t, 1, first, n/10)
+			middle := countChoices(t, g, backAt.Add(slowStart/2), "new", n)
+			test.Between(t, first, middle, n/4)
+			g.upstreams["new"].health.failureRate = 0
+			test.Between(t, n/8, countChoices(t, g, backAt.Add(slowStart), "new", n), n/2)
+		})
+	}
+}
+
+// Load: an upstream fails every other request, so that it never fails twice in a row. Guards against a count of consecutive
+// failures that does not see it, and against an upstream that is never tried again.
+func TestFailureRateCountsBesidesSuccesses(t *testing.T) {
+	g := newBalancedGroup()
+	g.Update(newGroup(4, 8).infos())
+	for i := range 12 {
+		g.RecordStart(startTime, "u0", nil)
+		g.RecordEnd(startTime, "u0", i%2 == 0, 100*time.Millisecond)
+	}
+	test.EqOp(t, 0, countChoices(t, g, startTime, "u0", 200))
+	g.weights.EjectAfterFailures = 100
+	later := startTime.Add(8 * failureHalfLife)
+	test.Between(t, 10, countChoices(t, g, later, "u0", 200), 100)
+}
+
+// Load: an upstream that is down and up every 1.4 s and answers a request in each phase. Guards against ejections that stay short.
+func TestFlappingUpstreamIsEjectedForLonger(t *testing.T) {
+	g := newBalancedGroup()
+	g.Update(newGroup(4, 8).infos())
+	now := startTime
+	ejection := func() time.Duration {
+		g.RecordUnreachable(now, "u0")
+		d := g.upstreams["u0"].ejectedUntil.Sub(now)
+		now = now.Add(1400 * time.Millisecond)
+		g.RecordEnd(now, "u0", false, 100*time.Millisecond)
+		now = now.Add(1400 * time.Millisecond)
+		return d
+	}
+	test.EqOp(t, 500*time.Millisecond, ejection())
+	test.EqOp(t, time.Second, ejection())
+	test.EqOp(t, 2*time.Second, ejection())
+	now = now.Add(ejectionMemory)
+	g.RecordEnd(now, "u0", false, 100*time.Millisecond)
+	test.EqOp(t, 500*time.Millisecond, ejection(), test.Sprint("it has recovered"))
+	g.SetBalanced(false)
+	test.EqOp(t, time.Second, ejection())
+	test.EqOp(t, 500*time.Millisecond, ejection(), test.Sprint("without the feature, a success ends the series"))
+}
+
+// Guards against no choice while an upstream may still get the request, against one that must not get it, and against memory that
+// grows with the prompts.
+func TestBalancedChoiceLimits(t *testing.T) {
+	g := newBalancedGroup()
+	_, ok := g.Choose(startTime, Request{Parts: []PromptPart{{"system", 1}}})
+	must.False(t, ok)
+	g.Update(newGroup(3, 1).infos())
+	for _, id := range []string{"u0", "u1", "u2"} {
+		g.RecordUnreachable(startTime, id)
+	}
+	_, ok = g.Choose(startTime, Request{})
+	test.True(t, ok, test.Sprint("an ejected upstream is better than none"))
+	c := mustChoose(t, g, startTime, Request{Excluded: map[string]bool{"u0": true, "u1": true}})
+	test.EqOp(t, "u2", c.Upstream.ID)
+	g.RecordLeaving(c.Upstream)
+	_, ok = g.Choose(startTime, Request{Excluded: map[string]bool{"u0": true, "u1": true}})
+	test.False(t, ok)
+	for i := range maxHolders + 100 {
+		parts := []PromptPart{{fmt.Sprint("p", i), 1}}
+		g.balance.recordHolder(g.upstreams["u0"], parts)
+		g.balance.observe(startTime, appendPrefixHashes(nil, parts))
+	}
+	test.LessEq(t, maxDemands, len(g.balance.demands))
+	test.LessEq(t, maxHolders, len(g.balance.holders)+len(g.balance.olderHolders))
+	g.Update(nil)
+	test.MapEmpty(t, g.balance.olderHolders)
+	test.MapEmpty(t, g.balance.holders, test.Sprint("upstreams that are gone are not retained"))
+}
+
+// BenchmarkChooseBalanced measures a placement for many gateways among 57 and 600 upstreams.
+func BenchmarkChooseBalanced(b *testing.B) {
+	for _, n := range []int{57, 600} {
+		for _, balanced := range []bool{false, true} {
+			b.Run(fmt.Sprintf("upstreams=%d/balanced=%v", n, balanced), func(b *testing.B) {
+				g := newGroup(n, 8)
+				g.SetBalanced(balanced)
+				for i := range n {
+					g.RecordLoad(startTime, fmt.Sprint("u", i), Load{Running: i % 8, Slots: 8})
+				}
+				parts := make([][]PromptPart, 64)
+				for i := range parts {
+					parts[i] = []PromptPart{{fmt.Sprint("system", i%20), 12000}, {"tools", 2000}, {fmt.Sprint("session", i), 8000}, {"turn", 100}}
+				}
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					now := startTime.Add(time.Duration(i) * time.Millisecond)
+					g.Choose(now, Request{Parts: parts[i%64], TieBreak: float64(i%1024) / 1024})
+				}
+			})
+		}
+	}
+}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -70,6 +70,11 @@
 	ejectedUntil        time.Time
 	suspectedUntil      time.Time // Other VMs cannot reach it.
 	cachedPrefixes      prefixCache
+	failedUntil         time.Time // End of the last ejection that followed failures.
+	health              health
+	idHash              uint64 // Hash of the ID for the rendezvous order.
+	candidateOf         uint64 // Decision that compared the upstream last.
+	isNew               bool   // The process was listed after others and has not been compared yet.
 }
 
 // Choice is the selected upstream with the inputs of the decision.
@@ -90,6 +95,7 @@
 	ids           []string
 	prefixHashes  []uint64 // Scratch space for the prefixes of the prompt that is being placed.
 	meanServiceMS float64  // Moving average of the request duration in milliseconds.
+	balance       balancer
 }
 
 // processKey distinguishes the processes that have had the same ID.
@@ -112,7 +118,7 @@
 
 // NewGroup returns an empty group.
 func NewGroup(w Weights) *Group {
-	return &Group{weights: w, upstreams: map[string]*upstreamState{}, leaving: map[string]processKey{}, meanServiceMS: initialServiceMS}
+	return &Group{weights: w, upstreams: map[string]*upstreamState{}, leaving: map[string]processKey{}, meanServiceMS: initialServiceMS, balance: newBalancer()}
 }
 
 // Update replaces the list of upstreams. The state of an upstream is retained while its process and address are the same.
@@ -122,13 +128,14 @@
 	for _, info := range entries {
 		u, ok := g.upstreams[info.ID]
 		if !ok || u.info.processKey() != info.processKey() {
-			u = &upstreamState{}
+			u = &upstreamState{isNew: len(g.upstreams) > 0}
 		}
 		u.info = info
 		next[info.ID] = u
 		g.ids = append(g.ids, info.ID)
 	}
 	g.upstreams = next
+	g.balance.update(g)
 	// The entry of a leaving upstream may lapse and return, so that a missing entry alone does not end the exclusion.
 	for id, key := range g.leaving {
 		u, listed := next[id]
@@ -166,6 +173,9 @@
 // Choose returns the upstream with the lowest estimated cost, or false if no upstream is eligible. Ejected upstreams are
 // considered only if no other upstream is eligible.
 func (g *Group) Choose(now time.Time, r Request) (Choice, bool) {
+	if g.balance.enabled {
+		return g.chooseBalanced(now, r)
+	}
 	best := Choice{CostMS: math.Inf(1)}
 	found := false
 	g.prefixHashes = appendPrefixHashes(g.prefixHashes[:0], r.Parts)
@@ -277,11 +287,13 @@
 	}
 	u.inFlight++
 	u.cachedPrefixes.add(now, parts)
+	g.balance.recordHolder(u, parts)
 }
 
 // RecordLoad records a load that an upstream reported with a response.
 func (g *Group) RecordLoad(now time.Time, id string, l Load) {
 	if u, ok := g.upstreams[id]; ok {
+		u.observeLoad(l)
 		u.reportedLoad, u.reportedAt, u.inFlightAtReport = l, now, u.inFlight
 	}
 }
@@ -299,8 +311,12 @@
 	if u.inFlight > 0 {
 		u.inFlight--
 	}
+	keepsEjections := u.observeEnd(now, failed, float64(duration)/float64(time.Millisecond), g.meanServiceMS) && g.balance.enabled
 	if !failed {
-		u.consecutiveFailures, u.ejections = 0, 0
+		u.consecutiveFailures = 0
+		if !keepsEjections {
+			u.ejections = 0
+		}
 		u.suspectedUntil = time.Time{}
 		return
 	}
@@ -309,7 +325,7 @@
 		u.consecutiveFailures = 0
 		ejection := min(g.weights.InitialEjection<<min(u.ejections, 8), g.weights.MaxEjection)
 		u.ejections++
-		u.ejectedUntil = now.Add(ejection)
+		u.ejectedUntil, u.failedUntil = now.Add(ejection), now.Add(ejection)
 	}
 }
 
--- a/core/placement/suspicion.go
+++ b/core/placement/suspicion.go
@@ -76,6 +76,7 @@
 func (g *Group) Suspect(until time.Time, p Process) {
 	if u, ok := g.upstreams[p.ID]; ok && u.info.StartMillis == p.StartMillis && until.After(u.suspectedUntil) {
 		u.suspectedUntil = until
+		g.balance.lastSuspicion = laterOf(g.balance.lastSuspicion, until)
 	}
 }
 
