Limit the retries over all requests of a gateway

Cause: each request is sent up to eight times however many other requests are retried, so that an outage multiplies the load on the upstreams that are left.

Sends that reached no upstream, and the first rejection of a request, do not count. The same setting selects the placement for many gateways. Counter jackdawbay_upstream_retries_total, field retry_refused of the line "send".

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -61,7 +61,7 @@
 	g = gateway.New(gateway.Config{
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
-		ReportUnreachable: mirror.ReportUnreachable,
+		ReportUnreachable: mirror.ReportUnreachable, ManageOverload: p.site.ManageOverload,
 	})
 	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.ConnState()}
 	p.tree.Add(serverTask("callers", server, callers))
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -60,6 +60,7 @@
 	group, ok := g.byService[service]
 	if !ok {
 		group = placement.NewGroup(placement.DefaultWeights())
+		group.SetBalanced(g.cfg.ManageOverload)
 		g.byService[service] = group
 	}
 	return group
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -75,6 +75,9 @@
 	Metrics    *metrics.Set
 	CacheBytes int64 // Limit of the turns that are cached in memory.
 
+	// ManageOverload enables the queue, the retry budget and the placement for many gateways.
+	ManageOverload bool
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
@@ -94,6 +97,7 @@
 	settlements   chan settlement
 	stats         *stats
 	rejectedTurns *rejectedTurnLog
+	retries       retryBudget
 }
 
 // New returns a gateway. Run must be called for its background work.
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -33,7 +33,7 @@
 		resp.Discard()
 		return route.ResponseMissing // Callers would read the status as "not executed", which the upstream has not confirmed.
 	}
-	if !success && c.route.IsRepeatable() && c.canSendAgain() && c.canUseAnotherUpstream() && resp.StatusCode >= http.StatusInternalServerError {
+	if !success && c.route.IsRepeatable() && c.canSendAgain() && c.hasRetry() && c.canUseAnotherUpstream() && resp.StatusCode >= http.StatusInternalServerError {
 		resp.Discard()
 		return route.ResponseMissing
 	}
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -65,6 +65,11 @@
 	s.set.GetOrCreateCounter(`jackdawbay_turns_refused_total{cause="` + cause + `"}`).Inc()
 }
 
+// countRetry counts a retry that was made or that the retry budget refused.
+func (s *stats) countRetry(result string) {
+	s.set.GetOrCreateCounter(`jackdawbay_upstream_retries_total{result="` + result + `"}`).Inc()
+}
+
 // observeRequest counts a request and its duration, labelled with the kind and the priority of its route. These labels have
 // few values.
 func (s *stats) observeRequest(r *route.Route, outcome string, duration time.Duration) {
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -26,6 +26,7 @@
 
 // dispatch sends the request to upstreams until the caller has a response or an error.
 func (c *call) dispatch() {
+	c.g.retries.addRequest()
 	for {
 		if c.r.Context().Err() != nil {
 			c.abort("caller_gone")
@@ -36,7 +37,7 @@
 			return
 		}
 		outcome := c.send(upstream)
-		next := route.NextAction(c.route, outcome, c.canSendAgain())
+		next := c.limitRetries(outcome, route.NextAction(c.route, outcome, c.canSendAgain()))
 		c.logSend(upstream, outcome, next)
 		switch next {
 		case route.DeliverResponse:
@@ -215,5 +216,5 @@
 		return
 	}
 	c.g.cfg.Log.Info("send", "request", c.meta.RequestID, "upstream", u.ID, "outcome", o, "next", next, "sends", c.sendCount,
-		"events", c.stream.events, "left", time.Until(c.deadline))
+		"events", c.stream.events, "left", time.Until(c.deadline), "retry_refused", c.retryRefused)
 }
--- a/daemon/site/site.go
+++ b/daemon/site/site.go
@@ -24,6 +24,8 @@
 	ToleratedFailures int           // Number of VMs with a disk that may fail at the same time.
 	StopTimeout       time.Duration // Time between SIGTERM and SIGKILL.
 
+	ManageOverload bool // The deployment expects queueing, load shedding and a retry budget in gateways.
+
 	StoreAddress         string
 	StoreWritesPerSecond float64 // Max writes per second that the store accepts from all daemons together.
 	StoreReadsPerSecond  float64
