Tell when all upstreams that may get a request are full

Cause: the queue of a gateway needs to know when no upstream has room, and must not hold a request while one has.

Change: Choice.Full and FailingHasRoom, and a list of upstreams with room that is refreshed every 25 ms and extended as requests end.

--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -40,6 +40,16 @@
 	// within the lifetime of a prefix in an engine's cache.
 	maxDemands = 1024
 	maxHolders = 8192
+	// shortQueueShare is the number of waiting requests for each slot up to which an upstream gets further ones while others wait at
+	// the gateways. A slot that becomes free is used at once, while a report takes a round trip.
+	shortQueueShare = 0.25
+	// freeListMaxAge is the age up to which the list of upstreams with room is used again. Within it, upstreams are added as their
+	// requests end or as they report a load.
+	freeListMaxAge = 25 * time.Millisecond
+	// freeCandidates is the number of upstreams with room that a decision compares if the other candidates are full.
+	freeCandidates = 3
+	// maxUsableFailureRate is the failure rate above which an upstream gets no requests that could wait for another one.
+	maxUsableFailureRate = 0.25
 	// meanLoadMaxAge is the age up to which the mean load of all upstreams is used again.
 	meanLoadMaxAge = 10 * time.Millisecond
 )
@@ -82,6 +92,8 @@
 	olderHolders  map[uint64]*upstreamState // Holders that are forgotten next.
 	meanLoad      float64                   // Mean load of other daemons for each slot.
 	meanLoadAt    time.Time
+	free, failing []int32 // Upstreams that had room at freeAt or have changed since, without and with many failures.
+	freeAt        time.Time
 
 	homes, keys []rendezvousKey // Scratch space.
 	candidates  []candidate     // Scratch space.
@@ -108,9 +120,10 @@
 func (b *balancer) update(g *Group) {
 	b.list, b.slotSums = b.list[:0], b.slotSums[:0]
 	sum := 0
-	for _, id := range g.ids {
+	b.free, b.failing, b.freeAt = b.free[:0], b.failing[:0], time.Time{}
+	for i, id := range g.ids {
 		u := g.upstreams[id]
-		u.idHash = appendHash(fnvOffset, id)
+		u.idHash, u.index = appendHash(fnvOffset, id), int32(i)
 		b.list = append(b.list, u)
 		sum += max(u.info.Slots, 1)
 		b.slotSums = append(b.slotSums, sum)
@@ -169,12 +182,82 @@
 			best, found = other, true
 		}
 	}
+	if found && !best.Full {
+		return best, true
+	}
+	if other, ok := g.chooseFree(now, r, mean); ok {
+		return other, true
+	}
 	if !found {
-		return g.chooseFallback(now, r, mean)
+		best, found = g.chooseFallback(now, r, mean)
+	}
+	if best.Full {
+		best.FailingHasRoom = len(b.failing) > 0
 	}
 	return best, found
 }
 
+// chooseFree compares some of the upstreams with room.
+func (g *Group) chooseFree(now time.Time, r Request, mean float64) (Choice, bool) {
+	b := &g.balance
+	if b.freeAt.IsZero() || now.Sub(b.freeAt) > freeListMaxAge {
+		g.listFree(now, mean)
+	}
+	lists := [][]int32{b.free, b.failing}
+	if !r.UseFailing {
+		lists = lists[:1]
+	}
+	for _, list := range lists {
+		b.candidates = b.candidates[:0]
+		start := int(b.nextRandom() >> 1)
+		for i := 0; i < len(list) && len(b.candidates) < freeCandidates; i++ {
+			u := b.list[list[(start+i)%len(list)]]
+			if g.isEligible(now, r, u) && !g.isFull(now, u, mean) {
+				b.candidates = append(b.candidates, candidate{u: u})
+			}
+		}
+		if c, ok := g.cheapest(now, r, b.candidates, mean); ok {
+			return c, true
+		}
+	}
+	return Choice{}, false
+}
+
+// listFree lists the upstreams with room.
+func (g *Group) listFree(now time.Time, mean float64) {
+	b := &g.balance
+	b.free, b.failing, b.freeAt = b.free[:0], b.failing[:0], now
+	for i, u := range b.list {
+		switch {
+		case !g.isEligible(now, Request{}, u) || g.isFull(now, u, mean):
+		case u.currentFailureRate(now) > maxUsableFailureRate:
+			b.failing = append(b.failing, int32(i))
+		default:
+			b.free = append(b.free, int32(i))
+		}
+	}
+}
+
+// noteChange adds an upstream that may have room by now.
+func (b *balancer) noteChange(u *upstreamState) {
+	if !b.enabled || b.freeAt.IsZero() || len(b.free) >= 2*len(b.list) || int(u.index) >= len(b.list) || b.list[u.index] != u {
+		return
+	}
+	if u.health.failureRate <= maxUsableFailureRate {
+		b.free = append(b.free, u.index)
+	}
+}
+
+// isFull reports whether an upstream is estimated to have no free slot and no room in a short queue.
+func (g *Group) isFull(now time.Time, u *upstreamState, mean float64) bool {
+	slots := float64(max(u.info.Slots, 1))
+	return isFullAt(g.estimateLoad(now, u, u.usualLoad(now, mean)*slots), slots, u.expectedSlowdown(now))
+}
+
+func isFullAt(load, slots, slowdown float64) bool {
+	return load > slots-1+max(slots*shortQueueShare/max(slowdown, 1), 0.5)
+}
+
 // chooseFallback compares some of the upstreams that may get the request. Ejected upstreams are considered only if no other
 // upstream is eligible.
 func (g *Group) chooseFallback(now time.Time, r Request, mean float64) (Choice, bool) {
@@ -191,6 +274,9 @@
 			b.candidates = append(b.candidates, candidate{u: u})
 		}
 		if c, ok := g.cheapest(now, r, b.candidates, mean); ok {
+			// An upstream that has rejected a request because it was full is full until its ejection ends.
+			u := g.upstreams[c.Upstream.ID]
+			c.Full = c.Full || now.Before(u.ejectedUntil) && !now.Before(u.failedUntil)
 			return c, true
 		}
 	}
@@ -213,16 +299,20 @@
 // mayGet reports whether an upstream may get a request in the first place. An upstream in its slow start may get a share of the
 // requests.
 func (g *Group) mayGet(now time.Time, r Request, u *upstreamState) bool {
-	if u.info.Draining || now.Before(u.ejectedUntil) || g.balance.suspicion && now.Before(u.suspectedUntil) {
-		return false
-	}
-	if len(g.leaving) > 0 && g.isLeaving(u.info.ID) || len(r.Excluded) > 0 && r.Excluded[u.info.ID] {
+	if !g.isEligible(now, r, u) {
 		return false
 	}
 	share := u.slowStartShare(now)
 	return share >= 1 || uniform(mix(g.balance.random^u.idHash)) < share
 }
 
+func (g *Group) isEligible(now time.Time, r Request, u *upstreamState) bool {
+	if u.info.Draining || now.Before(u.ejectedUntil) || g.balance.suspicion && now.Before(u.suspectedUntil) {
+		return false
+	}
+	return (len(g.leaving) == 0 || !g.isLeaving(u.info.ID)) && (len(r.Excluded) == 0 || !r.Excluded[u.info.ID])
+}
+
 func (g *Group) addCandidate(now time.Time, r Request, u *upstreamState) {
 	if u.candidateOf != g.balance.decisions && g.mayGet(now, r, u) {
 		u.candidateOf = g.balance.decisions
@@ -416,6 +506,8 @@
 	}
 	slots := float64(max(u.info.Slots, 1))
 	c.EstimatedRunning = g.estimateLoad(now, u, u.usualLoad(now, mean)*slots)
+	slowdown := u.expectedSlowdown(now)
+	c.Full = isFullAt(c.EstimatedRunning, slots, slowdown)
 	work := g.meanServiceMS*(1+loadWeight*min(c.EstimatedRunning/slots, 1)) + float64(c.MissingTokens)/g.weights.PrefillTokensPerMS
 	if excess := c.EstimatedRunning - slots + 1; excess > 0 {
 		c.SlotsBusy = true
@@ -424,6 +516,6 @@
 	if u.info.WarmUpRemaining > 0 {
 		work += g.meanServiceMS
 	}
-	c.CostMS = float64(u.info.RoundTrip)/float64(time.Millisecond) + work*u.expectedSlowdown(now) + g.meanServiceMS*u.failureCost(now)
+	c.CostMS = float64(u.info.RoundTrip)/float64(time.Millisecond) + work*slowdown + g.meanServiceMS*u.failureCost(now)
 	return c
 }
--- a/core/placement/balance_test.go
+++ b/core/placement/balance_test.go
@@ -311,6 +311,61 @@
 	test.MapEmpty(t, g.balance.holders, test.Sprint("upstreams that are gone are not retained"))
 }
 
+// Load: all engines are full. Guards against a request that waits while an engine has a free slot, also one that is not among the
+// candidates, against a choice that hides that all are full, and against failing engines that get requests that could wait.
+func TestFullUpstreams(t *testing.T) {
+	g := newBalancedGroup()
+	g.Update(newGroup(57, 8).infos())
+	for _, id := range g.ids {
+		g.RecordLoad(startTime, id, Load{Running: 8, Waiting: 3, Slots: 8})
+	}
+	test.True(t, mustChoose(t, g, startTime, Request{}).Full)
+	g.RecordLoad(startTime, "u31", Load{Running: 7, Slots: 8})
+	for i := range 3 {
+		c := mustChoose(t, g, startTime, Request{})
+		must.EqOp(t, "u31", c.Upstream.ID)
+		test.False(t, c.Full)
+		g.RecordStart(startTime, c.Upstream.ID, nil)
+		must.LessEq(t, 9+i, int(c.EstimatedRunning))
+	}
+	c := mustChoose(t, g, startTime, Request{})
+	test.True(t, c.Full)
+	test.False(t, c.FailingHasRoom)
+	later := startTime.Add(20 * time.Millisecond)
+	for range 8 {
+		g.RecordEnd(later, "u7", true, 0)
+		g.upstreams["u7"].ejectedUntil = time.Time{}
+	}
+	g.upstreams["u7"].failedUntil = time.Time{}
+	g.RecordLoad(later, "u7", Load{Slots: 8})
+	c = mustChoose(t, g, later.Add(20*time.Millisecond), Request{})
+	test.True(t, c.Full)
+	test.True(t, c.FailingHasRoom)
+	c = mustChoose(t, g, later.Add(20*time.Millisecond), Request{UseFailing: true})
+	test.False(t, c.Full)
+	test.EqOp(t, "u7", c.Upstream.ID)
+}
+
+// Guards against a choice that is slow when all upstreams are full and the lists of those with room are used.
+func BenchmarkChooseFull(b *testing.B) {
+	for _, n := range []int{57, 600} {
+		b.Run(fmt.Sprint("upstreams=", n), func(b *testing.B) {
+			g := newGroup(n, 8)
+			g.SetBalanced(true)
+			for i := range n {
+				g.RecordLoad(startTime, fmt.Sprint("u", i), Load{Running: 8, Waiting: 5, Slots: 8})
+			}
+			parts := []PromptPart{{"system", 12000}, {"session", 8000}, {"turn", 100}}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now := startTime.Add(time.Duration(i) * time.Millisecond)
+				g.RecordLoad(now, g.ids[i%n], Load{Running: 8, Waiting: 5, Slots: 8})
+				g.Choose(now, Request{Parts: parts})
+			}
+		})
+	}
+}
+
 // BenchmarkChooseBalanced measures a placement for many gateways among 57 and 600 upstreams.
 func BenchmarkChooseBalanced(b *testing.B) {
 	for _, n := range []int{57, 600} {
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -98,17 +98,20 @@
 //
 // Load: an upstream that fails 0.45 of its requests while its health check passes. Its successes end each series of failures.
 func (u *upstreamState) failureCost(now time.Time) float64 {
-	h := &u.health
-	if h.failureRate == 0 {
-		return 0
-	}
-	rate := min(h.failureRate*halfLives(now.Sub(h.failureRateAt), failureHalfLife), maxFailureRate)
+	rate := min(u.currentFailureRate(now), maxFailureRate)
 	if rate < minFailureRate {
 		return 0
 	}
 	return failurePenalty * rate / (1 - rate)
 }
 
+func (u *upstreamState) currentFailureRate(now time.Time) float64 {
+	if u.health.failureRate == 0 {
+		return 0
+	}
+	return u.health.failureRate * halfLives(now.Sub(u.health.failureRateAt), failureHalfLife)
+}
+
 // observeEnd records the result of a request. It reports whether the next ejection is to be as long as the last one: an upstream
 // that failed lately has not recovered with one success.
 //
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -50,7 +50,9 @@
 type Request struct {
 	Parts    []PromptPart
 	Excluded map[string]bool // IDs of upstreams that have failed or rejected this request.
-	TieBreak float64         // Value from 0 to 1 that spreads requests of several daemons over upstreams of equal cost.
+	// UseFailing allows upstreams that fail many of their requests if all others are full.
+	UseFailing bool
+	TieBreak   float64 // Value from 0 to 1 that spreads requests of several daemons over upstreams of equal cost.
 }
 
 // Load is the load that an upstream reported.
@@ -73,6 +75,7 @@
 	failedUntil         time.Time // End of the last ejection that followed failures.
 	health              health
 	idHash              uint64 // Hash of the ID for the rendezvous order.
+	index               int32  // Position in the list of the group.
 	candidateOf         uint64 // Decision that compared the upstream last.
 	isNew               bool   // The process was listed after others and has not been compared yet.
 }
@@ -85,6 +88,12 @@
 	MissingTokens    int64         // Estimated prompt tokens that the upstream has not cached.
 	CostMS           float64
 	SlotsBusy        bool // All slots are estimated to be busy.
+
+	// Full states that all upstreams that may get the request are estimated to have no free slot and no room in a short queue.
+	// Only set by the placement for many gateways.
+	Full bool
+	// FailingHasRoom states, if Full is set, that an upstream that fails many of its requests has room.
+	FailingHasRoom bool
 }
 
 // Group is the set of upstreams of one service. It is not safe for concurrent use.
@@ -295,6 +304,7 @@
 	if u, ok := g.upstreams[id]; ok {
 		u.observeLoad(l)
 		u.reportedLoad, u.reportedAt, u.inFlightAtReport = l, now, u.inFlight
+		g.balance.noteChange(u)
 	}
 }
 
@@ -311,6 +321,7 @@
 	if u.inFlight > 0 {
 		u.inFlight--
 	}
+	g.balance.noteChange(u)
 	keepsEjections := u.observeEnd(now, failed, float64(duration)/float64(time.Millisecond), g.meanServiceMS) && g.balance.enabled
 	if !failed {
 		u.consecutiveFailures = 0
