--- a/core/schedule/dispatcher.go
+++ b/core/schedule/dispatcher.go
@@ -97,7 +97,7 @@
 	timers          timerHeap // Expiry of grants and of waits for an engine.
 	programs        programTable
 	classes         map[string]*classState
-	tenants         tenantShares
+	tenants         Shares
 	seq             uint64    // Arrival number of the last ticket.
 	keyEpoch        time.Time // Time origin of the queue keys.
 	meanSlotSeconds float64   // Moving average over all engines, in seconds.
--- a/core/schedule/order.go
+++ b/core/schedule/order.go
@@ -41,7 +41,7 @@
 		weight = 1
 	}
 	penalty := basePenaltySeconds + d.cfg.ServicePenalty*math.Log2(1+it.root.attainedService/d.cfg.ServiceUnit)
-	penalty += tenantPenaltySeconds * d.tenants.shareExcess(it.Tenant)
+	penalty += tenantPenaltySeconds * d.tenants.Excess(it.Tenant)
 	key := arrival*ageing + penalty/weight
 	if it.Deadline.IsZero() {
 		return key
@@ -71,8 +71,8 @@
 // callContextTokens estimates the engine memory in tokens that a call needs.
 func (it *item) callContextTokens() int64 { return it.PromptTokens + int64(it.expectedOutputTokens()) }
 
-// tenantShares tracks the engine work of each tenant with exponential decay.
-type tenantShares struct {
+// Shares tracks the engine work of each tenant with exponential decay. The zero value is not usable; see NewShares.
+type Shares struct {
 	work        map[string]float64
 	weights     map[string]float64
 	totalWork   float64
@@ -86,19 +86,26 @@
 // negligibleWork is the decayed work, in prefill tokens, below which a tenant counts as idle.
 const negligibleWork = 100.0
 
-func (s *tenantShares) init() {
+// NewShares returns shares of equal weights.
+func NewShares() *Shares {
+	s := &Shares{}
+	s.init()
+	return s
+}
+
+func (s *Shares) init() {
 	s.work = map[string]float64{}
 	s.weights = map[string]float64{}
 }
 
-func (s *tenantShares) weightOf(tenant string) float64 {
+func (s *Shares) weightOf(tenant string) float64 {
 	if w := s.weights[tenant]; w > 0 {
 		return w
 	}
 	return 1
 }
 
-func (s *tenantShares) setWeight(tenant string, weight float64) {
+func (s *Shares) setWeight(tenant string, weight float64) {
 	if _, ok := s.work[tenant]; ok {
 		s.totalWeight -= s.weightOf(tenant)
 		defer func() { s.totalWeight += s.weightOf(tenant) }()
@@ -110,7 +117,8 @@
 	s.weights[tenant] = weight
 }
 
-func (s *tenantShares) add(now time.Time, tenant string, work float64) {
+// Add adds work of a tenant, in prefill tokens or in milliseconds of a slot.
+func (s *Shares) Add(now time.Time, tenant string, work float64) {
 	s.decay(now)
 	if _, ok := s.work[tenant]; !ok {
 		s.totalWeight += s.weightOf(tenant)
@@ -120,7 +128,7 @@
 }
 
 // decay halves the work of all tenants for each half-life that has elapsed.
-func (s *tenantShares) decay(now time.Time) {
+func (s *Shares) decay(now time.Time) {
 	if s.decayedAt.IsZero() {
 		s.decayedAt = now
 	}
@@ -133,7 +141,7 @@
 	}
 }
 
-func (s *tenantShares) halve() {
+func (s *Shares) halve() {
 	s.totalWork = 0
 	for tenant, tenantWork := range s.work {
 		tenantWork /= 2
@@ -149,8 +157,8 @@
 	}
 }
 
-// shareExcess returns by how much a tenant exceeds its share: 0 at or below the share, 1 at twice the share.
-func (s *tenantShares) shareExcess(tenant string) float64 {
+// Excess returns by how much a tenant exceeds its share: 0 at or below the share, 1 at twice the share.
+func (s *Shares) Excess(tenant string) float64 {
 	tenantWork := s.work[tenant]
 	if tenantWork == 0 || len(s.work) < 2 {
 		return 0
--- a/core/schedule/release.go
+++ b/core/schedule/release.go
@@ -68,7 +68,7 @@
 	p, e := it.program, it.engine
 	work := float64(usage.PromptTokens-usage.CachedTokens) + decodeWeight*float64(usage.CompletionTokens)
 	it.root.attainedService += work
-	d.tenants.add(now, it.Tenant, work)
+	d.tenants.Add(now, it.Tenant, work)
 	it.class.meanOutputTokens = movingAverage(it.class.meanOutputTokens, float64(usage.CompletionTokens))
 	slotSeconds := now.Sub(it.grantedAt).Seconds()
 	it.class.meanContextTokens = movingAverage(it.class.meanContextTokens, float64(usage.PromptTokens+usage.CompletionTokens))
