Queue requests in the gateway while all upstreams are full

Cause: a request is sent to an upstream also if all are full, where it waits in arrival order or is rejected, up to six times.

Change: where the settings list the contract "pressure", a request for which no upstream has room waits in the queue of core/admission, or is rejected at once with 503 Overloaded and a Retry-After. They notice a caller that left and a stop. Metrics jackdawbay_admission_waiting, _wait_seconds, _overdue_total and _rejections_total; fields position, expected_wait, slack, waited, overdue, not_admitted and retry_after of the line "request". Without the contract, calls are as before (TestNoQueueWhileUpstreamsHaveRoom and the existing tests of the gateway, which are unchanged).

--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -164,7 +164,9 @@
 	b.suspicion = now.Before(b.lastSuspicion) && g.honoursSuspicions(now)
 	g.prefixHashes = appendPrefixHashes(g.prefixHashes[:0], r.Parts)
 	b.candidates = b.candidates[:0]
-	b.observe(now, g.prefixHashes)
+	if !r.Counted {
+		b.observe(now, g.prefixHashes)
+	}
 	g.addHomes(now, r)
 	for i := len(g.prefixHashes) - 1; i >= 0; i-- {
 		if u := b.holder(g.prefixHashes[i]); u != nil {
@@ -382,6 +384,9 @@
 	}
 	b.homes = b.homes[:0]
 	first := b.demands[hashes[0]]
+	if first == nil {
+		return
+	}
 	if first.epoch != b.epoch {
 		first.order, first.epoch = b.rendezvousOrder(first.order[:0], hashes[0]), b.epoch
 	}
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -50,6 +50,8 @@
 type Request struct {
 	Parts    []PromptPart
 	Excluded map[string]bool // IDs of upstreams that have failed or rejected this request.
+	// Counted states that an earlier decision has counted the request in the demand for its prompt.
+	Counted bool
 	// UseFailing allows upstreams that fail many of their requests if all others are full.
 	UseFailing bool
 	TieBreak   float64 // Value from 0 to 1 that spreads requests of several daemons over upstreams of equal cost.
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -54,8 +54,9 @@
 	quorumFailure   *quorum.Failure // Set if the charge and the history found no quorum.
 
 	buffer         responseBuffer // Memory of the buffered response.
-	retryRefused   bool           // The retry budget did not allow another send.
-	bufferExceeded bool           // The last response exceeded the buffer limits. The request is not sent to its upstream again.
+	admission      admissionResult
+	retryRefused   bool // The retry budget did not allow another send.
+	bufferExceeded bool // The last response exceeded the buffer limits. The request is not sent to its upstream again.
 	stream         streamState
 	headWritten    bool
 	status         int
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -25,10 +25,11 @@
 	byService  map[string]*placement.Group
 	roundTrips map[string]time.Duration // Measured round trips by data centre.
 	current    *catalog.Upstreams
+	queues     map[string]*serviceQueue // Requests that wait for an upstream, by service.
 }
 
 func newUpstreamGroups(cfg Config) *upstreamGroups {
-	return &upstreamGroups{cfg: cfg, byService: map[string]*placement.Group{}, roundTrips: map[string]time.Duration{}, current: &catalog.Upstreams{}}
+	return &upstreamGroups{cfg: cfg, byService: map[string]*placement.Group{}, roundTrips: map[string]time.Duration{}, current: &catalog.Upstreams{}, queues: map[string]*serviceQueue{}}
 }
 
 func (g *upstreamGroups) update(u *catalog.Upstreams) {
@@ -36,6 +37,7 @@
 	defer g.mu.Unlock()
 	g.current = u
 	g.rebuild()
+	g.admitAll(time.Now())
 }
 
 func (g *upstreamGroups) rebuild() {
@@ -60,7 +62,6 @@
 	group, ok := g.byService[service]
 	if !ok {
 		group = placement.NewGroup(placement.DefaultWeights())
-		group.SetBalanced(g.cfg.ManageOverload)
 		g.byService[service] = group
 	}
 	return group
@@ -105,13 +106,22 @@
 	defer g.mu.Unlock()
 	now := time.Now()
 	group := g.group(service)
+	group.SetBalanced(g.cfg.managesOverload())
 	c, ok := group.Choose(now, r)
 	if ok {
-		group.RecordStart(now, c.Upstream.ID, r.Parts)
+		g.start(now, service, c.Upstream.ID, r.Parts, "")
 	}
 	return c, ok
 }
 
+// start counts a request at an upstream.
+func (g *upstreamGroups) start(now time.Time, service, upstream string, parts []placement.PromptPart, organisation string) {
+	g.group(service).RecordStart(now, upstream, parts)
+	if g.cfg.managesOverload() {
+		g.queue(service).RecordStart(now, organisation)
+	}
+}
+
 // recordRepeat counts another request at an upstream that was chosen before. It reports false if that one no longer accepts
 // requests.
 func (g *upstreamGroups) recordRepeat(service string, u placement.Upstream, parts []placement.PromptPart) bool {
@@ -121,14 +131,19 @@
 	if !group.AcceptsRepeat(u) {
 		return false
 	}
-	group.RecordStart(time.Now(), u.ID, parts)
+	g.start(time.Now(), service, u.ID, parts, "")
 	return true
 }
 
 func (g *upstreamGroups) recordLoad(service, upstream string, l placement.Load) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.group(service).RecordLoad(time.Now(), upstream, l)
+	now := time.Now()
+	g.group(service).RecordLoad(now, upstream, l)
+	if q, ok := g.queues[service]; ok {
+		q.RecordReport(now)
+		g.admit(now, service, q)
+	}
 }
 
 // recordLeaving excludes an upstream that leaves from new requests. It reports whether that was not known.
@@ -141,13 +156,20 @@
 func (g *upstreamGroups) recordEnd(service, upstream string, failed bool, duration time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.group(service).RecordEnd(time.Now(), upstream, failed, duration)
+	now := time.Now()
+	g.group(service).RecordEnd(now, upstream, failed, duration)
+	if failed {
+		duration = 0
+	}
+	g.admitAfterEnd(now, service, duration)
 }
 
 // recordUnreachable counts the end of a request to an upstream that could not be reached, and reports it to other VMs.
 func (g *upstreamGroups) recordUnreachable(service string, u placement.Upstream) {
 	g.mu.Lock()
-	g.group(service).RecordUnreachable(time.Now(), u.ID)
+	now := time.Now()
+	g.group(service).RecordUnreachable(now, u.ID)
+	g.admitAfterEnd(now, service, 0)
 	g.mu.Unlock()
 	if g.cfg.ReportUnreachable != nil {
 		g.cfg.ReportUnreachable(placement.Process{ID: u.ID, StartMillis: u.StartMillis})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -88,7 +89,9 @@
 	stopDeadline  atomic.Pointer[time.Time] // Time by which every request must have its response. Set by Stop.
 	stopped       context.Context           // Ends at the stop deadline.
 	endRequests   context.CancelFunc        // Ends stopped.
-	lastQuorumAt  atomic.Int64              // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
+	stopping      chan struct{}             // Closed by Stop.
+	closeStopping sync.Once
+	lastQuorumAt  atomic.Int64 // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
 	inFlight      atomic.Int64
 	lastActivity  atomic.Int64 // Start or end of the last request in Unix nanoseconds.
 	upstreams     *upstreamGroups
@@ -110,6 +113,7 @@
 		stats:         newStats(cfg.Metrics),
 		rejectedTurns: newRejectedTurnLog(cfg.Log),
 	}
+	g.stopping = make(chan struct{})
 	g.stopped, g.endRequests = context.WithCancel(context.Background())
 	g.lastActivity.Store(time.Now().UnixNano())
 	return g
@@ -142,6 +146,7 @@
 // deadline. A new request whose own deadline is later is rejected. One that is in flight then gets an error response.
 func (g *Gateway) Stop(deadline time.Time) {
 	g.stopDeadline.Store(&deadline)
+	g.closeStopping.Do(func() { close(g.stopping) })
 	time.AfterFunc(time.Until(deadline), g.endRequests)
 }
 
--- a/daemon/gateway/reject.go
+++ b/daemon/gateway/reject.go
@@ -39,10 +39,11 @@
 	if c.route != nil {
 		name = c.route.Name
 	}
-	c.g.cfg.Log.Info("request", "request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.configVersion,
+	attrs := []any{"request", c.meta.RequestID, "program", c.meta.Program, "route", name, "version", c.configVersion,
 		"upstream", c.choice.Upstream.ID, "running", int(c.choice.EstimatedRunning), "report_age", c.choice.ReportAge.Round(time.Millisecond),
 		"missing", c.choice.MissingTokens, "sends", c.sendCount, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
-		"begin", c.beginDuration.Round(time.Millisecond), "keep", c.storeDuration.Round(time.Millisecond), "first", c.timeToFirstByte.Round(time.Millisecond), "took", duration.Round(time.Millisecond))
+		"begin", c.beginDuration.Round(time.Millisecond), "keep", c.storeDuration.Round(time.Millisecond), "first", c.timeToFirstByte.Round(time.Millisecond), "took", duration.Round(time.Millisecond)}
+	c.g.cfg.Log.Info("request", append(attrs, c.admission.logAttrs()...)...)
 }
 
 // Limits of the log lines of rejected turns.
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/admission"
 	"jackdawbay.dev/core/route"
 )
 
@@ -54,10 +55,14 @@
 type stats struct {
 	set                *metrics.Set
 	settlementsDropped *metrics.Counter
+	waiting            *metrics.Gauge // Requests in the queues for upstreams.
 }
 
 func newStats(set *metrics.Set) *stats {
-	return &stats{set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total")}
+	return &stats{
+		set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total"),
+		waiting: set.GetOrCreateGauge("jackdawbay_admission_waiting", nil),
+	}
 }
 
 // countRejectedTurn counts a turn that was rejected because its charge or its history found no quorum.
@@ -70,6 +75,19 @@
 	s.set.GetOrCreateCounter(`jackdawbay_upstream_retries_total{result="` + result + `"}`).Inc()
 }
 
+// observeWait records the time for which a request waited for an upstream.
+func (s *stats) observeWait(class string, waited time.Duration, overdue bool) {
+	s.set.GetOrCreateHistogram(`jackdawbay_admission_wait_seconds{class="` + class + `"}`).Update(waited.Seconds())
+	if overdue {
+		s.set.GetOrCreateCounter(`jackdawbay_admission_overdue_total`).Inc()
+	}
+}
+
+// countNotAdmitted counts a request that was rejected because it could not be served in time.
+func (s *stats) countNotAdmitted(cause admission.Cause) {
+	s.set.GetOrCreateCounter(`jackdawbay_admission_rejections_total{cause="` + string(cause) + `"}`).Inc()
+}
+
 // observeRequest counts a request and its duration, labelled with the kind and the priority of its route. These labels have
 // few values.
 func (s *stats) observeRequest(r *route.Route, outcome string, duration time.Duration) {
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -70,7 +70,7 @@
 			return placement.Upstream{}, false
 		}
 	}
-	choice, ok := c.g.upstreams.choose(c.service, placement.Request{
+	choice, ok := c.chooseOrWait(placement.Request{
 		Parts:    c.meta.Prompt,
 		Excluded: c.excluded,
 		TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024,
@@ -189,6 +189,9 @@
 
 // respondNoUpstream sends the error response for a request that no upstream accepted.
 func (c *call) respondNoUpstream() {
+	if c.respondNotAdmitted() {
+		return
+	}
 	if len(c.mayHaveRun) > 0 {
 		c.respondResponseLost()
 		return
