Measure the choice of an upstream with the queue

Cause: the queue must add no delay while upstreams have room, and the line "send" must be as before without the contract.

Change: a benchmark, and the field retry_refused only where it is true.

Tests of core/admission, core/schedule, daemon/gateway and platform with -race pass.

--- a/daemon/gateway/admission_test.go
+++ b/daemon/gateway/admission_test.go
@@ -291,3 +291,30 @@
 		}
 	}
 }
+
+// BenchmarkChooseOrWait measures the choice of an upstream with and without the queue, while upstreams have room.
+func BenchmarkChooseOrWait(b *testing.B) {
+	for _, managed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("managed=%v", managed), func(b *testing.B) {
+			g := newFaultGateway()
+			g.cfg.ManageOverload = managed
+			g.upstreams.cfg = g.cfg
+			list := &catalog.Upstreams{ByService: map[string][]catalog.Upstream{}, ByID: map[string]catalog.Upstream{}}
+			for i := range 57 {
+				u := catalog.Upstream{ID: fmt.Sprint("u", i), Service: "s", Address: fmt.Sprint("127.0.0.1:", i+1), Slots: 8, StartMillis: 1}
+				list.ByService["s"], list.ByID[u.ID] = append(list.ByService["s"], u), u
+			}
+			g.upstreams.update(list)
+			for i := range 57 {
+				g.upstreams.recordLoad("s", fmt.Sprint("u", i), placement.Load{Running: i % 7, Slots: 8})
+			}
+			c := newQueuedCall(g, b.Context(), &route.Route{Kind: route.Idempotent}, "r", time.Hour)
+			parts := []placement.PromptPart{{ID: "system", Tokens: 8000}, {ID: "session", Tokens: 2000}}
+			b.ReportAllocs()
+			for b.Loop() {
+				choice, _ := c.chooseOrWait(placement.Request{Parts: parts})
+				g.upstreams.recordEnd("s", choice.Upstream.ID, false, 100*time.Millisecond)
+			}
+		})
+	}
+}
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -218,6 +218,10 @@
 	if o == route.ResponseComplete {
 		return
 	}
-	c.g.cfg.Log.Info("send", "request", c.meta.RequestID, "upstream", u.ID, "outcome", o, "next", next, "sends", c.sendCount,
-		"events", c.stream.events, "left", time.Until(c.deadline), "retry_refused", c.retryRefused)
+	attrs := []any{"request", c.meta.RequestID, "upstream", u.ID, "outcome", o, "next", next, "sends", c.sendCount,
+		"events", c.stream.events, "left", time.Until(c.deadline)}
+	if c.retryRefused {
+		attrs = append(attrs, "retry_refused", true)
+	}
+	c.g.cfg.Log.Info("send", attrs...)
 }
