--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -73,7 +73,7 @@
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
 		ReportUnreachable: mirror.ReportUnreachable, SecondAttemptShare: p.flags.SecondAttemptsPercent / 100,
-		Limiter: limiter, UnitLifetime: unitLifetime,
+		Limiter: limiter, UnitLifetime: unitLifetime, ManageOverload: p.site.ManageOverload,
 	})
 	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.ConnState()}
 	p.tree.Add(serverTask("callers", server, callers))
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -84,6 +85,9 @@
 	Limiter      Limiter       // Enforces the limits of organisations; nil for none.
 	UnitLifetime time.Duration // Time after which a request that was not sent needs another unit.
 
+	// ManageOverload enables the queue, the retry budget and the placement for many gateways.
+	ManageOverload bool
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
@@ -94,7 +98,9 @@
 	stopDeadline  atomic.Pointer[time.Time] // Time by which every request must have its response. Set by Stop.
 	stopped       context.Context           // Ends at the stop deadline.
 	endRequests   context.CancelFunc        // Ends stopped.
-	lastQuorumAt  atomic.Int64              // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
+	stopping      chan struct{}             // Closed by Stop.
+	closeStopping sync.Once
+	lastQuorumAt  atomic.Int64 // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
 	inFlight      atomic.Int64
 	lastActivity  atomic.Int64 // Start or end of the last request in Unix nanoseconds.
 	upstreams     *upstreamGroups
@@ -104,6 +110,7 @@
 	stats         *stats
 	rejectedTurns *rejectedTurnLog
 	seconds       *secondAttempts
+	retries       retryBudget
 }
 
 // New returns a gateway. Run must be called for its background work.
@@ -117,6 +124,7 @@
 		rejectedTurns: newRejectedTurnLog(cfg.Log),
 		seconds:       newSecondAttempts(cfg),
 	}
+	g.stopping = make(chan struct{})
 	g.stopped, g.endRequests = context.WithCancel(context.Background())
 	g.lastActivity.Store(time.Now().UnixNano())
 	return g
@@ -149,6 +157,7 @@
 // deadline. A new request whose own deadline is later is rejected. One that is in flight then gets an error response.
 func (g *Gateway) Stop(deadline time.Time) {
 	g.stopDeadline.Store(&deadline)
+	g.closeStopping.Do(func() { close(g.stopping) })
 	time.AfterFunc(time.Until(deadline), g.endRequests)
 }
 
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -27,6 +27,7 @@
 
 // dispatch sends the request to upstreams until the caller has a response or an error.
 func (c *call) dispatch() {
+	c.g.retries.addRequest()
 	for {
 		if c.r.Context().Err() != nil {
 			c.abort("caller_gone")
@@ -40,7 +41,7 @@
 			return
 		}
 		outcome := c.send(upstream)
-		next := route.NextAction(c.route, outcome, c.canSendAgain())
+		next := c.limitRetries(outcome, route.NextAction(c.route, outcome, c.canSendAgain()))
 		c.logSend(upstream, outcome, next)
 		switch next {
 		case route.DeliverResponse:
@@ -73,7 +74,7 @@
 			return placement.Upstream{}, false
 		}
 	}
-	choice, ok := c.g.upstreams.choose(c.service, placement.Request{
+	choice, ok := c.chooseOrWait(placement.Request{
 		Parts:    c.meta.Prompt,
 		Excluded: c.excluded,
 		TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024,
@@ -252,6 +253,9 @@
 
 // respondNoUpstream sends the error response for a request that no upstream accepted.
 func (c *call) respondNoUpstream() {
+	if c.respondNotAdmitted() {
+		return
+	}
 	if len(c.mayHaveRun) > 0 {
 		c.respondResponseLost()
 		return
@@ -278,6 +282,10 @@
 	if o == route.ResponseComplete {
 		return
 	}
-	c.g.cfg.Log.Info("send", "request", c.meta.RequestID, "upstream", u.ID, "outcome", o, "next", next, "sends", c.sendCount,
-		"events", c.stream.events, "left", time.Until(c.deadline))
+	attrs := []any{"request", c.meta.RequestID, "upstream", u.ID, "outcome", o, "next", next, "sends", c.sendCount,
+		"events", c.stream.events, "left", time.Until(c.deadline)}
+	if c.retryRefused {
+		attrs = append(attrs, "retry_refused", true)
+	}
+	c.g.cfg.Log.Info("send", attrs...)
 }
