--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -56,7 +56,10 @@
 	RetainS             float64
 	MaxAttempts         map[string]int // The attempts setting of a route, by path; overrides the default.
 	TimeoutMS           int
-	UseRelays           bool // Runs a relay in front of each upstream and replica, and between each VM and the store.
+	MemoryMB            int   // The memoryMb setting of every VM; 200 if zero.
+	MaxFDs              int   // The maxFds setting of every VM; 1000 if zero.
+	MaxBodyBytes        int64 // The maxBodyBytes setting of the configuration; 1 MiB if zero.
+	UseRelays           bool  // Runs a relay in front of each upstream and replica, and between each VM and the store.
 }
 
 // VM is one VM of the deployment and its process.
@@ -229,6 +232,10 @@
 	if timeout == 0 {
 		timeout = 3000
 	}
+	maxBodyBytes := d.Options.MaxBodyBytes
+	if maxBodyBytes == 0 {
+		maxBodyBytes = 1 << 20
+	}
 	maxAttempts := func(path string, defaultValue int) int {
 		if n, ok := d.Options.MaxAttempts[path]; ok {
 			return n
@@ -260,7 +267,7 @@
 			{"name": EngineService, "healthPath": "/health", "maxConns": 100, "engine": map[string]any{"slots": 8, "tokensPerEvent": TokensPerEvent}},
 			{"name": PlainService, "healthPath": "/health", "maxConns": 100},
 		},
-		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"limits": map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
 	return version
 }
@@ -390,13 +397,20 @@
 	if grace == 0 {
 		grace = 8
 	}
+	memoryMB, maxFDs := d.Options.MemoryMB, d.Options.MaxFDs
+	if memoryMB == 0 {
+		memoryMB = 200
+	}
+	if maxFDs == 0 {
+		maxFDs = 1000
+	}
 	store := d.Store.Addr()
 	if vm.StoreRelay != nil {
 		store = vm.StoreRelay.Addresses()[0]
 	}
 	settings := map[string]any{
 		"node": vm.Name, "role": vm.Role, "ip": vm.IP, "zone": vm.Zone, "region": zones[vm.Zone], "zones": zones,
-		"portRange": []int{vm.PortBase, vm.PortBase + 15}, "limits": map[string]any{"memoryMb": 200, "maxFds": 1000},
+		"portRange": []int{vm.PortBase, vm.PortBase + 15}, "limits": map[string]any{"memoryMb": memoryMB, "maxFds": maxFDs},
 		"tolerate": map[string]any{"machines": d.Options.ToleratedVMFailures}, "bounds": map[string]any{"graceS": grace},
 		"platform": map[string]any{"addr": store, "writesPerS": 400, "readsPerS": 2000},
 		"notKnown": "ignored",
