Keep request bodies and connections within the memory and descriptors of a VM

Every client could make a gateway or a replica hold a body of legal size for as long as it liked; io.ReadAll held it up to twice, and the history of a turn was copied in front of it. 64 such clients took 371 MB of a VM with 112 MB.

One account per process, derived from the memory in the settings, now counts bodies, histories, buffered responses and the overhead of requests. Bodies are read in pieces of 32 KB that are reserved as bytes arrive and are sent to the upstream without being joined. When memory is short, clients that have stopped sending give way, and a body that cannot be held gets 503 overloaded; a body over the limit gets 413 before it is read if it announces its length, and a body without progress 408. Small requests have a reserved part. A gateway disconnects callers that do not read. Connections are limited to three quarters of maxFds; those without a whole request head give way first.

--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -41,6 +41,7 @@
 	InvalidValue           Kind = "invalid_value"
 	BadHeader              Kind = "bad_header"
 	BodyTooLarge           Kind = "body_too_large"
+	BodyTimeout            Kind = "body_timeout"
 	Unauthenticated        Kind = "unauthenticated"
 	PathNotFound           Kind = "path_not_found"
 	MethodNotAllowed       Kind = "method_not_allowed"
@@ -104,6 +105,7 @@
 	WrongType:              {http.StatusBadRequest, NotRunTrue, RetryNever, "A field of the body has the wrong type."},
 	InvalidValue:           {http.StatusBadRequest, NotRunTrue, RetryNever, "A field of the body has a value that is not allowed."},
 	BadHeader:              {http.StatusBadRequest, NotRunTrue, RetryNever, "A header cannot be parsed."},
+	BodyTimeout:            {http.StatusRequestTimeout, NotRunTrue, RetrySame, "The body did not arrive in time."},
 	BodyTooLarge:           {http.StatusRequestEntityTooLarge, NotRunTrue, RetryNever, "The body is larger than allowed."},
 	Unauthenticated:        {http.StatusUnauthorized, NotRunTrue, RetryNever, "The bearer key is missing or unknown."},
 	PathNotFound:           {http.StatusNotFound, NotRunTrue, RetryNever, "The path does not exist."},
--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -22,7 +22,6 @@
 const (
 	upstreamDialTimeout = 500 * time.Millisecond
 	maxIdlePerUpstream  = 16
-	headerTimeout       = 10 * time.Second // The configuration sets a shorter timeout for callers.
 	maxHeaderBytes      = 64 << 10
 	// drainDuration is the time for which a stopping gateway still accepts requests. The balancer removes a gateway after two
 	// failed readiness checks, one second apart.
@@ -61,11 +60,12 @@
 	g = gateway.New(gateway.Config{
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
-		ReportUnreachable: mirror.ReportUnreachable,
+		ReportUnreachable: mirror.ReportUnreachable, Intake: p.intake, WriteTimeout: p.flags.WriteTimeout,
 	})
-	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.ConnState()}
+	server := p.newServer(g)
+	server.MaxHeaderBytes, server.ConnState = maxHeaderBytes, p.limitConnections(g.ConnState())
 	p.tree.Add(serverTask("callers", server, callers))
-	p.tree.Add(serverTask("ready", &http.Server{Handler: readyHandler(g, p), ReadHeaderTimeout: headerTimeout}, ready))
+	p.tree.Add(serverTask("ready", p.newServer(readyHandler(g, p)), ready))
 	p.tree.Add(supervisedTask{"configuration", cat.FollowConfig})
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
 	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -35,6 +36,13 @@
 	LogLevel   string `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
 	Advertise  string `help:"Address at which others reach the replica listener. Default: the listener." env:"JACKDAWBAY_ADVERTISE"`
 	CacheBytes int64  `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
+	// The defaults of the timeouts are longer than the limits that the users' configurations set for callers, so that only
+	// clients outside of those limits meet them.
+	HeaderTimeout  time.Duration `help:"Time within which a client sends the head of a request." default:"10s" env:"JACKDAWBAY_HEADER_TIMEOUT"`
+	BodyTimeout    time.Duration `help:"Time without a byte of a request body after which it is ended." default:"10s" env:"JACKDAWBAY_BODY_TIMEOUT"`
+	WriteTimeout   time.Duration `help:"Time within which a caller of a gateway takes the next 256 KB of its response." default:"20s" env:"JACKDAWBAY_WRITE_TIMEOUT"`
+	MaxConnections int           `help:"Connections of clients at most; 0 for three quarters of the file descriptors in the settings file." default:"0" env:"JACKDAWBAY_MAX_CONNECTIONS"`
+	RequestMemory  int64         `help:"Bytes that requests and responses may hold; 0 for a share of the memory in the settings file." default:"0" env:"JACKDAWBAY_REQUEST_MEMORY"`
 	// MetricsPort is for monitoring systems that use one port for all VMs. The ports in the settings file differ by
 	// deployment.
 	MetricsPort uint16 `help:"Port at which /metrics is served besides the role's own listener; 0 for none." default:"0" env:"JACKDAWBAY_METRICS_PORT"`
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return err
 	}
+	server.LimitBodies(p.intake)
 	address := p.flags.Advertise
 	if address == "" {
 		address = p.site.ReplicaListen
@@ -62,8 +63,10 @@
 	p.tree.Add(supervisedTask{"relay", relays.Run})
 	p.tree.Add(supervisedTask{"watchers", members.RunWatchers})
 	p.tree.Add(supervisedTask{"membership", members.Run})
-	p.tree.Add(serverTask("replica", &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, l))
-	p.tree.Add(serverTask("metrics", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, ops))
+	listener := p.newServer(router)
+	listener.ConnState = p.limitConnections(nil)
+	p.tree.Add(serverTask("replica", listener, l))
+	p.tree.Add(serverTask("metrics", p.newServer(p.metricsHandler()), ops))
 	p.tree.ServeBackground(root)
 
 	terminated, cancel := notifyTermination()
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -19,7 +19,9 @@
 	"github.com/gorilla/mux"
 	"github.com/thejerf/suture/v4"
 
+	"jackdawbay.dev/core/memory"
 	"jackdawbay.dev/core/placement"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/logging"
 	store "jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/relay"
@@ -59,6 +61,8 @@
 	metrics           *metrics.Set
 	store             *store.Client
 	tree              *suture.Supervisor
+	account           *memory.Account // Memory of requests and responses; nil without a memory limit.
+	intake            *intake.Intake
 	toleratedFailures atomic.Int64 // Number of VMs with a disk that may fail at the same time; updated from the settings file.
 }
 
@@ -88,11 +92,14 @@
 		exitOnInvalidSettings(err)
 	}
 	log := slog.New(logging.NewHandler(writer, level)).With("role", name, "vm", siteSettings.VM)
-	if siteSettings.MaxMemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitRatio * float64(siteSettings.MaxMemoryBytes)))
+	heapLimit := int64(memoryLimitRatio * float64(siteSettings.MaxMemoryBytes))
+	if heapLimit > 0 {
+		debug.SetMemoryLimit(heapLimit)
 	}
 	debug.SetGCPercent(defaultGCPercent)
 	p := &process{site: siteSettings, flags: flags, log: log, metrics: metrics.NewSet()}
+	p.account = intake.NewAccount(heapLimit, flags.CacheBytes, flags.RequestMemory)
+	p.intake = intake.New(intake.Config{Account: p.account, BodyTimeout: flags.BodyTimeout, Log: log, Metrics: p.metrics})
 	p.toleratedFailures.Store(int64(siteSettings.ToleratedFailures))
 	p.store = store.NewClient(store.Config{
 		BaseURL:         "http://" + siteSettings.StoreAddress,
@@ -144,6 +151,27 @@
 	}, kinds)
 }
 
+// newServer returns an HTTP server for one of the listeners of the process.
+func (p *process) newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: p.flags.HeaderTimeout}
+}
+
+// limitConnections returns a hook for http.Server.ConnState that limits the connections of a listener and calls the next hook,
+// which may be nil.
+func (p *process) limitConnections(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+	limit := p.flags.MaxConnections
+	if limit <= 0 {
+		limit = intake.MaxConnections(p.site.MaxFDs)
+	}
+	connections := intake.NewConnections(limit, p.account, p.log, p.metrics)
+	return func(c net.Conn, state http.ConnState) {
+		connections.OnStateChange(c, state)
+		if next != nil {
+			next(c, state)
+		}
+	}
+}
+
 // addMetricsPort serves the metrics at the port of the flag --metrics-port, if it is set. If another process uses the port,
 // the role starts without it, since the role is more important than its metrics.
 func (p *process) addMetricsPort() {
@@ -156,7 +184,7 @@
 		p.log.Warn("metrics are not served at their port", "address", address, "error", err)
 		return
 	}
-	p.tree.Add(serverTask("metrics port", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, l))
+	p.tree.Add(serverTask("metrics port", p.newServer(p.metricsHandler()), l))
 }
 
 // metricsHandler serves /metrics and nothing else.
--- a/daemon/forward/exchange.go
+++ b/daemon/forward/exchange.go
@@ -20,7 +20,7 @@
 	Target string // Path and query, unchanged.
 	Host   string
 	Header http.Header
-	Body   []byte
+	Body   [][]byte // Pieces of the body, in order. They are not changed.
 	// IsOwnResponse reports whether a response with this header belongs to this request.
 	IsOwnResponse func(h http.Header) bool
 }
@@ -98,8 +98,11 @@
 	}
 	resp := &Response{conn: c, pool: p, stopWatch: stopWatch}
 	head := encodeHead(r)
-	if len(r.Body) <= maxInlineBodyBytes {
-		if n, err := c.Write(append(head, r.Body...)); err != nil {
+	if r.bodyBytes() <= maxInlineBodyBytes {
+		for _, piece := range r.Body {
+			head = append(head, piece...)
+		}
+		if n, err := c.Write(head); err != nil {
 			if n == 0 && !c.Reused {
 				return fail(errors.Mark(errors.Wrap(err, "write"), ErrNotSent))
 			}
@@ -108,7 +111,7 @@
 	} else {
 		resp.writeDone = make(chan error, 1)
 		go func() {
-			buffers := net.Buffers{head, r.Body}
+			buffers := append(net.Buffers{head}, r.Body...)
 			_, err := buffers.WriteTo(c.Conn)
 			resp.writeDone <- err
 		}()
@@ -131,6 +134,14 @@
 	return fail(errors.Mark(errors.New("received only responses to other requests"), ErrResponseLost))
 }
 
+func (r Request) bodyBytes() int {
+	n := 0
+	for _, piece := range r.Body {
+		n += len(piece)
+	}
+	return n
+}
+
 func encodeHead(r Request) []byte {
 	head := make([]byte, 0, 1024)
 	head = fmt.Appendf(head, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.Target, r.Host)
@@ -139,8 +150,8 @@
 			head = append(append(append(append(head, name...), ": "...), v...), "\r\n"...)
 		}
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		head = fmt.Appendf(head, "Content-Length: %d\r\n", len(r.Body))
+	if n := r.bodyBytes(); n > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		head = fmt.Appendf(head, "Content-Length: %d\r\n", n)
 	}
 	return append(head, "\r\n"...)
 }
--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -52,13 +52,16 @@
 		return false
 	}
 	if len(result.Chain) > 0 {
-		var history []byte
+		var history [][]byte
 		for i := len(result.Chain) - 1; i >= 0; i-- {
 			t := result.Chain[i]
-			history = append(append(history, t.Input...), t.Output...)
+			history = append(history, t.Input, t.Output)
 			c.g.turnCache.put(t)
 		}
-		c.upstreamBody = append(history, c.callerBody...)
+		if !c.addHistory(history) {
+			c.respondError(errkind.Overloaded, "", retryAfterNoMemory)
+			return false
+		}
 	}
 	return true
 }
--- a/daemon/gateway/body.go
+++ b/daemon/gateway/body.go
@@ -1,27 +1,71 @@
 package gateway
 
 import (
-	"io"
-	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/daemon/intake"
 )
 
+// requestBytes is the memory that a request takes besides its body: the buffers of its connections, its headers and the stacks
+// of its goroutines.
+const requestBytes = 24 << 10
+
+// retryAfterNoMemory is the time after which clients that have stopped sending give way to others.
+const retryAfterNoMemory = time.Second
+
+// readBody reads the body of the request. It reports whether the request may go on. If not, the caller has received an error
+// response.
 func (c *call) readBody(limit int64) bool {
 	if limit <= 0 {
 		limit = maxResponseBytes
 	}
-	callerBody, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	pieces, err := c.g.cfg.Intake.Read(c.w, c.r, c.memory, limit)
 	switch {
-	case errors.As(err, &tooLarge):
-		c.respondError(errkind.BodyTooLarge, "", 0)
-		return false
+	case errors.Is(err, intake.ErrTooLarge):
+		c.rejectBody(errkind.BodyTooLarge, 0)
+	case errors.Is(err, intake.ErrNoProgress):
+		c.rejectBody(errkind.BodyTimeout, 0)
+	case errors.IsAny(err, intake.ErrNoMemory, intake.ErrGaveWay):
+		c.rejectBody(errkind.Overloaded, retryAfterNoMemory)
 	case err != nil:
+		c.bodyRead = true // Nothing is left to read: the caller has disconnected.
 		c.abort("body_not_received")
 	}
-	c.upstreamBody, c.callerBody = callerBody, callerBody
+	if err != nil {
+		return false
+	}
+	c.bodyRead = true
+	if c.route.StoreTurns {
+		joined, ok := c.g.cfg.Intake.Join(c.r.Context(), c.memory, pieces)
+		if !ok {
+			c.respondError(errkind.Overloaded, "", retryAfterNoMemory)
+			return false
+		}
+		c.callerBody, pieces = joined, [][]byte{joined}
+	}
+	c.upstreamBody = pieces
+	return true
+}
+
+// rejectBody sends the error response for a body that was not read to its end. The response closes the connection.
+func (c *call) rejectBody(kind errkind.Kind, retryAfter time.Duration) {
+	c.memory.Close()
+	c.w.Header().Set("Connection", "close")
+	c.respondError(kind, "", retryAfter)
+}
+
+// addHistory puts the history of the turn before its input. It reports false if there is no memory for it.
+func (c *call) addHistory(history [][]byte) bool {
+	n := int64(0)
+	for _, piece := range history {
+		n += int64(len(piece))
+	}
+	if !intake.ReserveResponse(c.ctx, c.memory, n) {
+		return false
+	}
+	c.upstreamBody = append(history, c.upstreamBody...)
 	return true
 }
--- a/daemon/gateway/buffer.go
+++ b/daemon/gateway/buffer.go
@@ -1,10 +1,14 @@
 package gateway
 
 import (
+	"context"
 	"io"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/core/memory"
+	"jackdawbay.dev/daemon/intake"
 )
 
 // Limits of the memory for buffered responses. A response that is not a stream is forwarded to its caller when it is
@@ -46,23 +50,31 @@
 // responseBuffer counts the buffered bytes of one call's response. It must be released.
 type responseBuffer struct {
 	budget *bufferBudget
+	memory *memory.Holder
 	bytes  int64
 }
 
 func sharedBytes(n int64) int64 { return max(n-freeBytesPerResponse, 0) }
 
-// reserve adds n bytes to the buffer. It returns false, and adds nothing, if the budget is exhausted.
+// reserve adds n bytes to the buffer. It returns false, and adds nothing, if the budget or the memory of the process is
+// exhausted. The free part of a response is always granted, since its number is bounded by that of the connections.
 func (b *responseBuffer) reserve(n int64) bool {
 	added := sharedBytes(b.bytes+n) - sharedBytes(b.bytes)
 	if added > 0 && !b.budget.tryReserve(added) {
 		return false
 	}
+	if added > 0 && !intake.ReserveResponse(context.Background(), b.memory, added) {
+		b.budget.used.Add(-added)
+		return false
+	}
+	b.memory.Add(n - added)
 	b.bytes += n
 	return true
 }
 
 func (b *responseBuffer) release() {
 	b.budget.used.Add(-sharedBytes(b.bytes))
+	b.memory.Release(b.bytes)
 	b.bytes = 0
 }
 
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/core/memory"
 	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/forward"
@@ -35,8 +36,10 @@
 	route          *route.Route
 	configVersion  uint64
 	service        string
-	upstreamBody   []byte // Body that is sent to the upstream.
-	callerBody     []byte // Body that was received from the caller.
+	memory         *memory.Holder
+	bodyRead       bool     // The body of the caller was read to its end.
+	upstreamBody   [][]byte // Body that is sent to the upstream, in pieces.
+	callerBody     []byte   // Body that was received from the caller. Only set for turns that are stored.
 	deadline       time.Time
 	ctx            context.Context
 	charged        bool
@@ -63,7 +66,9 @@
 }
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrivedAt time.Time) *call {
-	return &call{g: g, w: w, r: r, arrivedAt: arrivedAt, buffer: responseBuffer{budget: &g.bufferBudget}}
+	holder := g.cfg.Intake.Open()
+	holder.Add(requestBytes)
+	return &call{g: g, w: w, r: r, arrivedAt: arrivedAt, memory: holder, buffer: responseBuffer{budget: &g.bufferBudget, memory: holder}}
 }
 
 func (c *call) serve() {
@@ -126,6 +131,7 @@
 	}
 	c.finished = true
 	c.buffer.release()
+	c.memory.Close()
 	c.settleCharge()
 	duration := time.Since(c.arrivedAt)
 	c.g.stats.observeRequest(c.route, c.outcome, duration)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/daemon/catalog"
 	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/quorum"
 )
 
@@ -75,6 +76,11 @@
 	Metrics    *metrics.Set
 	CacheBytes int64 // Limit of the turns that are cached in memory.
 
+	// Intake bounds the memory of requests and responses; nil sets no limit.
+	Intake *intake.Intake
+	// WriteTimeout is the time after which a caller that does not read its response is disconnected; zero sets no limit.
+	WriteTimeout time.Duration
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
@@ -164,6 +170,8 @@
 	if g.stopDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
+	w, r, end := g.limitWrites(w, r)
+	defer end()
 	g.newCall(w, r, arrivedAt).serve()
 }
 
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -28,6 +28,10 @@
 	if c.headWritten {
 		c.abort(string(kind))
 	}
+	if !c.bodyRead {
+		c.g.cfg.Intake.PrepareRejection(c.w, c.r)
+		defer c.g.cfg.Intake.Linger(c.w, c.r)
+	}
 	body, err := json.Marshal(errkind.NewBody(errkind.New(kind, detail).WithRetryAfter(retryAfter)))
 	if err != nil {
 		body = nil // The status is sufficient without a body.
@@ -54,10 +58,15 @@
 type stats struct {
 	set                *metrics.Set
 	settlementsDropped *metrics.Counter
+	slowReaders        *metrics.Counter
 }
 
 func newStats(set *metrics.Set) *stats {
-	return &stats{set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total")}
+	return &stats{
+		set:                set,
+		settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total"),
+		slowReaders:        set.NewCounter("jackdawbay_slow_readers_total"),
+	}
 }
 
 // countRejectedTurn counts a turn that was rejected because its charge or its history found no quorum.
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/binary"
@@ -20,7 +19,9 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"jackdawbay.dev/core/memory"
 	"jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/logging"
 )
 
@@ -37,6 +38,7 @@
 // Server stores the data of one replica and serves the requests to it.
 type Server struct {
 	state  *state
+	intake *intake.Intake
 	log    *slog.Logger
 	writes chan *writeJob
 
@@ -80,6 +82,9 @@
 	return s, nil
 }
 
+// LimitBodies bounds the memory of request bodies. It must be called before the server handles requests.
+func (s *Server) LimitBodies(in *intake.Intake) { s.intake = in }
+
 // Disk returns the identity of the replica's data directory.
 func (s *Server) Disk() string { return s.state.log.Identity }
 
@@ -264,7 +269,9 @@
 // the epochs differ, it responds with the current view.
 func (s *Server) handleBatch(w http.ResponseWriter, r *http.Request) {
 	s.batches.Inc()
-	raw, ok := s.readBody(w, r)
+	held := s.intake.Open()
+	defer held.Close()
+	raw, ok := s.readBody(w, r, held)
 	if !ok {
 		return
 	}
@@ -313,17 +320,26 @@
 	_, _ = w.Write(raw) // The sender retries a request without a response.
 }
 
-// readBody returns the body of a request. If it cannot be read, readBody rejects the request and reports false.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	var body bytes.Buffer
-	if n := r.ContentLength; n > 0 && n <= maxRequestBytes {
-		body.Grow(int(n) + bytes.MinRead) // Without the spare bytes, ReadFrom grows the buffer once more before it reads EOF.
-	}
-	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
-		s.reject(w, r, http.StatusBadRequest, reasonIncomplete, "error", err)
+// readBody returns the body of a request. If it cannot be read, readBody rejects the request and reports false. The memory of
+// the body is that of the holder.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, held *memory.Holder) ([]byte, bool) {
+	pieces, err := s.intake.Read(w, r, held, maxRequestBytes)
+	status, reason := http.StatusBadRequest, reasonIncomplete
+	if err == nil {
+		if body, ok := s.intake.Join(r.Context(), held, pieces); ok {
+			return body, true
+		}
+		s.reject(w, r, http.StatusServiceUnavailable, reasonNoMemory, "announced", r.ContentLength)
 		return nil, false
 	}
-	return body.Bytes(), true
+	if errors.IsAny(err, intake.ErrNoMemory, intake.ErrGaveWay) {
+		status, reason = http.StatusServiceUnavailable, reasonNoMemory
+	}
+	held.Close()
+	w.Header().Set("Connection", "close")
+	s.reject(w, r, status, reason, "error", err)
+	s.intake.Linger(w, r)
+	return nil, false
 }
 
 // execute executes the operations of a batch and returns a result for each. Chains are read directly; the other operations
@@ -475,6 +491,7 @@
 const (
 	reasonUndecodable    = "body cannot be decoded"
 	reasonIncomplete     = "body is not whole"
+	reasonNoMemory       = "no memory for the body"
 	reasonOtherDisk      = "other disk"
 	reasonOtherView      = "other view"
 	reasonWriteQueueFull = "too many writes wait"
@@ -499,7 +516,13 @@
 
 // decodeJSON decodes the body of a request. If that fails, it rejects the request and reports false.
 func (s *Server) decodeJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into); err != nil {
+	held := s.intake.Open()
+	defer held.Close()
+	body, ok := s.readBody(w, r, held)
+	if !ok {
+		return false
+	}
+	if err := json.Unmarshal(body, into); err != nil {
 		s.reject(w, r, http.StatusBadRequest, reasonUndecodable, "error", err)
 		return false
 	}
