Limit the connections of all listeners and the streams of a relay

Connections to upstreams were not limited, a relay took 1,000 streams, and the listeners for readiness and metrics took any number of connections. A gateway now keeps clients and upstreams together below maxFds less 40: at the limit, the oldest idle connection to an upstream is closed, else the request is not sent. A relay has streams for half of the connections of its listener, the listeners for readiness and metrics have 16 connections each, and the body of a report has 5 s.

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -12,6 +12,7 @@
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/forward"
 	"jackdawbay.dev/daemon/gateway"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/quorum"
 	"jackdawbay.dev/daemon/replica"
 	"jackdawbay.dev/daemon/transport"
@@ -63,9 +64,13 @@
 		ReportUnreachable: mirror.ReportUnreachable, Intake: p.intake, WriteTimeout: p.flags.WriteTimeout,
 	})
 	server := p.newServer(g)
-	server.MaxHeaderBytes, server.ConnState = maxHeaderBytes, p.limitConnections(g.ConnState())
+	server.MaxHeaderBytes = maxHeaderBytes
+	callerConns := p.limitConnections(server, g.ConnState())
+	if p.site.MaxFDs > 0 {
+		pool.LimitConns(func() int { return intake.MaxUpstreamConnections(p.site.MaxFDs, callerConns.Count()) })
+	}
 	p.tree.Add(serverTask("callers", server, callers))
-	p.tree.Add(serverTask("ready", p.newServer(readyHandler(g, p)), ready))
+	p.tree.Add(serverTask("ready", p.newOpsServer("ready", readyHandler(g, p)), ready))
 	p.tree.Add(supervisedTask{"configuration", cat.FollowConfig})
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
 	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -64,9 +64,11 @@
 	p.tree.Add(supervisedTask{"watchers", members.RunWatchers})
 	p.tree.Add(supervisedTask{"membership", members.Run})
 	listener := p.newServer(router)
-	listener.ConnState = p.limitConnections(nil)
+	if limit := p.limitConnections(listener, nil).Limit(); limit > 0 {
+		relays.LimitStreams(limit / 2) // The other half is for turns and copies.
+	}
 	p.tree.Add(serverTask("replica", listener, l))
-	p.tree.Add(serverTask("metrics", p.newServer(p.metricsHandler()), ops))
+	p.tree.Add(serverTask("metrics", p.newOpsServer("ops", p.metricsHandler()), ops))
 	p.tree.ServeBackground(root)
 
 	terminated, cancel := notifyTermination()
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -156,20 +156,31 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: p.flags.HeaderTimeout}
 }
 
-// limitConnections returns a hook for http.Server.ConnState that limits the connections of a listener and calls the next hook,
-// which may be nil.
-func (p *process) limitConnections(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
+// maxOpsConnections is the limit of connections for readiness checks and metrics. Few systems ask for them.
+const maxOpsConnections = 16
+
+// newOpsServer returns an HTTP server for readiness checks or metrics.
+func (p *process) newOpsServer(name string, handler http.Handler) *http.Server {
+	server := p.newServer(handler)
+	server.ConnState = intake.NewConnections(name, maxOpsConnections, nil, p.log, p.metrics).OnStateChange
+	return server
+}
+
+// limitConnections limits the connections of the server for clients. It calls the next hook for http.Server.ConnState, which may be
+// nil.
+func (p *process) limitConnections(server *http.Server, next func(net.Conn, http.ConnState)) *intake.Connections {
 	limit := p.flags.MaxConnections
 	if limit <= 0 {
 		limit = intake.MaxConnections(p.site.MaxFDs)
 	}
-	connections := intake.NewConnections(limit, p.account, p.log, p.metrics)
-	return func(c net.Conn, state http.ConnState) {
+	connections := intake.NewConnections("clients", limit, p.account, p.log, p.metrics)
+	server.ConnState = func(c net.Conn, state http.ConnState) {
 		connections.OnStateChange(c, state)
 		if next != nil {
 			next(c, state)
 		}
 	}
+	return connections
 }
 
 // addMetricsPort serves the metrics at the port of the flag --metrics-port, if it is set. If another process uses the port,
@@ -184,7 +195,7 @@
 		p.log.Warn("metrics are not served at their port", "address", address, "error", err)
 		return
 	}
-	p.tree.Add(serverTask("metrics port", p.newServer(p.metricsHandler()), l))
+	p.tree.Add(serverTask("metrics port", p.newOpsServer("metrics_port", p.metricsHandler()), l))
 }
 
 // metricsHandler serves /metrics and nothing else.
--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -10,6 +10,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,9 +39,14 @@
 // ErrNotSent means that no byte of the request reached the upstream.
 var ErrNotSent = errors.New("request was not sent")
 
+// ErrTooManyConnections means that the process may not open another connection. It is also ErrNotSent.
+var ErrTooManyConnections = errors.New("too many connections")
+
 // Conn is a connection to an upstream. It serves one request at a time.
 type Conn struct {
 	net.Conn
+	pool      *Pool // Counts the connection until it is closed.
+	closeOnce sync.Once
 	address   string
 	limited   *limitedReader
 	reader    *bufio.Reader // Reads from limited.
@@ -57,6 +63,9 @@
 	mu   sync.Mutex
 	idle map[string][]*Conn // Most recently used last.
 
+	open     atomic.Int64 // Connections that are not closed, idle ones included.
+	maxConns func() int   // Nil for no limit.
+
 	dials  *metrics.Counter
 	reuses *metrics.Counter
 }
@@ -75,6 +84,44 @@
 	}
 }
 
+// LimitConns sets the number of connections that the pool may have at the moment. At the limit, idle connections to other
+// upstreams are closed first. It must be called before Get.
+func (p *Pool) LimitConns(maxConns func() int) { p.maxConns = maxConns }
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.closeOnce.Do(func() { c.pool.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// countNew counts a connection that is about to be opened. It reports false at the limit.
+func (p *Pool) countNew() bool {
+	n := p.open.Add(1)
+	if p.maxConns == nil || n <= int64(p.maxConns()) || p.closeOneIdle() {
+		return true
+	}
+	p.open.Add(-1)
+	return false
+}
+
+// closeOneIdle closes the idle connection that has been idle for longest of any upstream.
+func (p *Pool) closeOneIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var oldest *Conn
+	for _, conns := range p.idle {
+		if len(conns) > 0 && (oldest == nil || conns[0].idleUntil.Before(oldest.idleUntil)) {
+			oldest = conns[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	p.idle[oldest.address] = slices.Delete(p.idle[oldest.address], 0, 1)
+	_ = oldest.Close() // The connection has no request in flight.
+	return true
+}
+
 // Get returns a usable idle connection, or a new one. It does not return the connections that the caller excludes. A request
 // that is sent again must not use a connection that has carried it before: a late copy of the response to the earlier attempt
 // bears the same request ID as the response to the later one. The error is ErrNotSent.
@@ -91,14 +138,18 @@
 		}
 		_ = c.Close() // An unusable idle connection.
 	}
+	if !p.countNew() {
+		return nil, errors.Mark(ErrTooManyConnections, ErrNotSent)
+	}
 	startedAt := time.Now()
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
+		p.open.Add(-1)
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
 	}
 	p.dials.Inc()
 	limited := &limitedReader{Reader: raw}
-	return &Conn{Conn: raw, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), DialTime: time.Since(startedAt)}, nil
+	return &Conn{Conn: raw, pool: p, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), DialTime: time.Since(startedAt)}, nil
 }
 
 // limitedReader returns errHeadTooLarge at its limit, if a limit is set.
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -86,7 +86,7 @@
 	conn, err := c.g.cfg.Pool.Get(c.ctx, u.Address, c.usedConns...)
 	if err != nil {
 		c.excluded[u.ID] = true
-		if c.ctx.Err() != nil {
+		if c.ctx.Err() != nil || errors.Is(err, forward.ErrTooManyConnections) {
 			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
 		} else {
 			c.g.upstreams.recordUnreachable(c.service, u)
--- a/daemon/intake/connections.go
+++ b/daemon/intake/connections.go
@@ -29,22 +29,28 @@
 	idle    *list.List                 // Connections between two requests, longest idle first.
 }
 
-// NewConnections returns a limit; zero sets none. The server must call OnStateChange.
-func NewConnections(limit int, account *memory.Account, log *slog.Logger, set *metrics.Set) *Connections {
+// NewConnections returns a limit for the listener with a name; zero sets none. The server must call OnStateChange.
+func NewConnections(listener string, limit int, account *memory.Account, log *slog.Logger, set *metrics.Set) *Connections {
 	c := &Connections{
 		limit: limit, account: account, log: log, entries: map[net.Conn]*list.Element{}, waiting: list.New(), idle: list.New(),
 		closed: func(reason string) {
-			set.GetOrCreateCounter(`jackdawbay_connections_closed_total{reason="` + reason + `"}`).Inc()
+			set.GetOrCreateCounter(`jackdawbay_connections_closed_total{listener="` + listener + `",reason="` + reason + `"}`).Inc()
 		},
 	}
-	set.NewGauge("jackdawbay_connections", func() float64 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		return float64(len(c.entries))
-	})
+	set.NewGauge(`jackdawbay_connections{listener="`+listener+`"}`, func() float64 { return float64(c.Count()) })
 	return c
 }
 
+// Limit returns the limit, or zero if there is none.
+func (c *Connections) Limit() int { return c.limit }
+
+// Count returns the number of connections.
+func (c *Connections) Count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.entries)
+}
+
 // OnStateChange is a hook for http.Server.ConnState.
 func (c *Connections) OnStateChange(conn net.Conn, state http.ConnState) {
 	if victim, reason := c.update(conn, state); victim != nil {
--- a/daemon/intake/intake.go
+++ b/daemon/intake/intake.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"log/slog"
@@ -25,6 +26,9 @@
 	// pieceBytes is the size of the other pieces. It is the largest size class of the Go allocator, so that pieces neither
 	// fragment the heap nor need memory of their own for the allocator.
 	pieceBytes = 32 << 10
+	// maxSpareBytes is the unused capacity with which a body may be kept. A cache that counts the lengths of small bodies would
+	// otherwise hold many times its limit.
+	maxSpareBytes = 256
 	// maxWait is the time that a body waits for memory of clients that were told to give way.
 	maxWait = 250 * time.Millisecond
 	// maxLingerBytes and lingerTime bound the reading after a rejection. Without it, the system resets the connection while
@@ -180,15 +184,15 @@
 
 // reserve reserves memory. If others have to give way, it waits for them.
 func reserve(ctx context.Context, h *memory.Holder, n int64) bool {
-	return wait(ctx, h, func() memory.Decision { return h.Reserve(time.Now(), n) })
+	return await(ctx, h, func() memory.Decision { return h.Reserve(time.Now(), n) })
 }
 
 // ReserveResponse reserves memory for a response. If others have to give way, it waits for them.
 func ReserveResponse(ctx context.Context, h *memory.Holder, n int64) bool {
-	return wait(ctx, h, func() memory.Decision { return h.ReserveResponse(time.Now(), n) })
+	return await(ctx, h, func() memory.Decision { return h.ReserveResponse(time.Now(), n) })
 }
 
-func wait(ctx context.Context, h *memory.Holder, decide func() memory.Decision) bool {
+func await(ctx context.Context, h *memory.Holder, decide func() memory.Decision) bool {
 	decision := decide()
 	if decision != memory.Wait {
 		return decision == memory.Granted
@@ -210,14 +214,17 @@
 	}
 }
 
-// Join returns the pieces of a body in one piece. Where that needs a copy, its memory is reserved as well until the pieces are
+// Join returns the pieces of a body in one piece that has little spare capacity, so that it can be kept. Where that needs a copy, its memory is reserved as well until the pieces are
 // dropped. It reports false if there is no memory.
 func (in *Intake) Join(ctx context.Context, h *memory.Holder, pieces [][]byte) ([]byte, bool) {
 	if len(pieces) == 0 {
 		return nil, true
 	}
-	if len(pieces) == 1 {
-		return pieces[0], true
+	if p := pieces[0]; len(pieces) == 1 {
+		if cap(p)-len(p) > maxSpareBytes {
+			p = bytes.Clone(p)
+		}
+		return p, true
 	}
 	var length, held int64
 	for _, p := range pieces {
--- a/daemon/intake/limits.go
+++ b/daemon/intake/limits.go
@@ -44,6 +44,13 @@
 	})
 }
 
+// otherFDs is the number of descriptors that are neither of clients nor of upstreams: listeners, connections to replicas and the
+// store, the settings file and the log.
+const otherFDs = 40
+
+// MaxUpstreamConnections returns the number of connections to upstreams that a process may have beside those of clients.
+func MaxUpstreamConnections(maxFDs, clients int) int { return max(maxFDs-otherFDs-clients, 8) }
+
 // MaxConnections returns the number of connections that a listener may have. A quarter of the descriptors, and at least 64, are
 // left for connections to upstreams, replicas and the store, and for files. Without a limit of descriptors it returns zero.
 func MaxConnections(maxFDs int) int {
--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -17,10 +17,11 @@
 
 // Limits and times of a server.
 const (
-	maxStreams        = 1000 // Concurrent streams; further ones are rejected with status 503.
+	maxStreams        = 1000 // Default of the concurrent streams; further ones are rejected with status 503.
 	maxReportBytes    = 64 << 10
-	maxReports        = 64  // Upstreams in one request.
-	maxLoggedChanges  = 512 // Changes that are kept for streams that lag behind. Others get all objects again.
+	maxReports        = 64              // Upstreams in one request.
+	reportBodyTimeout = 5 * time.Second // Time for the body of a report.
+	maxLoggedChanges  = 512             // Changes that are kept for streams that lag behind. Others get all objects again.
 	watchDelay        = 100 * time.Millisecond
 	watchWait         = 700 * time.Millisecond // With the timeout of a call, the time until the loss of the store is noticed.
 	firstListTimeout  = time.Second            // Max wait of a stream for the first objects.
@@ -38,6 +39,7 @@
 	mu        sync.Mutex
 	isRunning bool
 	streams   int
+	limit     int // Concurrent streams at most.
 	idleSince time.Time
 	stop      context.CancelFunc // Stops following the store; nil while the server does not follow it.
 	feed      *feed              // Nil while the server does not follow the store.
@@ -51,7 +53,7 @@
 // NewServer returns a server that passes on the objects of the given kinds. Run must be called.
 func NewServer(store platform.Follower, kinds []string, log *slog.Logger, set *metrics.Set) *Server {
 	s := &Server{
-		store: store, kinds: kinds, log: log, suspected: placement.NewSuspicions(),
+		store: store, kinds: kinds, log: log, suspected: placement.NewSuspicions(), limit: maxStreams,
 		rejected:   set.NewCounter("jackdawbay_relay_streams_rejected_total"),
 		bytesSent:  set.NewCounter("jackdawbay_relay_sent_bytes_total"),
 		suspicions: set.NewCounter("jackdawbay_relay_suspicions_total"),
@@ -64,6 +66,9 @@
 	return s
 }
 
+// LimitStreams sets the number of concurrent streams. It must be called before the server handles requests.
+func (s *Server) LimitStreams(n int) { s.limit = min(n, maxStreams) }
+
 // Run stops following the store when no VM has asked for its objects for a while. It returns when the context ends.
 func (s *Server) Run(ctx context.Context) error {
 	tick := time.NewTicker(lingerCheckPeriod)
@@ -113,7 +118,7 @@
 func (s *Server) open() *feed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.streams >= maxStreams || !s.isRunning {
+	if s.streams >= s.limit || !s.isRunning {
 		return nil
 	}
 	s.streams++
@@ -201,6 +206,8 @@
 // cannot reach.
 func (s *Server) HandleReports(w http.ResponseWriter, r *http.Request) {
 	var received reports
+	// Fails only without a connection, in tests. The deadline stays in force until the next request.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(reportBodyTimeout))
 	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxReportBytes)).Decode(&received)
 	if err != nil || received.VM == "" || len(received.Upstreams) > maxReports {
 		s.rejected.Inc()
--- a/testbed/crowd/crowd_test.go
+++ b/testbed/crowd/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -14,6 +15,7 @@
 
 	"jackdawbay.dev/testbed/deployment"
 	"jackdawbay.dev/testbed/process"
+	"jackdawbay.dev/testbed/standin/backend"
 )
 
 // Settings of the VMs and the crowd. The bounds of the tests follow from the settings: the process must stay within memoryMB
@@ -277,3 +279,58 @@
 	t.Logf("responses by status: %v", crowd.Statuses())
 	u.check(t, g)
 }
+
+// connectWithoutReading opens connections that send a request and never read. They are closed at the end of the test.
+func connectWithoutReading(t *testing.T, n int, address string, head func() string) {
+	t.Helper()
+	for range n {
+		conn, err := net.DialTimeout("tcp", address, 5*time.Second)
+		must.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() }) // The process may have closed it already.
+		must.NoError(t, conn.(*net.TCPConn).SetReadBuffer(4096))
+		_, err = conn.Write([]byte(head()))
+		must.NoError(t, err)
+	}
+}
+
+// Guards against streams that are held without limit while their callers do not read.
+func TestStoppedReaders(t *testing.T) {
+	d := start(t)
+	g := d.Gateways[0]
+	engine, err := d.AddUpstream(deployment.EngineService, "engine-flood")
+	must.NoError(t, err)
+	engine.SetFault(backend.EndlessFlood)
+	u := observe(g.Process.PID())
+	time.Sleep(time.Second) // The gateway learns of the engine.
+	connectWithoutReading(t, clients, g.FrontAddress, func() string {
+		return fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nX-Jackdawbay-Request-Id: %s\r\nX-Jackdawbay-Deadline-Ms: 10000\r\nContent-Length: 0\r\n\r\n",
+			deployment.PathResumable, deployment.Host, deployment.NewID())
+	})
+	time.Sleep(2 * time.Second)
+	serveOrdinaryRequest(t, d)
+	test.Greater(t, 0, len(engine.Runs()), test.Sprint("streams that have begun"))
+	u.check(t, g)
+}
+
+// Guards against a relay that holds streams without limit while their receivers do not read, and against one that takes all file
+// descriptors for them.
+func TestOpenWatches(t *testing.T) {
+	d := start(t)
+	replica := d.Replicas[0]
+	u := observe(replica.Process.PID())
+	address := fmt.Sprintf("%s:%d", replica.IP, replica.PortBase)
+	connectWithoutReading(t, 2*maxFDs, address, func() string { return "GET /relay/v1/stream HTTP/1.1\r\nHost: relay\r\n\r\n" })
+	time.Sleep(2 * time.Second)
+	select {
+	case <-replica.Process.Done():
+		t.Fatal("the replica has ended")
+	default:
+	}
+	serveOrdinaryRequest(t, d)
+	client := http.Client{Timeout: 10 * time.Second}
+	resp, err := client.Get("http://" + address + "/replica/v1/probe")
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	test.EqOp(t, http.StatusNoContent, resp.StatusCode)
+	u.check(t, replica)
+}
