Count the chains that a replica reads in its memory account

A replica read all chains of a batch and encoded them without a limit: 64 turns that continue a chain of 9 MB made it hold 805 MB. It now reserves the turns and the encoded response before it reads a chain, and one response has at most 24 MB of chains; a chain beyond that fails, and the gateway rejects the turn with history_unavailable. The response states its length, so that a gateway allocates it once.

A test of daemon/replica passes the new argument of execute; what it checks is unchanged.

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -950,7 +950,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return replica.BatchResponse{}, errors.Newf("unexpected status %d", resp.StatusCode)
 	}
-	body, err := transport.ReadAll(resp.Body, maxResponseBytes)
+	body, err := transport.ReadBody(resp, maxResponseBytes)
 	if err != nil {
 		return replica.BatchResponse{}, errors.Wrap(err, "read response")
 	}
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -27,12 +28,15 @@
 
 // Limits of a replica.
 const (
-	maxQueuedBatches    = 1024                   // Max batches that wait for the disk; further ones are rejected with status 503.
-	maxBatchesPerSync   = 256                    // Max batches that are written with one sync.
-	maxRequestBytes     = 16 << 20               // Max size of a request body.
-	expireInterval      = 5 * time.Second        // Interval of removing expired entries.
-	maxTurnsPerResponse = 200                    // Max turns in the response to one copy request.
-	slowWriteThreshold  = 150 * time.Millisecond // A slower write is logged; one that takes a few times as long is noticeable to callers.
+	maxQueuedBatches  = 1024            // Max batches that wait for the disk; further ones are rejected with status 503.
+	maxBatchesPerSync = 256             // Max batches that are written with one sync.
+	maxRequestBytes   = 16 << 20        // Max size of a request body.
+	expireInterval    = 5 * time.Second // Interval of removing expired entries.
+	// maxResponseChainBytes is the limit of all chains in one response. It is below the size that gateways accept, and 2.4 times the
+	// longest chains that the deployments describe.
+	maxResponseChainBytes = 24 << 20
+	maxTurnsPerResponse   = 200                    // Max turns in the response to one copy request.
+	slowWriteThreshold    = 150 * time.Millisecond // A slower write is logged; one that takes a few times as long is noticeable to callers.
 )
 
 // Server stores the data of one replica and serves the requests to it.
@@ -292,7 +296,7 @@
 		s.writeBatchResponse(w, BatchResponse{View: &v})
 		return
 	}
-	results, newer, ok := s.execute(r.Context(), b.Epoch, b.Ops)
+	results, newer, ok := s.execute(r.Context(), held, b.Epoch, b.Ops)
 	if ok && newer != nil {
 		s.countRejected(reasonOtherView)
 		s.writeBatchResponse(w, BatchResponse{View: newer})
@@ -317,6 +321,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	_, _ = w.Write(raw) // The sender retries a request without a response.
 }
 
@@ -345,17 +350,26 @@
 // execute executes the operations of a batch and returns a result for each. Chains are read directly; the other operations
 // are queued for the writer. The sender does not rely on the order in which the operations of a batch are executed. If the view
 // has changed by the time of the write, it returns the view in force instead. It reports false if the queue is full or the
-// context ends first.
-func (s *Server) execute(ctx context.Context, epoch uint64, ops []Op) (results []Result, newer *replica.View, ok bool) {
+// context ends first. The memory of the chains is that of the holder; a chain for which there is none fails.
+func (s *Server) execute(ctx context.Context, held *memory.Holder, epoch uint64, ops []Op) (results []Result, newer *replica.View, ok bool) {
 	results = make([]Result, len(ops))
 	job := &writeJob{epoch: epoch, done: make(chan struct{})}
 	var positions []int
+	chainBytes := int64(0)
 	for i, op := range ops {
 		if op.Kind != OpReadChain {
 			job.ops = append(job.ops, op)
 			positions = append(positions, i)
 			continue
 		}
+		n := s.state.chainBytes(op.From)
+		if chainBytes+n > maxResponseChainBytes || !intake.ReserveResponse(ctx, held, 2*n) { // The turns and the encoded response.
+			s.countRejected(reasonNoMemory)
+			s.log.Warn("chain not read", logging.LimitPerSource("reason", reasonNoMemory), "turn", op.From, "bytes", n, "before", chainBytes)
+			results[i] = Result{Failed: true}
+			continue
+		}
+		chainBytes += n
 		turns, missing, err := s.state.readChain(op.From)
 		if err != nil {
 			s.log.Error("cannot read a chain", "turn", op.From, "error", err)
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -324,6 +324,23 @@
 	return turns, "", nil
 }
 
+// chainBytes returns the bytes in the log of the turns that readChain would return.
+func (s *state) chainBytes(from string) int64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	total := int64(0)
+	id := from
+	for range maxChainTurns {
+		t, ok := s.turns[id]
+		if !ok {
+			break
+		}
+		total += int64(t.location.Length)
+		id = t.previous
+	}
+	return total
+}
+
 // readTurn reads a turn from the log. It reports whether the index has the turn.
 func (s *state) readTurn(id string) (Turn, bool, error) {
 	payload, ok, err := s.readPayload(id)
--- a/daemon/replica/state_test.go
+++ b/daemon/replica/state_test.go
@@ -33,7 +33,7 @@
 
 // executeNow executes operations at the epoch of the replica.
 func (s *Server) executeNow(ctx context.Context, ops []Op) ([]Result, bool) {
-	results, _, ok := s.execute(ctx, s.View().Epoch, ops)
+	results, _, ok := s.execute(ctx, nil, s.View().Epoch, ops)
 	return results, ok
 }
 
--- a/testbed/crowd/crowd_test.go
+++ b/testbed/crowd/crowd_test.go
@@ -334,3 +334,73 @@
 	test.EqOp(t, http.StatusNoContent, resp.StatusCode)
 	u.check(t, replica)
 }
+
+// turnHead returns the head of a turn that is stored, without the header that frames the body.
+func turnHead(program, id, previous string) string {
+	head := fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: %s\r\nX-Jackdawbay-Request-Id: %s\r\nX-Jackdawbay-Deadline-Ms: 10000\r\n"+
+		"X-Jackdawbay-Program-Id: %s\r\nX-Jackdawbay-Session-Id: %s\r\nX-Jackdawbay-Token-Budget: 1000000000\r\nX-Jackdawbay-Token-Usage: 10,64\r\n",
+		deployment.PathRetained, deployment.Host, id, program, program)
+	if previous != "" {
+		head += "X-Jackdawbay-Previous-Turn: " + previous + "\r\n"
+	}
+	return head
+}
+
+// Guards against memory for the storing of large turns that is not counted.
+func TestLargeTurns(t *testing.T) {
+	d := start(t)
+	g := d.Gateways[0]
+	d.Options.EventsPerStream = 2
+	_, err := d.AddUpstream(deployment.EngineService, "engine-0")
+	must.NoError(t, err)
+	u, r := observe(g.Process.PID()), observe(d.Replicas[0].Process.PID())
+	time.Sleep(time.Second) // The gateway learns of the engine.
+	var crowd Crowd
+	defer crowd.Close()
+	for range clients {
+		must.NoError(t, crowd.Connect(g.FrontAddress, turnHead(deployment.NewID(), deployment.NewID(), ""), &Body{Bytes: 3 << 20, PieceBytes: 64 << 10}))
+	}
+	crowd.WaitUntilSent(maxSendTime)
+	time.Sleep(3 * time.Second)
+	serveOrdinaryRequest(t, d)
+	t.Logf("responses by status: %v", crowd.Statuses())
+	u.check(t, g)
+	r.check(t, d.Replicas[0])
+}
+
+// Guards against memory for the histories of turns that is not counted.
+func TestLargeHistories(t *testing.T) {
+	d := start(t)
+	g := d.Gateways[0]
+	d.Options.EventsPerStream = 2
+	_, err := d.AddUpstream(deployment.EngineService, "engine-0")
+	must.NoError(t, err)
+	time.Sleep(time.Second) // The gateway learns of the engine.
+	program, previous := deployment.NewID(), ""
+	for i := range 3 {
+		id := deployment.NewID()
+		resp := deployment.Send(g, deployment.Call{
+			Path: deployment.PathRetained, ID: id, Program: program, Budget: 1_000_000_000, MaxTokens: 64, PreviousTurn: previous,
+			Body: strings.Repeat("x", 3<<20), Deadline: 10 * time.Second,
+		})
+		must.NoError(t, resp.Err)
+		must.EqOp(t, http.StatusOK, resp.Status, must.Sprintf("turn %d: %s", i, resp.Body))
+		previous = id
+	}
+	d.KillVM(g) // The turns are no longer in its cache.
+	must.NoError(t, d.StartVM(g))
+	must.NoError(t, d.WaitUntilServing(10*time.Second))
+	serveOrdinaryRequest(t, d)
+	u, r := observe(g.Process.PID()), observe(d.Replicas[0].Process.PID())
+	var crowd Crowd
+	defer crowd.Close()
+	for range clients {
+		must.NoError(t, crowd.Connect(g.FrontAddress, turnHead(program, deployment.NewID(), previous), &Body{Bytes: 10, PieceBytes: 10}))
+	}
+	crowd.WaitUntilSent(maxSendTime)
+	time.Sleep(3 * time.Second)
+	serveOrdinaryRequest(t, d)
+	t.Logf("responses by status: %v", crowd.Statuses())
+	u.check(t, g)
+	r.check(t, d.Replicas[0])
+}
