--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -170,9 +170,7 @@
 	if g.stopDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	w, r, end := g.limitWrites(w, r)
-	defer end()
-	g.newCall(w, r, arrivedAt).serve()
+	g.newCall(g.limitWrites(w, r), r, arrivedAt).serve()
 }
 
 // Run settles charges in the background until the context ends.
--- a/daemon/gateway/slow_reader.go
+++ b/daemon/gateway/slow_reader.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"os"
 	"time"
@@ -21,20 +20,19 @@
 	g       *Gateway
 	r       *http.Request
 	control *http.ResponseController
-	cancel  context.CancelFunc // Ends the context of the request.
 	armedAt time.Time
+	isSlow  bool // The caller has not read in time.
 }
 
-// limitWrites applies the write timeout to a request. The function that it returns must be called at the end of the request.
-func (g *Gateway) limitWrites(w http.ResponseWriter, r *http.Request) (http.ResponseWriter, *http.Request, context.CancelFunc) {
+// limitWrites applies the write timeout to a response. net/http ends the context of the request when a write fails, so that no
+// upstream continues the response.
+func (g *Gateway) limitWrites(w http.ResponseWriter, r *http.Request) http.ResponseWriter {
 	if g.cfg.WriteTimeout <= 0 {
-		return w, r, func() {}
+		return w
 	}
-	ctx, cancel := context.WithCancel(r.Context())
-	r = r.WithContext(ctx)
-	t := &timedWriter{ResponseWriter: w, g: g, r: r, control: http.NewResponseController(w), cancel: cancel}
+	t := &timedWriter{ResponseWriter: w, g: g, r: r, control: http.NewResponseController(w)}
 	t.arm(time.Now()) // Also replaces the deadline of the previous request on the connection.
-	return t, r, cancel
+	return t
 }
 
 // Unwrap is used by http.ResponseController.
@@ -76,12 +74,12 @@
 	return err
 }
 
-// report ends a request whose caller does not read. No upstream needs to continue its response.
+// report counts and logs a caller that does not read.
 func (t *timedWriter) report(err error) {
-	if !errors.Is(err, os.ErrDeadlineExceeded) || t.r.Context().Err() != nil {
+	if t.isSlow || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return
 	}
-	t.cancel()
+	t.isSlow = true
 	t.g.stats.slowReaders.Inc()
 	t.g.cfg.Log.Warn("caller does not read its response", logging.LimitPerSource("reason", "write_timeout"), "caller", t.r.RemoteAddr)
 }
