Count the encoded copies of turns that are stored

A gateway encodes a stored turn once for each replica, and a replica copies the turns of a batch into log entries; neither was counted, and the replica reached 101.3 MB of 112 MB in one run of TestLargeTurns. A gateway now reserves three copies of a turn above 64 KB before it sends the turn, and a replica the entries before it writes them. Both reject the request with 503 if there is no memory.

--- a/daemon/gateway/body.go
+++ b/daemon/gateway/body.go
@@ -45,11 +45,30 @@
 			return false
 		}
 		c.callerBody, pieces = joined, [][]byte{joined}
+		if !c.reserveStoring(int64(len(joined))) {
+			c.respondError(errkind.Overloaded, "", retryAfterNoMemory)
+			return false
+		}
 	}
 	c.upstreamBody = pieces
 	return true
 }
 
+// Memory for storing a turn.
+const (
+	// storeCopies is the number of replicas to which a turn is usually sent at the same time, each in an encoding of its own.
+	storeCopies = 3
+	// freeStoreBytes is the size of a turn up to which the copies are not counted. Most turns have less, and their copies exist
+	// for some milliseconds.
+	freeStoreBytes = 64 << 10
+)
+
+// reserveStoring reserves the memory for the encoded copies of a turn. This is done before the turn is sent, because a turn that has
+// run can no longer be rejected.
+func (c *call) reserveStoring(n int64) bool {
+	return n <= freeStoreBytes || intake.Reserve(c.r.Context(), c.memory, storeCopies*n)
+}
+
 // rejectBody sends the error response for a body that was not read to its end. The response closes the connection.
 func (c *call) rejectBody(kind errkind.Kind, retryAfter time.Duration) {
 	c.memory.Close()
--- a/daemon/intake/intake.go
+++ b/daemon/intake/intake.go
@@ -160,7 +160,7 @@
 					size = min(r.ContentLength-received, pieceBytes)
 				}
 			}
-			if !reserve(r.Context(), h, size) {
+			if !Reserve(r.Context(), h, size) {
 				return nil, received, ErrNoMemory
 			}
 			piece = make([]byte, 0, size)
@@ -182,8 +182,8 @@
 	}
 }
 
-// reserve reserves memory. If others have to give way, it waits for them.
-func reserve(ctx context.Context, h *memory.Holder, n int64) bool {
+// Reserve reserves memory. If others have to give way, it waits for them.
+func Reserve(ctx context.Context, h *memory.Holder, n int64) bool {
 	return await(ctx, h, func() memory.Decision { return h.Reserve(time.Now(), n) })
 }
 
@@ -230,7 +230,7 @@
 	for _, p := range pieces {
 		length, held = length+int64(len(p)), held+int64(cap(p))
 	}
-	if !reserve(ctx, h, length) {
+	if !Reserve(ctx, h, length) {
 		in.count(ErrNoMemory)
 		return nil, false
 	}
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -296,6 +296,10 @@
 		s.writeBatchResponse(w, BatchResponse{View: &v})
 		return
 	}
+	if !intake.ReserveResponse(r.Context(), held, turnBytes(b.Ops)) {
+		s.reject(w, r, http.StatusServiceUnavailable, reasonNoMemory, "ops", len(b.Ops))
+		return
+	}
 	results, newer, ok := s.execute(r.Context(), held, b.Epoch, b.Ops)
 	if ok && newer != nil {
 		s.countRejected(reasonOtherView)
@@ -313,6 +317,17 @@
 	s.writeBatchResponse(w, BatchResponse{Results: results})
 }
 
+// turnBytes returns the size of the log entries of the turns in a batch. They are a copy of the batch until the write has ended.
+func turnBytes(ops []Op) int64 {
+	n := 0
+	for _, op := range ops {
+		if op.Turn != nil {
+			n += len(op.Turn.Input) + len(op.Turn.Output)
+		}
+	}
+	return int64(n)
+}
+
 func (s *Server) writeBatchResponse(w http.ResponseWriter, response BatchResponse) {
 	raw, err := response.Encode()
 	if err != nil {
