--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -14,6 +14,7 @@
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/forward"
 	"jackdawbay.dev/daemon/gateway"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/quorum"
 	"jackdawbay.dev/daemon/quota"
 	"jackdawbay.dev/daemon/replica"
@@ -25,7 +26,6 @@
 const (
 	upstreamDialTimeout = 500 * time.Millisecond
 	maxIdlePerUpstream  = 16
-	headerTimeout       = 10 * time.Second // The configuration sets a shorter timeout for callers.
 	maxHeaderBytes      = 64 << 10
 	// drainDuration is the time for which a stopping gateway still accepts requests. The balancer removes a gateway after two
 	// failed readiness checks, one second apart.
@@ -74,10 +74,16 @@
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
 		ReportUnreachable: mirror.ReportUnreachable, SecondAttemptShare: p.flags.SecondAttemptsPercent / 100,
 		Limiter: limiter, UnitLifetime: unitLifetime, ManageOverload: p.site.ManageOverload,
+		Intake: p.intake, WriteTimeout: p.flags.WriteTimeout,
 	})
-	server := &http.Server{Handler: g, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: g.ConnState()}
+	server := p.newServer(g)
+	server.MaxHeaderBytes = maxHeaderBytes
+	callerConns := p.limitConnections(server, g.ConnState())
+	if p.site.MaxFDs > 0 {
+		pool.LimitConns(func() int { return intake.MaxUpstreamConnections(p.site.MaxFDs, callerConns.Count()) })
+	}
 	p.tree.Add(serverTask("callers", server, callers))
-	p.tree.Add(serverTask("ready", &http.Server{Handler: readyHandler(g, p), ReadHeaderTimeout: headerTimeout}, ready))
+	p.tree.Add(serverTask("ready", p.newOpsServer("ready", readyHandler(g, p)), ready))
 	p.tree.Add(supervisedTask{"configuration", cat.FollowConfig})
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
 	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -35,6 +35,7 @@
 	if err != nil {
 		return err
 	}
+	server.LimitBodies(p.intake)
 	address := p.flags.Advertise
 	if address == "" {
 		address = p.site.ReplicaListen
@@ -72,8 +73,12 @@
 	p.tree.Add(supervisedTask{"watchers", members.RunWatchers})
 	p.tree.Add(supervisedTask{"membership", members.Run})
 	p.tree.Add(supervisedTask{"issuer", issuer.Run})
-	p.tree.Add(serverTask("replica", &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout}, l))
-	p.tree.Add(serverTask("metrics", &http.Server{Handler: p.metricsHandler(), ReadHeaderTimeout: headerTimeout}, ops))
+	listener := p.newServer(router)
+	if limit := p.limitConnections(listener, nil).Limit(); limit > 0 {
+		relays.LimitStreams(limit / 2) // The other half is for turns and copies.
+	}
+	p.tree.Add(serverTask("replica", listener, l))
+	p.tree.Add(serverTask("metrics", p.newOpsServer("ops", p.metricsHandler()), ops))
 	p.tree.ServeBackground(root)
 
 	terminated, cancel := notifyTermination()
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/daemon/catalog"
 	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/quorum"
 )
 
@@ -88,6 +89,11 @@
 	// ManageOverload enables the queue, the retry budget and the placement for many gateways.
 	ManageOverload bool
 
+	// Intake bounds the memory of requests and responses; nil sets no limit.
+	Intake *intake.Intake
+	// WriteTimeout is the time after which a caller that does not read its response is disconnected; zero sets no limit.
+	WriteTimeout time.Duration
+
 	// ReportUnreachable tells other VMs that this one cannot reach the process of an upstream; may be nil.
 	ReportUnreachable func(p placement.Process)
 }
@@ -184,7 +190,7 @@
 	if g.stopDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	g.newCall(w, r, arrivedAt).serve()
+	g.newCall(g.limitWrites(w, r), r, arrivedAt).serve()
 }
 
 // Run settles charges in the background until the context ends.
--- a/daemon/gateway/organisation_test.go
+++ b/daemon/gateway/organisation_test.go
@@ -310,7 +310,7 @@
 	c.ctx, c.tokensPerEvent = ctx, 1
 	c.meta = RequestMeta{RequestID: id, Program: program, PreviousTurn: previous, TokenBudget: 100, MaxTokens: 60}
 	c.route = &route.Route{Kind: route.Stream, StoreTurns: true, Retention: time.Hour}
-	c.callerBody, c.upstreamBody = []byte(input), []byte(input)
+	c.callerBody, c.upstreamBody = []byte(input), [][]byte{[]byte(input)}
 	if organisation != "" {
 		c.organisation = &route.Organisation{Name: organisation}
 	}
@@ -343,7 +343,7 @@
 			c.stream.events, c.stream.output = 60, []byte("answer to "+input+"\n")
 			must.NoError(t, c.storeTurn())
 			c.finish()
-			return http.StatusOK, string(c.upstreamBody)
+			return http.StatusOK, string(bytes.Join(c.upstreamBody, nil))
 		}
 		check := func(g *Gateway, organisation, id, program, previous, input string, wantStatus int, wantSent string) {
 			t.Helper()
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -29,6 +29,10 @@
 	if c.headWritten {
 		c.abort(string(kind))
 	}
+	if !c.bodyRead {
+		c.g.cfg.Intake.PrepareRejection(c.w, c.r)
+		defer c.g.cfg.Intake.Linger(c.w, c.r)
+	}
 	body, err := json.Marshal(errkind.NewBody(errkind.New(kind, detail).WithRetryAfter(retryAfter)))
 	if err != nil {
 		body = nil // The status is sufficient without a body.
@@ -57,12 +61,14 @@
 	settlementsDropped *metrics.Counter
 	organisations      *organisationStats
 	waiting            *metrics.Gauge // Requests in the queues for upstreams.
+	slowReaders        *metrics.Counter
 }
 
 func newStats(set *metrics.Set) *stats {
 	return &stats{
 		set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total"), organisations: newOrganisationStats(set),
-		waiting: set.GetOrCreateGauge("jackdawbay_admission_waiting", nil),
+		waiting:     set.GetOrCreateGauge("jackdawbay_admission_waiting", nil),
+		slowReaders: set.NewCounter("jackdawbay_slow_readers_total"),
 	}
 }
 
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -151,7 +151,7 @@
 	u := a.choice.Upstream
 	if a.conn == nil {
 		c.excluded[u.ID] = true
-		if c.ctx.Err() != nil {
+		if c.ctx.Err() != nil || errors.Is(a.err, forward.ErrTooManyConnections) {
 			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
 		} else {
 			c.g.upstreams.recordUnreachable(c.service, u)
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/binary"
@@ -12,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -20,23 +20,29 @@
 	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
+	"jackdawbay.dev/core/memory"
 	"jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/logging"
 )
 
 // Limits of a replica.
 const (
-	maxQueuedBatches    = 1024                   // Max batches that wait for the disk; further ones are rejected with status 503.
-	maxBatchesPerSync   = 256                    // Max batches that are written with one sync.
-	maxRequestBytes     = 16 << 20               // Max size of a request body.
-	expireInterval      = 5 * time.Second        // Interval of removing expired entries.
-	maxTurnsPerResponse = 200                    // Max turns in the response to one copy request.
-	slowWriteThreshold  = 150 * time.Millisecond // A slower write is logged; one that takes a few times as long is noticeable to callers.
+	maxQueuedBatches  = 1024            // Max batches that wait for the disk; further ones are rejected with status 503.
+	maxBatchesPerSync = 256             // Max batches that are written with one sync.
+	maxRequestBytes   = 16 << 20        // Max size of a request body.
+	expireInterval    = 5 * time.Second // Interval of removing expired entries.
+	// maxResponseChainBytes is the limit of all chains in one response. It is below the size that gateways accept, and 2.4 times the
+	// longest chains that the deployments describe.
+	maxResponseChainBytes = 24 << 20
+	maxTurnsPerResponse   = 200                    // Max turns in the response to one copy request.
+	slowWriteThreshold    = 150 * time.Millisecond // A slower write is logged; one that takes a few times as long is noticeable to callers.
 )
 
 // Server stores the data of one replica and serves the requests to it.
 type Server struct {
 	state  *state
+	intake *intake.Intake
 	log    *slog.Logger
 	writes chan *writeJob
 
@@ -80,6 +86,9 @@
 	return s, nil
 }
 
+// LimitBodies bounds the memory of request bodies. It must be called before the server handles requests.
+func (s *Server) LimitBodies(in *intake.Intake) { s.intake = in }
+
 // Disk returns the identity of the replica's data directory.
 func (s *Server) Disk() string { return s.state.log.Identity }
 
@@ -264,7 +273,9 @@
 // the epochs differ, it responds with the current view.
 func (s *Server) handleBatch(w http.ResponseWriter, r *http.Request) {
 	s.batches.Inc()
-	raw, ok := s.readBody(w, r)
+	held := s.intake.Open()
+	defer held.Close()
+	raw, ok := s.readBody(w, r, held)
 	if !ok {
 		return
 	}
@@ -285,7 +296,11 @@
 		s.writeBatchResponse(w, BatchResponse{View: &v})
 		return
 	}
-	results, newer, ok := s.execute(r.Context(), b.Epoch, b.Ops)
+	if !intake.ReserveResponse(r.Context(), held, turnBytes(b.Ops)) {
+		s.reject(w, r, http.StatusServiceUnavailable, reasonNoMemory, "ops", len(b.Ops))
+		return
+	}
+	results, newer, ok := s.execute(r.Context(), held, b.Epoch, b.Ops)
 	if ok && newer != nil {
 		s.countRejected(reasonOtherView)
 		s.writeBatchResponse(w, BatchResponse{View: newer})
@@ -302,6 +317,17 @@
 	s.writeBatchResponse(w, BatchResponse{Results: results})
 }
 
+// turnBytes returns the size of the log entries of the turns in a batch. They are a copy of the batch until the write has ended.
+func turnBytes(ops []Op) int64 {
+	n := 0
+	for _, op := range ops {
+		if op.Turn != nil {
+			n += len(op.Turn.Input) + len(op.Turn.Output)
+		}
+	}
+	return int64(n)
+}
+
 func (s *Server) writeBatchResponse(w http.ResponseWriter, response BatchResponse) {
 	raw, err := response.Encode()
 	if err != nil {
@@ -310,36 +336,55 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
 	_, _ = w.Write(raw) // The sender retries a request without a response.
 }
 
-// readBody returns the body of a request. If it cannot be read, readBody rejects the request and reports false.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	var body bytes.Buffer
-	if n := r.ContentLength; n > 0 && n <= maxRequestBytes {
-		body.Grow(int(n) + bytes.MinRead) // Without the spare bytes, ReadFrom grows the buffer once more before it reads EOF.
-	}
-	if _, err := body.ReadFrom(http.MaxBytesReader(w, r.Body, maxRequestBytes)); err != nil {
-		s.reject(w, r, http.StatusBadRequest, reasonIncomplete, "error", err)
+// readBody returns the body of a request. If it cannot be read, readBody rejects the request and reports false. The memory of
+// the body is that of the holder.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, held *memory.Holder) ([]byte, bool) {
+	pieces, err := s.intake.Read(w, r, held, maxRequestBytes)
+	status, reason := http.StatusBadRequest, reasonIncomplete
+	if err == nil {
+		if body, ok := s.intake.Join(r.Context(), held, pieces); ok {
+			return body, true
+		}
+		s.reject(w, r, http.StatusServiceUnavailable, reasonNoMemory, "announced", r.ContentLength)
 		return nil, false
 	}
-	return body.Bytes(), true
+	if errors.IsAny(err, intake.ErrNoMemory, intake.ErrGaveWay) {
+		status, reason = http.StatusServiceUnavailable, reasonNoMemory
+	}
+	held.Close()
+	w.Header().Set("Connection", "close")
+	s.reject(w, r, status, reason, "error", err)
+	s.intake.Linger(w, r)
+	return nil, false
 }
 
 // execute executes the operations of a batch and returns a result for each. Chains are read directly; the other operations
 // are queued for the writer. The sender does not rely on the order in which the operations of a batch are executed. If the view
 // has changed by the time of the write, it returns the view in force instead. It reports false if the queue is full or the
-// context ends first.
-func (s *Server) execute(ctx context.Context, epoch uint64, ops []Op) (results []Result, newer *replica.View, ok bool) {
+// context ends first. The memory of the chains is that of the holder; a chain for which there is none fails.
+func (s *Server) execute(ctx context.Context, held *memory.Holder, epoch uint64, ops []Op) (results []Result, newer *replica.View, ok bool) {
 	results = make([]Result, len(ops))
 	job := &writeJob{epoch: epoch, done: make(chan struct{})}
 	var positions []int
+	chainBytes := int64(0)
 	for i, op := range ops {
 		if op.Kind != OpReadChain {
 			job.ops = append(job.ops, op)
 			positions = append(positions, i)
 			continue
 		}
+		n := s.state.chainBytes(op.From)
+		if chainBytes+n > maxResponseChainBytes || !intake.ReserveResponse(ctx, held, 2*n) { // The turns and the encoded response.
+			s.countRejected(reasonNoMemory)
+			s.log.Warn("chain not read", logging.LimitPerSource("reason", reasonNoMemory), "turn", op.From, "bytes", n, "before", chainBytes)
+			results[i] = Result{Failed: true}
+			continue
+		}
+		chainBytes += n
 		turns, missing, err := s.state.readChain(op.From)
 		if err != nil {
 			s.log.Error("cannot read a chain", "turn", op.From, "error", err)
@@ -475,6 +520,7 @@
 const (
 	reasonUndecodable    = "body cannot be decoded"
 	reasonIncomplete     = "body is not whole"
+	reasonNoMemory       = "no memory for the body"
 	reasonOtherDisk      = "other disk"
 	reasonOtherView      = "other view"
 	reasonWriteQueueFull = "too many writes wait"
@@ -499,7 +545,13 @@
 
 // decodeJSON decodes the body of a request. If that fails, it rejects the request and reports false.
 func (s *Server) decodeJSON(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBytes)).Decode(into); err != nil {
+	held := s.intake.Open()
+	defer held.Close()
+	body, ok := s.readBody(w, r, held)
+	if !ok {
+		return false
+	}
+	if err := json.Unmarshal(body, into); err != nil {
 		s.reject(w, r, http.StatusBadRequest, reasonUndecodable, "error", err)
 		return false
 	}
