Close gaps in chains in the background, and count what a replica lacks

A member keeps a gap if a gateway sends it one turn of a chain as a replacement of a slow member and does not need it for the quorum. It then does not count as a member that stores the later turns of the chain.

Metrics are new: jackdawbay_replica_copy_due, _turns_to_copy, _chain_gaps, _copied_turns_total, _copied_bytes_total, _closed_gaps_total.

--- a/daemon/replica/copy_turns.go
+++ b/daemon/replica/copy_turns.go
@@ -34,6 +34,7 @@
 	regionLink := rate.NewLimiter(regionLinkBytesPerSec, copyPieceBytes)
 	for {
 		c := m.newTurnCopy(v, progress)
+		m.Server.turnsToCopy.Store(int64(c.left))
 		if c.left == 0 {
 			return nil
 		}
@@ -232,6 +233,9 @@
 	c.left -= len(ids)
 	c.turns += len(p.records)
 	c.bytes += p.bytes
+	c.m.Server.turnsToCopy.Store(int64(c.left))
+	c.m.Server.copiedTurns.Add(len(p.records))
+	c.m.Server.copiedBytes.Add(p.bytes)
 }
 
 // onSourceFailure ends the requests to a source, and the copy if the other sources are too few.
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -77,6 +77,7 @@
 
 	copying        atomic.Bool
 	progress       *copyProgress           // Used only by the copy in progress.
+	gaps           gapCloser               // Used only by closeGaps; running and startedAt are guarded by mu.
 	loggedStatuses map[string]memberStatus // Last logged status by member key, for members of the current set. Used only by Run.
 
 	mu                     sync.Mutex
@@ -278,6 +279,7 @@
 		}
 		m.register(ctx)
 		m.followView(ctx)
+		m.startClosingGaps(ctx)
 		m.probeMembers(ctx)
 		m.joinGroup(ctx)
 		m.proposeView(ctx)
@@ -335,7 +337,9 @@
 	if !m.Server.adopt(ctx, v) {
 		return
 	}
-	if v.IsSettled() || !replica.Contains(v.CurrentSet(), m.Self.Key()) || !v.MustCopy(m.Self) || m.isMarkedCopied(v) {
+	copyDue := !v.IsSettled() && replica.Contains(v.CurrentSet(), m.Self.Key()) && v.MustCopy(m.Self) && !m.isMarkedCopied(v)
+	m.Server.copyDue.Store(copyDue)
+	if !copyDue {
 		return
 	}
 	m.mu.Lock()
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -42,7 +43,13 @@
 
 	adoptMu sync.Mutex // Held while a view is being adopted.
 
+	copyDue     atomic.Bool  // The view requires this replica to copy the earlier sets, and it has not reported that it has.
+	turnsToCopy atomic.Int64 // Turns that the copy in progress has to fetch; zero before it has read the inventories.
+
 	metricSet   *metrics.Set
+	copiedTurns *metrics.Counter
+	copiedBytes *metrics.Counter
+	closedGaps  *metrics.Counter
 	batches     *metrics.Counter
 	writeErrors *metrics.Counter
 	syncSeconds *metrics.Histogram
@@ -78,6 +85,17 @@
 		writeErrors:   set.NewCounter("jackdawbay_replica_write_errors_total"),
 		syncSeconds:   set.NewHistogram("jackdawbay_replica_sync_seconds"),
 	}
+	s.copiedTurns = set.NewCounter("jackdawbay_replica_copied_turns_total")
+	s.copiedBytes = set.NewCounter("jackdawbay_replica_copied_bytes_total")
+	s.closedGaps = set.NewCounter("jackdawbay_replica_closed_gaps_total")
+	set.NewGauge("jackdawbay_replica_copy_due", func() float64 {
+		if s.copyDue.Load() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("jackdawbay_replica_turns_to_copy", func() float64 { return float64(s.turnsToCopy.Load()) })
+	set.NewGauge("jackdawbay_replica_chain_gaps", func() float64 { return float64(st.gapCount()) })
 	set.NewGauge(`jackdawbay_view_version`, func() float64 { return float64(s.View().Version) })
 	log.Info("replica opened", "disk", st.log.Identity, "turns", len(st.turns), "programs", len(st.programs), "view", st.view.Version)
 	return s, nil
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -230,6 +230,13 @@
 	return ids
 }
 
+// gapCount returns the number of turns that are not indexed although indexed turns continue them.
+func (s *state) gapCount() int {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return len(s.gaps)
+}
+
 // ensureProgram returns the state of a program. It creates the state if the program has none.
 func (s *state) ensureProgram(id string) *programState {
 	p, ok := s.programs[id]
