Refuse writes at once while the disk of a replica is full

A full disk was treated like a failing one: each write went to the disk, failed, and left a new segment file; a segment could not be removed, since the entries to retain could not be written; views could not be stored.

Chains are read as before. A segment without entries is removed after a failed write. A gateway asks a member that has refused a write last, for a second; the member stays in the view. The state is a metric and two log lines.

Not measured: a real full disk.

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -45,6 +45,7 @@
 	hedgeLatencyFactor      = 4                      // A request is hedged after this multiple of a replica's mean latency.
 	probeInterval           = 200 * time.Millisecond // Interval between probes of an unresponsive replica.
 	probeTimeout            = 300 * time.Millisecond // Well above a round trip between regions.
+	refusedWriteDuration    = time.Second            // Time for which a member that has refused a write is asked last.
 	storeRetryDelay         = 50 * time.Millisecond  // Delay between attempts to store a turn while there is no quorum.
 	maxViewAttempts         = 4
 	hedgeCreditPerOperation = 0.1 // Share of the operations that may be hedged while all replicas respond.
@@ -285,6 +286,9 @@
 				submit(response.member, response.ops)
 			default:
 				results[response.member.Key()] = response.results
+				if hasRefusedWrite(response.ops, response.results) {
+					c.queue(response.member).onRefusedWrite()
+				}
 				if r.isDone(v, results) {
 					return true, false, nil
 				}
@@ -337,6 +341,9 @@
 		if c.queue(m).isUnresponsive() {
 			penalty += 10
 		}
+		if c.queue(m).refusesWrites() {
+			penalty += 4 // More than the distance, so that a member with a full disk is not in the first quorum.
+		}
 		if !core.Contains(v.CurrentSet(), m.Key()) {
 			penalty += 5
 		}
@@ -614,6 +621,16 @@
 	return len(results) == len(ops) && !slices.ContainsFunc(results, func(r replica.Result) bool { return r.Failed })
 }
 
+// hasRefusedWrite reports whether a member has not made an operation durable.
+func hasRefusedWrite(ops []replica.Op, results []replica.Result) bool {
+	for i, r := range results {
+		if r.Failed && ops[i].Kind != replica.OpReadChain {
+			return true
+		}
+	}
+	return false
+}
+
 // retryStore calls store until it succeeds or the context ends.
 func retryStore(ctx context.Context, store func() error) error {
 	for {
@@ -694,6 +711,7 @@
 	unresponsiveSince time.Time // When the first request failed.
 	diskReplaced      bool      // The member's address serves a different disk.
 	closed            bool
+	refusedWriteAt    time.Time // When the member last did not make a write durable.
 	meanLatency       time.Duration
 	inFlight          int       // Requests in flight.
 	lastProgress      time.Time // When the replica last responded, or when the oldest request in flight was sent.
@@ -760,6 +778,19 @@
 	return q.unresponsive
 }
 
+func (q *memberQueue) onRefusedWrite() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.refusedWriteAt = time.Now()
+}
+
+// refusesWrites reports whether the member, which responds, has lately refused a write, as with a full disk.
+func (q *memberQueue) refusesWrites() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return time.Since(q.refusedWriteAt) < refusedWriteDuration
+}
+
 func (q *memberQueue) latency() time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -26,7 +26,9 @@
 type node struct {
 	member       core.Member
 	unresponsive atomic.Bool // Requests block until their sender cancels them.
+	diskFull     atomic.Bool // Writes are refused; chains are read.
 	chainReads   atomic.Int64
+	writes       atomic.Int64 // Batches with writes.
 }
 
 // inProcessTransport calls handlers by address without a network. Waiting for a socket would stop the fake clock of
@@ -88,11 +90,26 @@
 	}
 	if r.URL.Path == replica.PathBatch {
 		if b, err := replica.DecodeBatch(body); err == nil {
+			isWrite := false
 			for _, op := range b.Ops {
 				if op.Kind == replica.OpReadChain {
 					n.chainReads.Add(1)
+				} else {
+					isWrite = true
 				}
 			}
+			if isWrite {
+				n.writes.Add(1)
+			}
+			if isWrite && n.diskFull.Load() {
+				response := replica.BatchResponse{Results: make([]replica.Result, len(b.Ops))}
+				for i := range b.Ops {
+					response.Results[i].Failed = true
+				}
+				raw, _ := response.Encode()
+				_, _ = w.Write(raw)
+				return
+			}
 		}
 	}
 	r.Body = io.NopCloser(bytes.NewReader(body))
--- a/daemon/replica/copy_source.go
+++ b/daemon/replica/copy_source.go
@@ -284,6 +284,9 @@
 
 // storeCopied stores records that were copied from another replica. They wait for the writes of callers.
 func (s *Server) storeCopied(ctx context.Context, records []record) error {
+	if s.refuseFull() {
+		return errDiskFull
+	}
 	job := &writeJob{ctx: ctx, copied: records, done: make(chan struct{})}
 	select {
 	case s.copies <- job:
--- a/daemon/replica/log.go
+++ b/daemon/replica/log.go
@@ -46,6 +46,11 @@
 	SyncDir() error
 }
 
+// spaceReporter is a FileSystem that reports the size of its disk.
+type spaceReporter interface {
+	Space() (free, total uint64, err error) // In bytes.
+}
+
 // Location is the position of a payload in the log. Offset and Length are in bytes.
 type Location struct {
 	Segment uint64
@@ -216,11 +221,11 @@
 		offset += frameHeaderBytes + int64(len(p))
 	}
 	if _, err := newest.file.Write(buf); err != nil {
-		l.writeFailed = true
+		l.discardFailed(newest)
 		return nil, errors.Wrap(err, "write log segment")
 	}
 	if err := newest.file.Sync(); err != nil {
-		l.writeFailed = true
+		l.discardFailed(newest)
 		return nil, errors.Wrap(err, "sync log segment")
 	}
 	newest.size = offset
@@ -228,6 +233,18 @@
 	return locations, nil
 }
 
+// discardFailed records that the last write failed. It removes a segment that has no other entries, so that repeated failures of a
+// full disk do not add a file each.
+func (l *Log) discardFailed(newest *segment) {
+	l.writeFailed = true
+	if newest.size > 0 || len(l.segments) < 2 {
+		return
+	}
+	l.segments = append([]*segment{}, l.segments[:len(l.segments)-1]...)
+	_ = newest.file.Close()                 // The file has no acknowledged entry.
+	_ = l.fs.Remove(segmentName(newest.id)) // A file that remains is replayed at the next start up to its last complete frame.
+}
+
 // Read returns the payload at a location. It fails if the location's segment is not in segments.
 func (l *Log) Read(location Location, segments []*segment) ([]byte, error) {
 	p := make([]byte, location.Length)
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -43,6 +43,9 @@
 
 	adoptMu sync.Mutex // Held while a view is being adopted.
 
+	space   diskSpace
+	wasFull atomic.Bool // For the log: the last write was refused because the disk is full.
+
 	copyDue     atomic.Bool  // The view requires this replica to copy the earlier sets, and it has not reported that it has.
 	turnsToCopy atomic.Int64 // Turns that the copy in progress has to fetch; zero before it has read the inventories.
 
@@ -85,6 +88,13 @@
 		writeErrors:   set.NewCounter("jackdawbay_replica_write_errors_total"),
 		syncSeconds:   set.NewHistogram("jackdawbay_replica_sync_seconds"),
 	}
+	s.space.fs = fs
+	set.NewGauge("jackdawbay_replica_disk_full", func() float64 {
+		if s.space.isFull(time.Now()) {
+			return 1
+		}
+		return 0
+	})
 	s.copiedTurns = set.NewCounter("jackdawbay_replica_copied_turns_total")
 	s.copiedBytes = set.NewCounter("jackdawbay_replica_copied_bytes_total")
 	s.closedGaps = set.NewCounter("jackdawbay_replica_closed_gaps_total")
@@ -224,6 +234,7 @@
 	}
 	start := time.Now()
 	err := s.state.append(records)
+	s.space.onWrite(time.Now(), err)
 	s.syncSeconds.UpdateDuration(start)
 	if duration := time.Since(start); duration > slowWriteThreshold {
 		s.log.Warn("disk is slow", "took", duration, "records", len(records), "batches", len(group), "waiting", len(s.writes))
@@ -396,6 +407,12 @@
 		}
 		results[i] = Result{Turns: turns, Missing: missing}
 	}
+	if len(job.ops) > 0 && s.refuseFull() {
+		for _, i := range positions {
+			results[i] = Result{Failed: true}
+		}
+		return results, nil, true
+	}
 	if len(job.ops) > 0 {
 		if !s.submit(ctx, job) {
 			return nil, nil, false
@@ -410,6 +427,22 @@
 	return results, nil, true
 }
 
+// refuseFull reports whether a write must be refused because the disk is full. It logs when that begins and ends.
+func (s *Server) refuseFull() bool {
+	full := s.space.isFull(time.Now())
+	if full {
+		s.countRejected(reasonDiskFull)
+	}
+	if s.wasFull.Swap(full) != full {
+		if full {
+			s.log.Error("disk is full; writes are refused until there is space again")
+		} else {
+			s.log.Info("disk has space again")
+		}
+	}
+	return full
+}
+
 // handleProbe responds only if the disk identity in the query, if any, is the one of this replica. A VM that has lost its
 // disk runs a different replica at the same address.
 func (s *Server) handleProbe(w http.ResponseWriter, r *http.Request) {
@@ -427,6 +460,7 @@
 	reasonOtherDisk      = "other disk"
 	reasonOtherView      = "other view"
 	reasonWriteQueueFull = "too many writes wait"
+	reasonDiskFull       = "disk is full"
 	reasonCopyBusy       = "too many copies"
 	reasonSenderTimedOut = "sender gave up" // Usually because the write to disk takes longer than the sender's timeout.
 )
