Test a copy that is interrupted by a further loss

TestCopyResumesAfterFurtherLoss loses a second disk while a copy of 1,200 turns is under way: the copies of the next view fetch no stored turn again, and each turn is on three members with its chain. The memory of a finished copy is freed.

--- a/daemon/replica/copy.go
+++ b/daemon/replica/copy.go
@@ -26,6 +26,7 @@
 		m.Log.Warn("copy of the earlier sets failed", "view", v.Version, "error", err)
 		return
 	}
+	m.progress = nil // Frees its memory.
 	m.mu.Lock()
 	m.copiedEpoch = v.Epoch
 	m.mu.Unlock()
--- a/daemon/replica/copy_share_test.go
+++ b/daemon/replica/copy_share_test.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -235,6 +237,54 @@
 	test.Between(t, maxGapBytes, int(m.Server.state.log.segments[0].size), maxGapBytes+maxGapBytes/10)
 }
 
+// TestCopyResumesAfterFurtherLoss guards against turns on fewer members than a write quorum when a further disk is lost during a
+// long copy, and against a copy that then transfers the stored turns again.
+func TestCopyResumesAfterFurtherLoss(t *testing.T) {
+	g := newShareGroup(t, 2)
+	for range 20 * sharePrograms {
+		g.storeTurn(g.rand.IntN(sharePrograms))
+	}
+	first := g.view.CurrentSet()
+	second := append([]replica.Member{}, first...)
+	second[0] = g.newMember(first[0].VM, first[0].DataCentre[:2])
+	g.view = replica.View{Version: 2, Epoch: 2, ToleratedFailures: 2, Sets: [][]replica.Member{first, second}}
+	g.adopt()
+	m := g.members[second[0].VM]
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var pieces atomic.Int64
+	underlying := m.Client
+	m.Client = &http.Client{Transport: roundTripFunc(func(r *http.Request) (*http.Response, error) {
+		if r.URL.Path == PathTurns {
+			if pieces.Add(1) > 5 {
+				cancel()
+				return nil, ctx.Err()
+			}
+		}
+		return underlying.Transport.RoundTrip(r)
+	})}
+	m.runCopy(ctx, g.view)
+	m.Client = underlying
+	must.EqOp(t, 0, m.copiedEpoch)
+	before := len(m.Server.state.turns)
+	must.Between(t, 40, before, 400)
+
+	third := append([]replica.Member{}, second...)
+	third[1] = g.newMember(second[1].VM, second[1].DataCentre[:2])
+	g.view = replica.View{Version: 3, Epoch: 3, ToleratedFailures: 2, Sets: [][]replica.Member{first, second, third}}
+	g.adopt()
+	copiedBefore := m.Server.copiedTurns.Get()
+	for _, member := range third { // With three sets, all members copy.
+		other := g.members[member.VM]
+		other.runCopy(t.Context(), g.view)
+		must.EqOp(t, 3, other.copiedEpoch)
+	}
+	test.EqOp(t, len(m.Server.state.turns)-before, int(m.Server.copiedTurns.Get()-copiedBefore))
+	for id := range g.turns {
+		must.GreaterEq(t, 3, g.wholeHolders(id), must.Sprint(id))
+	}
+}
+
 func newShareClient(g *shareGroup) *http.Client {
 	return &http.Client{Transport: roundTripFunc(func(r *http.Request) (*http.Response, error) {
 		return (&copyTransport{servers: g.servers}).RoundTrip(r)
