--- a/daemon/replica/log.go
+++ b/daemon/replica/log.go
@@ -46,6 +46,11 @@
 	SyncDir() error
 }
 
+// spaceReporter is a FileSystem that reports the size of its disk.
+type spaceReporter interface {
+	Space() (free, total uint64, err error) // In bytes.
+}
+
 // Location is the position of a payload in the log. Offset and Length are in bytes.
 type Location struct {
 	Segment uint64
@@ -53,6 +58,9 @@
 	Length  int
 }
 
+// end returns the offset behind the payload.
+func (l Location) end() int64 { return l.Offset + int64(l.Length) }
+
 // segment is one file of the log.
 type segment struct {
 	id          uint64
@@ -197,7 +205,11 @@
 		}
 		newest = l.segments[len(l.segments)-1]
 	}
-	var buf []byte
+	size := 0
+	for _, p := range payloads {
+		size += frameHeaderBytes + len(p)
+	}
+	buf := make([]byte, 0, size)
 	locations := make([]Location, len(payloads))
 	offset := newest.size
 	for i, p := range payloads {
@@ -209,11 +221,11 @@
 		offset += frameHeaderBytes + int64(len(p))
 	}
 	if _, err := newest.file.Write(buf); err != nil {
-		l.writeFailed = true
+		l.discardFailed(newest)
 		return nil, errors.Wrap(err, "write log segment")
 	}
 	if err := newest.file.Sync(); err != nil {
-		l.writeFailed = true
+		l.discardFailed(newest)
 		return nil, errors.Wrap(err, "sync log segment")
 	}
 	newest.size = offset
@@ -221,19 +233,36 @@
 	return locations, nil
 }
 
+// discardFailed records that the last write failed. It removes a segment that has no other entries, so that repeated failures of a
+// full disk do not add a file each.
+func (l *Log) discardFailed(newest *segment) {
+	l.writeFailed = true
+	if newest.size > 0 || len(l.segments) < 2 {
+		return
+	}
+	l.segments = append([]*segment{}, l.segments[:len(l.segments)-1]...)
+	_ = newest.file.Close()                 // The file has no acknowledged entry.
+	_ = l.fs.Remove(segmentName(newest.id)) // A file that remains is replayed at the next start up to its last complete frame.
+}
+
 // Read returns the payload at a location. It fails if the location's segment is not in segments.
 func (l *Log) Read(location Location, segments []*segment) ([]byte, error) {
+	p := make([]byte, location.Length)
+	if err := l.readAt(p, location, segments); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// readAt reads the bytes at a location into p, which has its length.
+func (l *Log) readAt(p []byte, location Location, segments []*segment) error {
 	for _, s := range segments {
-		if s.id != location.Segment {
-			continue
-		}
-		p := make([]byte, location.Length)
-		if _, err := s.file.ReadAt(p, location.Offset); err != nil {
-			return nil, errors.Wrap(err, "read log segment")
+		if s.id == location.Segment {
+			_, err := s.file.ReadAt(p, location.Offset)
+			return errors.Wrap(err, "read log segment")
 		}
-		return p, nil
 	}
-	return nil, errors.Newf("segment %d has been removed", location.Segment)
+	return errors.Newf("segment %d has been removed", location.Segment)
 }
 
 // OldestClosedSegment returns the ID of the oldest segment and the time of its last write, or of its replay if that was
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -1,12 +1,9 @@
 package replica
 
 import (
-	"bufio"
 	"compress/gzip"
 	"context"
-	"encoding/binary"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -28,14 +26,14 @@
 
 // Limits of a replica.
 const (
-	maxQueuedBatches  = 1024            // Max batches that wait for the disk; further ones are rejected with status 503.
-	maxBatchesPerSync = 256             // Max batches that are written with one sync.
-	maxRequestBytes   = 16 << 20        // Max size of a request body.
-	expireInterval    = 5 * time.Second // Interval of removing expired entries.
+	maxQueuedBatches  = 1024     // Max batches that wait for the disk; further ones are rejected with status 503.
+	maxBatchesPerSync = 256      // Max batches that are written with one sync.
+	maxRequestBytes   = 16 << 20 // Max size of a request body.
 	// maxResponseChainBytes is the limit of all chains in one response. It is below the size that gateways accept, and 2.4 times the
 	// longest chains that the deployments describe.
 	maxResponseChainBytes = 24 << 20
-	maxTurnsPerResponse   = 200                    // Max turns in the response to one copy request.
+	expireInterval        = 5 * time.Second        // Interval of removing expired entries.
+	maxCopiedPerWrite     = 2                      // Max pieces of a copy that are written with one sync; 2 MB, so that callers do not wait long.
 	slowWriteThreshold    = 150 * time.Millisecond // A slower write is logged; one that takes a few times as long is noticeable to callers.
 )
 
@@ -45,10 +43,23 @@
 	intake *intake.Intake
 	log    *slog.Logger
 	writes chan *writeJob
+	copies chan *writeJob // Copied records, which are written behind the batches in writes.
+
+	copyReads     *readPacer
+	copyResponses chan struct{} // Limits the responses with turns that are in memory at the same time.
 
 	adoptMu sync.Mutex // Held while a view is being adopted.
 
+	space   diskSpace
+	wasFull atomic.Bool // For the log: the last write was refused because the disk is full.
+
+	copyDue     atomic.Bool  // The view requires this replica to copy the earlier sets, and it has not reported that it has.
+	turnsToCopy atomic.Int64 // Turns that the copy in progress has to fetch; zero before it has read the inventories.
+
 	metricSet   *metrics.Set
+	copiedTurns *metrics.Counter
+	copiedBytes *metrics.Counter
+	closedGaps  *metrics.Counter
 	batches     *metrics.Counter
 	writeErrors *metrics.Counter
 	syncSeconds *metrics.Histogram
@@ -73,14 +84,35 @@
 		return nil, err
 	}
 	s := &Server{
-		state:       st,
-		log:         log,
-		writes:      make(chan *writeJob, maxQueuedBatches),
-		batches:     set.NewCounter("jackdawbay_replica_batches_total"),
-		metricSet:   set,
-		writeErrors: set.NewCounter("jackdawbay_replica_write_errors_total"),
-		syncSeconds: set.NewHistogram("jackdawbay_replica_sync_seconds"),
-	}
+		state:         st,
+		log:           log,
+		writes:        make(chan *writeJob, maxQueuedBatches),
+		copies:        make(chan *writeJob),
+		copyReads:     newReadPacer(),
+		copyResponses: make(chan struct{}, maxCopyResponses),
+		batches:       set.NewCounter("jackdawbay_replica_batches_total"),
+		metricSet:     set,
+		writeErrors:   set.NewCounter("jackdawbay_replica_write_errors_total"),
+		syncSeconds:   set.NewHistogram("jackdawbay_replica_sync_seconds"),
+	}
+	s.space.fs = fs
+	set.NewGauge("jackdawbay_replica_disk_full", func() float64 {
+		if s.space.isFull(time.Now()) {
+			return 1
+		}
+		return 0
+	})
+	s.copiedTurns = set.NewCounter("jackdawbay_replica_copied_turns_total")
+	s.copiedBytes = set.NewCounter("jackdawbay_replica_copied_bytes_total")
+	s.closedGaps = set.NewCounter("jackdawbay_replica_closed_gaps_total")
+	set.NewGauge("jackdawbay_replica_copy_due", func() float64 {
+		if s.copyDue.Load() {
+			return 1
+		}
+		return 0
+	})
+	set.NewGauge("jackdawbay_replica_turns_to_copy", func() float64 { return float64(s.turnsToCopy.Load()) })
+	set.NewGauge("jackdawbay_replica_chain_gaps", func() float64 { return float64(st.gapCount()) })
 	set.NewGauge(`jackdawbay_view_version`, func() float64 { return float64(s.View().Version) })
 	log.Info("replica opened", "disk", st.log.Identity, "turns", len(st.turns), "programs", len(st.programs), "view", st.view.Version)
 	return s, nil
@@ -109,30 +141,57 @@
 }
 
 // RunWriter writes the queued batches to the log, up to maxBatchesPerSync with one sync, and removes expired entries. It
-// returns when the context ends.
+// returns when the context ends. Copied records take at most half of its time: after each write of them, only batches are
+// written for as long as that write took.
 func (s *Server) RunWriter(ctx context.Context) error {
 	expireTicker := time.NewTicker(expireInterval)
 	defer expireTicker.Stop()
+	copyPause := time.NewTimer(0)
+	defer copyPause.Stop()
+	var copies <-chan *writeJob // Nil during a pause.
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case now := <-expireTicker.C:
 			s.runExpiry(now)
+		case <-copyPause.C:
+			copies = s.copies
 		case job := <-s.writes:
-			group := []*writeJob{job}
-		fill:
-			for len(group) < maxBatchesPerSync {
-				select {
-				case j := <-s.writes:
-					group = append(group, j)
-				default:
-					break fill
-				}
-			}
-			s.writeGroup(group)
+			s.writeGroup(s.fillGroup([]*writeJob{job}))
+		case job := <-copies:
+			start := time.Now()
+			s.writeGroup(s.fillGroup(s.addCopies([]*writeJob{job})))
+			copies = nil
+			copyPause.Reset(time.Since(start))
+		}
+	}
+}
+
+// fillGroup adds the batches that wait for the disk to a group, up to maxBatchesPerSync.
+func (s *Server) fillGroup(group []*writeJob) []*writeJob {
+	for len(group) < maxBatchesPerSync {
+		select {
+		case j := <-s.writes:
+			group = append(group, j)
+		default:
+			return group
+		}
+	}
+	return group
+}
+
+// addCopies adds the copied records that wait for the disk to a group, up to maxCopiedPerWrite.
+func (s *Server) addCopies(group []*writeJob) []*writeJob {
+	for len(group) < maxCopiedPerWrite {
+		select {
+		case j := <-s.copies:
+			group = append(group, j)
+		default:
+			return group
 		}
 	}
+	return group
 }
 
 // runExpiry removes expired entries from the index and, if possible, the oldest segment from the log.
@@ -185,6 +244,7 @@
 	}
 	start := time.Now()
 	err := s.state.append(records)
+	s.space.onWrite(time.Now(), err)
 	s.syncSeconds.UpdateDuration(start)
 	if duration := time.Since(start); duration > slowWriteThreshold {
 		s.log.Warn("disk is slow", "took", duration, "records", len(records), "batches", len(group), "waiting", len(s.writes))
@@ -393,6 +453,12 @@
 		}
 		results[i] = Result{Turns: turns, Missing: missing}
 	}
+	if len(job.ops) > 0 && s.refuseFull() {
+		for _, i := range positions {
+			results[i] = Result{Failed: true}
+		}
+		return results, nil, true
+	}
 	if len(job.ops) > 0 {
 		if !s.submit(ctx, job) {
 			return nil, nil, false
@@ -407,6 +473,22 @@
 	return results, nil, true
 }
 
+// refuseFull reports whether a write must be refused because the disk is full. It logs when that begins and ends.
+func (s *Server) refuseFull() bool {
+	full := s.space.isFull(time.Now())
+	if full {
+		s.countRejected(reasonDiskFull)
+	}
+	if s.wasFull.Swap(full) != full {
+		if full {
+			s.log.Error("disk is full; writes are refused until there is space again")
+		} else {
+			s.log.Info("disk has space again")
+		}
+	}
+	return full
+}
+
 // handleProbe responds only if the disk identity in the query, if any, is the one of this replica. A VM that has lost its
 // disk runs a different replica at the same address.
 func (s *Server) handleProbe(w http.ResponseWriter, r *http.Request) {
@@ -417,105 +499,6 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// handleInventory responds with the inventory of this replica.
-func (s *Server) handleInventory(w http.ResponseWriter, r *http.Request) {
-	var req CopyRequest
-	if !s.decodeJSON(w, r, &req) || !s.acceptCopyRequest(w, r, req) {
-		return
-	}
-	inv := s.state.inventory()
-	writeCompressedJSON(w, CopyResponse{Inventory: &inv})
-}
-
-// handleTurns responds with the requested turns, encoded as in the log. Turns that this replica does not have are omitted.
-func (s *Server) handleTurns(w http.ResponseWriter, r *http.Request) {
-	var req CopyRequest
-	if !s.decodeJSON(w, r, &req) || !s.acceptCopyRequest(w, r, req) {
-		return
-	}
-	w.Header().Set("Content-Type", "application/octet-stream")
-	out := bufio.NewWriter(w)
-	for _, id := range req.TurnIDs[:min(len(req.TurnIDs), maxTurnsPerResponse)] {
-		payload, ok, err := s.state.readPayloadToCopy(id)
-		if err != nil {
-			s.log.Error("cannot read a turn for a copy", "turn", id, "error", err)
-			panic(http.ErrAbortHandler) // Prevents the response from appearing complete.
-		}
-		if !ok {
-			continue
-		}
-		var length [payloadLengthBytes]byte
-		binary.LittleEndian.PutUint32(length[:], uint32(len(payload)))
-		_, _ = out.Write(length[:]) // Flush returns the error.
-		_, _ = out.Write(payload)   // Flush returns the error.
-	}
-	if err := out.Flush(); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// payloadLengthBytes is the size of the length field before each copied payload.
-const payloadLengthBytes = 4
-
-// readCopiedTurns reads the turns of one response to a copy request. It fails if there are more than maxTurnsPerResponse.
-func readCopiedTurns(r io.Reader) ([]record, error) {
-	in := bufio.NewReader(r)
-	var records []record
-	for {
-		var length [payloadLengthBytes]byte
-		if _, err := io.ReadFull(in, length[:]); errors.Is(err, io.EOF) {
-			return records, nil
-		} else if err != nil {
-			return nil, errors.Wrap(err, "read turn length")
-		}
-		if len(records) >= maxTurnsPerResponse {
-			return nil, errors.Newf("response has more than %d turns", maxTurnsPerResponse)
-		}
-		n := binary.LittleEndian.Uint32(length[:])
-		if n > maxFrameBytes {
-			return nil, errors.Newf("turn of %d bytes is too large", n)
-		}
-		payload := make([]byte, n)
-		if _, err := io.ReadFull(in, payload); err != nil {
-			return nil, errors.Wrap(err, "read turn")
-		}
-		e, err := decodeEntry(payload)
-		if err != nil {
-			return nil, err
-		}
-		records = append(records, record{entry: e, payload: payload})
-	}
-}
-
-// storeCopied stores records that were copied from another replica.
-func (s *Server) storeCopied(ctx context.Context, records []record) error {
-	job := &writeJob{copied: records, done: make(chan struct{})}
-	if !s.submit(ctx, job) {
-		return errors.New("too many writes wait")
-	}
-	if job.copied == nil {
-		return errors.New("cannot write copied entries to disk")
-	}
-	return nil
-}
-
-// acceptCopyRequest checks the disk identity of a copy request and adopts its view. The view is adopted before any data is
-// read, so that no write of an earlier view can complete through this replica after the read. If the request is rejected,
-// it writes the response and reports false.
-func (s *Server) acceptCopyRequest(w http.ResponseWriter, r *http.Request, req CopyRequest) bool {
-	if req.Disk != s.Disk() {
-		s.reject(w, r, http.StatusMisdirectedRequest, reasonOtherDisk, "wanted", req.Disk)
-		return false
-	}
-	if !s.adopt(r.Context(), req.View) {
-		v := s.state.currentView()
-		s.countRejected(reasonOtherView)
-		writeJSON(w, CopyResponse{View: &v})
-		return false
-	}
-	return true
-}
-
 // Reasons to reject a request.
 const (
 	reasonUndecodable    = "body cannot be decoded"
@@ -524,6 +507,8 @@
 	reasonOtherDisk      = "other disk"
 	reasonOtherView      = "other view"
 	reasonWriteQueueFull = "too many writes wait"
+	reasonDiskFull       = "disk is full"
+	reasonCopyBusy       = "too many copies"
 	reasonSenderTimedOut = "sender gave up" // Usually because the write to disk takes longer than the sender's timeout.
 )
 
