Run the overload model without a queue only where it is compared

Cause: core/placement took 141 s with -race on a busy machine.

Change: the run at 1.2 times the capacity without a queue is only made with -v. Shorter runs of the other test were tried and dropped: with 20 s the start, in which slow engines are not known yet, counts for more than the bounds allow (busiest engine 1.56 instead of 1.35).

Measured: core/placement passes; the time with -race was not measured again.

--- a/core/placement/balance_test.go
+++ b/core/placement/balance_test.go
@@ -156,6 +156,9 @@
 	for _, perSecond := range []float64{145, 200, 300} {
 		results := map[bool]loadResult{}
 		for _, queued := range []bool{false, true} {
+			if !queued && perSecond == 200 && !testing.Verbose() {
+				continue // Only logged.
+			}
 			m := loadModel{gateways: 57, engines: 50, shares: skewedShares(57), perSecond: perSecond, duration: 20 * time.Second, hotShare: 0.25, seed: 1,
 				timeout: 3 * time.Second, queued: queued, newGroup: newBalancedGroup, choose: (*Group).Choose}
 			r := m.run()
