Do not count responses below 500 as failures of upstreams under load

Cause: a response such as 404 counts as a failure of its upstream, so with a rate of failures, callers with mistakes make all upstreams look failing.

Change: where overload is managed, only other outcomes count. Without the contract two such responses in a row still eject an upstream, as before.

--- a/daemon/gateway/admission_test.go
+++ b/daemon/gateway/admission_test.go
@@ -292,6 +292,33 @@
 	}
 }
 
+// Load: a caller that makes many requests which the upstreams answer with 404. Guards against upstreams that count as failing for it.
+func TestMistakesOfCallersAreNoFailures(t *testing.T) {
+	for _, managed := range []bool{false, true} {
+		address := startScriptedUpstream(t, func(_ int, _ bool, r *http.Request) (string, bool) {
+			return "HTTP/1.1 404 Not Found\r\nStamp: x\r\nId: " + r.Header.Get("Id") + "\r\nContent-Length: 0\r\n\r\n", false
+		})
+		g := newManagedGateway(t, address)
+		g.cfg.ManageOverload = managed
+		g.upstreams.cfg = g.cfg
+		for i := range 4 {
+			w, _, _ := dispatchQueued(g, t.Context(), &route.Route{Kind: route.NonIdempotent}, fmt.Sprint("r", i), 5*time.Second)
+			must.EqOp(t, http.StatusNotFound, w.Code)
+		}
+		g.upstreams.mu.Lock()
+		now := time.Now()
+		// A failing upstream is compared only if no other may get the request, so the round trip of a second one shows it.
+		u := catalog.Upstream{ID: "far", Service: "s", Address: address, Slots: 4, StartMillis: 1, DataCentre: "other", WarmUpRemaining: time.Hour}
+		list := catalog.Upstream{ID: "a", Service: "s", Address: address, Slots: 4, StartMillis: 1}
+		g.upstreams.current = &catalog.Upstreams{ByService: map[string][]catalog.Upstream{"s": {list, u}}, ByID: map[string]catalog.Upstream{"a": list, "far": u}}
+		g.upstreams.rebuild()
+		choice, ok := g.upstreams.group("s").Choose(now, placement.Request{})
+		g.upstreams.mu.Unlock()
+		must.True(t, ok)
+		test.EqOp(t, managed, choice.Upstream.ID == "a")
+	}
+}
+
 // BenchmarkChooseOrWait measures the choice of an upstream with and without the queue, while upstreams have room.
 func BenchmarkChooseOrWait(b *testing.B) {
 	for _, managed := range []bool{false, true} {
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -2,10 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"sync"
 	"time"
 
 	"jackdawbay.dev/core/placement"
+	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/catalog"
 )
 
@@ -176,6 +178,15 @@
 	}
 }
 
+// isUpstreamFailure reports whether the outcome of a send counts as a failure of its upstream. Where overload is managed, a
+// response with a status below 500 does not, since the rate of failures would follow the mistakes of callers.
+func (c *call) isUpstreamFailure(outcome route.Outcome) bool {
+	if outcome == route.UpstreamError && c.status < http.StatusInternalServerError && c.g.managesOverload() {
+		return false
+	}
+	return outcome != route.ResponseComplete && c.ctx.Err() == nil
+}
+
 // maxSuspicionSpread is the time over which the VMs send requests to a suspected upstream again, so that one that is back
 // gets few requests at first.
 const maxSuspicionSpread = 500 * time.Millisecond
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -138,7 +138,7 @@
 			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
 			return
 		}
-		c.g.upstreams.recordEnd(c.service, u.ID, outcome != route.ResponseComplete && c.ctx.Err() == nil, time.Since(sentAt))
+		c.g.upstreams.recordEnd(c.service, u.ID, c.isUpstreamFailure(outcome), time.Since(sentAt))
 	}()
 	outcome = c.receive(resp, responseMeta)
 	received = true
