--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -202,7 +202,7 @@
 			c.g.upstreams.recordEnd(c.service, u.ID, false, 0)
 			return
 		}
-		c.g.upstreams.recordEnd(c.service, u.ID, outcome != route.ResponseComplete && c.ctx.Err() == nil, time.Since(a.sentAt))
+		c.g.upstreams.recordEnd(c.service, u.ID, c.isUpstreamFailure(outcome), time.Since(a.sentAt))
 	}()
 	outcome = c.receive(a.resp, a.meta)
 	received = true
