Ask an issuer again soon after one slow answer

An issuer that did not answer within 60 ms was not asked for a second, so that a gateway with nearly all requests of an organisation lost its share. The time now starts at 50 ms and doubles up to a second.

--- a/core/quota/allowance.go
+++ b/core/quota/allowance.go
@@ -17,8 +17,11 @@
 	expectedPeriod = 100 * time.Millisecond
 	// demandPeriod is the time constant of the average of the arrivals.
 	demandPeriod = 300 * time.Millisecond
-	// retryUnreachableAfter is the time for which an issuer that did not answer is asked only if no other has units.
-	retryUnreachableAfter = time.Second
+	// An issuer that did not answer is asked again after minUnreachablePeriod, and after twice the time for each further call
+	// without an answer, up to maxUnreachablePeriod. With one second after a single slow answer, a gateway with nearly all requests
+	// lost the share of that issuer for a second.
+	minUnreachablePeriod = 50 * time.Millisecond
+	maxUnreachablePeriod = time.Second
 	// minEmptyPeriod bounds the calls for requests over the limit. At 512 units per second, an issuer has a unit every 10 ms,
 	// and most of the gateways that asked again then would get none.
 	minEmptyPeriod = 20 * time.Millisecond
@@ -48,6 +51,7 @@
 	emptyUntil       time.Time // It is not asked before.
 	nextUnitAt       time.Time // When it has its next unit, as it stated; zero if its last answer stated none.
 	unreachableUntil time.Time
+	failures         int // Calls without an answer since the last answer.
 }
 
 // Allowance holds the units that a gateway has for one organisation, and decides which issuer is asked next, and for how
@@ -242,7 +246,10 @@
 
 // Unreachable records that an issuer did not answer, or that it may not issue units.
 func (a *Allowance) Unreachable(now time.Time, issuer string) {
-	a.issuers[issuer] = issuerState{unreachableUntil: now.Add(retryUnreachableAfter)}
+	failures := a.issuers[issuer].failures
+	a.issuers[issuer] = issuerState{
+		unreachableUntil: now.Add(min(minUnreachablePeriod<<min(failures, 10), maxUnreachablePeriod)), failures: failures + 1,
+	}
 }
 
 // Refusal returns the retry time for a request without a unit that has a number of requests before it, and whether an issuer
