--- a/daemon/replica/full_test.go
+++ b/daemon/replica/full_test.go
@@ -18,7 +18,6 @@
 // smallDisk is an in-memory file system with a capacity. A write beyond it stores the part that fits and fails.
 type smallDisk struct {
 	*faultFS
-	reports bool // Reports its free space.
 
 	mu       sync.Mutex
 	capacity int
