--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -73,7 +73,7 @@
 		DataCentre: p.site.DataCentre, Region: p.site.Region, RegionOf: p.site.RegionOf, Codec: platform.HeaderCodec{},
 		Catalog: cat, Replicas: replicas, Pool: pool, Log: p.log, Metrics: p.metrics, CacheBytes: p.flags.CacheBytes,
 		ReportUnreachable: mirror.ReportUnreachable, SecondAttemptShare: p.flags.SecondAttemptsPercent / 100,
-		Limiter: limiter, UnitLifetime: unitLifetime, ManageOverload: p.site.ManageOverload,
+		Limiter: limiter, UnitLifetime: unitLifetime, ManageOverload: p.flags.ManageOverload,
 		Intake: p.intake, WriteTimeout: p.flags.WriteTimeout,
 	})
 	server := p.newServer(g)
--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -37,6 +37,9 @@
 	Advertise             string  `help:"Address at which others reach the replica listener. Default: the listener." env:"JACKDAWBAY_ADVERTISE"`
 	CacheBytes            int64   `help:"Bytes of turns that a gateway keeps in memory." default:"12582912" env:"JACKDAWBAY_CACHE_BYTES"`
 	SecondAttemptsPercent float64 `help:"Percentage of requests, 0 to 100, for which a gateway may send a second attempt if a response that may be repeated is late; 0 disables them." default:"0" env:"JACKDAWBAY_SECOND_ATTEMPTS_PERCENT"`
+	// ManageOverload is off by default: on the users' bench, the placement that belongs to it served fewer programs in time than the
+	// default one. See docs/design/admission.md.
+	ManageOverload bool `help:"Queue requests while all upstreams are full, limit retries, and place prompts by rendezvous hashing." default:"false" env:"JACKDAWBAY_MANAGE_OVERLOAD"`
 	// The defaults of the timeouts are longer than the limits that the users' configurations set for callers, so that only
 	// clients outside of those limits meet them.
 	HeaderTimeout  time.Duration `help:"Time within which a client sends the head of a request." default:"10s" env:"JACKDAWBAY_HEADER_TIMEOUT"`
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -21,15 +21,8 @@
 	causeStopping admission.Cause = "stopping"
 )
 
-// managesOverload reports whether the deployment asks for the queue, the retry budget and the placement for many gateways: its
-// settings do, or its configuration has organisations, which compete for the upstreams.
-func (c *Config) managesOverload() bool {
-	if c.ManageOverload || c.Catalog == nil {
-		return c.ManageOverload
-	}
-	table := c.Catalog.Table()
-	return table != nil && table.HasOrganisations()
-}
+// managesOverload reports whether the queue, the retry budget and the placement for many gateways are enabled.
+func (c *Config) managesOverload() bool { return c.ManageOverload }
 
 func (g *Gateway) managesOverload() bool { return g.cfg.managesOverload() }
 
--- a/daemon/site/site.go
+++ b/daemon/site/site.go
@@ -29,8 +29,6 @@
 	QuotaOver   float64
 	QuotaSlack  float64
 
-	ManageOverload bool // The deployment expects queueing, load shedding and a retry budget in gateways.
-
 	StoreAddress         string
 	StoreWritesPerSecond float64 // Max writes per second that the store accepts from all daemons together.
 	StoreReadsPerSecond  float64
