--- a/daemon/replica/copy_turns.go
+++ b/daemon/replica/copy_turns.go
@@ -22,12 +22,8 @@
 	maxCopyRequests       = 6         // Concurrent requests to all sources, each with copyPieceBytes and until its turns are stored.
 	initialTurnsPerPiece  = 40        // Turns in a request before their mean size is known.
 	regionLinkBytesPerSec = 3_750_000 // Half of the link between regions, which all traffic shares.
-	// regionPieceBytes is the size of the pieces from other regions. A piece of 1 MB occupies the link for 140 ms, for which the
-	// turns of callers that need a replica in the other region wait. With 64 KB, the synced write of each piece held the copy back
-	// to 1 MB a second.
-	regionPieceBytes = 256 << 10
-	copyLogInterval  = time.Second
-	sourceBusyDelay  = 100 * time.Millisecond // Delay after a source has refused a request because it has too many.
+	copyLogInterval       = time.Second
+	sourceBusyDelay       = 100 * time.Millisecond // Delay after a source has refused a request because it has too many.
 )
 
 // copyTurns fetches the turns that this replica does not have and that are not yet stored by a write quorum of the last
@@ -35,7 +31,7 @@
 // regions what no other source has. It continues without a failed source as long as the remaining ones are a read quorum of
 // each earlier set.
 func (m *Membership) copyTurns(ctx context.Context, v replica.View, progress *copyProgress) error {
-	regionLink := rate.NewLimiter(regionLinkBytesPerSec, regionPieceBytes)
+	regionLink := rate.NewLimiter(regionLinkBytesPerSec, copyPieceBytes)
 	for {
 		c := m.newTurnCopy(v, progress)
 		m.Server.turnsToCopy.Store(int64(c.left))
@@ -137,8 +133,8 @@
 		if c.m.distance(q.source) < distanceOtherRegion {
 			continue
 		}
-		for ; bytes > 0; bytes -= regionPieceBytes {
-			_ = c.regionLink.WaitN(ctx, min(bytes, regionPieceBytes)) // Fails only if the context ends.
+		for ; bytes > 0; bytes -= copyPieceBytes {
+			_ = c.regionLink.WaitN(ctx, min(bytes, copyPieceBytes)) // Fails only if the context ends.
 		}
 	}
 }
@@ -177,20 +173,13 @@
 // fetchWhenReady fetches a piece. While the source has too many such requests, it waits, for copyTimeout at most.
 func (c *turnCopy) fetchWhenReady(ctx context.Context, q *sourceQueue, ids []string) (fetchedPiece, error) {
 	for start := time.Now(); ; {
-		p, err := c.m.fetchPiece(ctx, q.source, c.view, ids, c.pieceBytes(q))
+		p, err := c.m.fetchPiece(ctx, q.source, c.view, ids, copyPieceBytes)
 		if !errors.Is(err, errSourceBusy) || time.Since(start) > copyTimeout || !clock.Sleep(ctx, sourceBusyDelay) {
 			return p, err
 		}
 	}
 }
 
-func (c *turnCopy) pieceBytes(q *sourceQueue) int {
-	if c.m.distance(q.source) < distanceOtherRegion {
-		return copyPieceBytes
-	}
-	return regionPieceBytes
-}
-
 // takeTurns removes the turns of the next request from the queue of a source.
 func (c *turnCopy) takeTurns(q *sourceQueue) []string {
 	c.mu.Lock()
@@ -200,7 +189,7 @@
 	}
 	count := initialTurnsPerPiece
 	if c.turns > 0 {
-		count = min(max(c.pieceBytes(q)/max(c.bytes/c.turns, 1)+1, 1), maxTurnsPerResponse)
+		count = min(max(copyPieceBytes/max(c.bytes/c.turns, 1)+1, 1), maxTurnsPerResponse)
 	}
 	var ids []string
 	for len(q.ids) > 0 && len(ids) < count {
