--- a/daemon/gateway/second_attempt.go
+++ b/daemon/gateway/second_attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 
 	"jackdawbay.dev/core/hedge"
 	"jackdawbay.dev/core/placement"
@@ -107,7 +106,7 @@
 		}
 		return a, outcome, hasResponse, func() {}
 	}
-	r := &attemptRace{c: c, results: make(chan attempt, 2), cancels: map[string]context.CancelFunc{}}
+	r := &attemptRace{c: c, results: make(chan attempt, 2), cancels: map[string]context.CancelFunc{}, inFlight: map[string]bool{}}
 	return r.run(first, delay)
 }
 
@@ -115,18 +114,15 @@
 type attemptRace struct {
 	c        *call
 	results  chan attempt
-	cancels  map[string]context.CancelFunc // Of the exchanges in flight, by upstream.
-	inFlight map[string]placement.Choice
-	second   string // Upstream of the second attempt; empty if there is none.
+	cancels  map[string]context.CancelFunc // Of all exchanges, by upstream.
+	inFlight map[string]bool               // Upstreams of the exchanges without a result.
+	second   string                        // Upstream of the second attempt; empty if there is none.
 }
 
 func (r *attemptRace) start(choice placement.Choice) {
 	ctx, cancel := context.WithCancel(r.c.ctx)
 	r.cancels[choice.Upstream.ID] = cancel
-	if r.inFlight == nil {
-		r.inFlight = map[string]placement.Choice{}
-	}
-	r.inFlight[choice.Upstream.ID] = choice
+	r.inFlight[choice.Upstream.ID] = true
 	state := r.c.sendState()
 	go func() { r.results <- r.c.exchange(ctx, choice, state) }()
 }
@@ -153,6 +149,9 @@
 			if hasResponse {
 				r.c.g.seconds.observe(r.c.route.Name, time.Since(startedAt))
 			}
+			if isSuccess && id == r.second {
+				r.c.g.seconds.won.Inc()
+			}
 			r.abortOther(id)
 			return a, outcome, hasResponse, r.cancels[id]
 		}
@@ -167,9 +166,7 @@
 	for id := range c.mayHaveRun {
 		excluded[id] = true
 	}
-	choice, ok := c.g.upstreams.choose(c.service, placement.Request{
-		Parts: c.meta.Prompt, Excluded: excluded, TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024,
-	})
+	choice, ok := c.g.upstreams.choose(c.service, c.placementRequest(excluded))
 	if !c.g.seconds.start(ok && !choice.SlotsBusy) {
 		if ok {
 			c.g.upstreams.recordEnd(c.service, choice.Upstream.ID, false, 0)
@@ -193,9 +190,6 @@
 // abortOther aborts the exchange that is still in flight. Its upstream may have run the request.
 func (r *attemptRace) abortOther(winner string) {
 	c := r.c
-	if r.second != "" && winner == r.second {
-		c.g.seconds.won.Inc()
-	}
 	for id := range r.inFlight {
 		c.mayHaveRun[id] = true
 		r.cancels[id]()
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -74,17 +74,17 @@
 			return placement.Upstream{}, false
 		}
 	}
-	choice, ok := c.chooseOrWait(placement.Request{
-		Parts:    c.meta.Prompt,
-		Excluded: c.excluded,
-		TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024,
-	})
+	choice, ok := c.chooseOrWait(c.placementRequest(c.excluded))
 	if ok {
 		c.choice = choice
 	}
 	return choice.Upstream, ok
 }
 
+func (c *call) placementRequest(excluded map[string]bool) placement.Request {
+	return placement.Request{Parts: c.meta.Prompt, Excluded: excluded, TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024}
+}
+
 // attempt is one exchange with an upstream, up to the head of the response.
 type attempt struct {
 	choice placement.Choice
