--- a/daemon/replica/copy_source.go
+++ b/daemon/replica/copy_source.go
@@ -27,8 +27,8 @@
 
 // Headers of a response to a request for turns with MaxBytes.
 const (
-	headerIDsDone     = "X-Jackdawbay-Ids-Done"     // Number of leading IDs of the request that the response answers.
-	headerNeededBytes = "X-Jackdawbay-Needed-Bytes" // MaxBytes that the turn after these needs. Set only if that is more than in the request.
+	headerIDsDone     = "Jackdawbay-Copy-Ids-Done"     // Number of leading IDs of the request that the response answers.
+	headerNeededBytes = "Jackdawbay-Copy-Needed-Bytes" // MaxBytes that the turn after these needs. Set only if that is more than in the request.
 )
 
 // handleInventory responds with the inventory of this replica.
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -3,21 +3,16 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"log/slog"
 	"maps"
 	"net/http"
-	"net/url"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"jackdawbay.dev/core/relay"
 	"jackdawbay.dev/core/replica"
-	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/platform"
 )
 
@@ -248,23 +243,6 @@
 	m.wake()
 }
 
-// onRetirements updates the requests to evacuate VMs and records when each was first observed.
-func (m *Membership) onRetirements(objects map[string]platform.Object) {
-	next := make(map[string]Retirement, len(objects))
-	for name, o := range objects {
-		next[name] = m.Retirements.DecodeRetirement(o)
-	}
-	m.mu.Lock()
-	for vm := range next {
-		if _, found := m.retirements[vm]; !found {
-			m.retirementObservedAt[vm] = time.Now()
-		}
-	}
-	m.retirements = next
-	m.mu.Unlock()
-	m.wake()
-}
-
 // Run registers the replica and changes the view when the state of the replicas requires it. It returns when the context
 // ends.
 func (m *Membership) Run(ctx context.Context) error {
@@ -287,41 +265,6 @@
 	}
 }
 
-// register writes the registration of this replica if the store has none or a different one.
-func (m *Membership) register(ctx context.Context) {
-	m.mu.Lock()
-	current, found := m.registered[m.Self.VM]
-	m.mu.Unlock()
-	if found && current == m.Self {
-		return
-	}
-	var version uint64
-	o, err := m.Store.Get(ctx, RegistrationKind, m.Self.VM)
-	switch {
-	case err == nil:
-		version = o.Version
-		var stored replica.Member
-		if json.Unmarshal(o.Value, &stored) == nil && stored == m.Self {
-			m.mu.Lock()
-			m.registered[m.Self.VM] = m.Self
-			m.mu.Unlock()
-			return
-		}
-	case !errors.Is(err, platform.ErrNotFound):
-		m.Log.Warn("cannot read own registration", "error", err)
-		clock.Sleep(ctx, membershipInterval)
-		return
-	}
-	if _, err := m.Store.Put(ctx, RegistrationKind, m.Self.VM, version, m.Self); err != nil {
-		m.Log.Warn("cannot register replica", "error", err)
-		return
-	}
-	m.mu.Lock()
-	m.registered[m.Self.VM] = m.Self
-	m.mu.Unlock()
-	m.Log.Info("replica registered", "disk", m.Self.Disk, "address", m.Self.Address)
-}
-
 // followView adopts the newest view. If this replica is a member of the last set and must copy the earlier sets, it starts
 // the copy, and marks the replica as copied in the view when the copy is complete.
 func (m *Membership) followView(ctx context.Context) {
@@ -369,91 +312,6 @@
 	return false
 }
 
-// joinGroup writes the first layout, or adds this VM to the layout if it has no group. The first layout waits until the VMs
-// that start together have registered, since their number decides the number of groups.
-func (m *Membership) joinGroup(ctx context.Context) {
-	if _, ok := m.group(); ok {
-		return
-	}
-	m.mu.Lock()
-	viewsListed, l, registeredAt, isRegistered := m.viewsListed, m.layout, m.registeredAt, m.registered[m.Self.VM] == m.Self
-	m.mu.Unlock()
-	if !viewsListed || !isRegistered {
-		return
-	}
-	f := m.fleetSnapshot()
-	if l.Groups > 0 {
-		if time.Since(m.startTime) > groupObservationTime {
-			m.writeLayout(ctx, func(l replica.Layout) (replica.Layout, bool) { return l.Assign(m.Self, f) })
-		}
-		return
-	}
-	if time.Since(m.startTime) < firstViewDelay || time.Since(registeredAt) < registrationQuietTime || !m.canFormFirstView(f) {
-		return
-	}
-	if m.layoutDueSince.IsZero() {
-		m.layoutDueSince = time.Now()
-	}
-	rank, _ := replica.ProposerRank(replica.View{}, f, m.Self.VM)
-	if time.Since(m.layoutDueSince) < time.Duration(rank)*proposerRankDelay {
-		return
-	}
-	m.writeLayout(ctx, func(l replica.Layout) (replica.Layout, bool) {
-		return replica.NewLayout(f.Registered, m.ToleratedFailures()), l.Groups == 0
-	})
-}
-
-// canFormFirstView reports whether enough replicas are registered and responsive for the first view. If not, it logs this.
-func (m *Membership) canFormFirstView(f replica.Fleet) bool {
-	responsive := 0
-	for _, member := range f.Registered {
-		if f.IsResponsive(member.VM) {
-			responsive++
-		}
-	}
-	required := replica.MinFirstSetSize(m.ToleratedFailures())
-	if responsive >= required {
-		return true
-	}
-	if time.Since(m.firstViewLoggedAt) > firstViewLogInterval {
-		m.firstViewLoggedAt = time.Now()
-		m.Log.Warn("first view waits for more replicas; no turn is served before", "responsive", responsive, "registered", len(f.Registered), "required", required,
-			"tolerate", m.ToleratedFailures())
-	}
-	return false
-}
-
-// writeLayout writes the layout that update returns, if it reports a change. After a conflict, it updates the layout from the
-// store.
-func (m *Membership) writeLayout(ctx context.Context, update func(replica.Layout) (replica.Layout, bool)) {
-	m.mu.Lock()
-	l, revision := m.layout, m.layoutRevision
-	m.mu.Unlock()
-	next, ok := update(l)
-	if !ok {
-		return
-	}
-	version, err := m.Store.Put(ctx, ViewKind, LayoutName, revision, next)
-	if conflict, isConflict := platform.AsConflict(err); isConflict {
-		if conflict.Current != nil {
-			m.onLayout(map[string]platform.Object{LayoutName: *conflict.Current})
-		}
-		return
-	}
-	if err != nil {
-		m.Log.Warn("layout of the replicas is not written", "groups", next.Groups, "error", err)
-		return
-	}
-	m.mu.Lock()
-	if version >= m.layoutRevision {
-		m.layout, m.layoutRevision = next, version
-	}
-	m.mu.Unlock()
-	group, _ := m.group()
-	m.Log.Info("layout of the replicas written", "groups", next.Groups, "vms", len(next.GroupOf), "own_group", group)
-	m.wake()
-}
-
 // proposeView writes the next view of the own group if a change is due, after the delay of this replica's proposer rank.
 func (m *Membership) proposeView(ctx context.Context) {
 	if _, ok := m.group(); !ok {
@@ -613,97 +471,3 @@
 	}
 	return all
 }
-
-// probeMembers probes the other replicas of the group and records the time of their responses. It waits for maxProbeWait at most, so
-// that a failed VM does not delay each step of the other replicas. A later response counts from the next step on.
-func (m *Membership) probeMembers(ctx context.Context) {
-	var wg sync.WaitGroup
-	m.mu.Lock()
-	for _, target := range m.peersLocked() {
-		vm := target.VM
-		if vm == m.Self.VM || m.probesInFlight[vm] {
-			continue
-		}
-		m.probesInFlight[vm] = true
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-			defer cancel()
-			err := m.getNoContent(ctx, target.Address, PathProbe+"?disk="+url.QueryEscape(target.Disk))
-			m.mu.Lock()
-			defer m.mu.Unlock()
-			delete(m.probesInFlight, vm)
-			if err == nil {
-				m.lastResponse[vm] = time.Now()
-			}
-		}()
-	}
-	m.mu.Unlock()
-	allResponded := make(chan struct{})
-	go func() {
-		wg.Wait()
-		close(allResponded)
-	}()
-	deadline := time.NewTimer(maxProbeWait)
-	defer deadline.Stop()
-	select {
-	case <-allResponded:
-	case <-deadline.C:
-	}
-}
-
-// advanceRetirement reports the state of a request to evacuate this VM. The VM is evacuated when no set of the view
-// contains it. That is written to the view before it is reported as done.
-func (m *Membership) advanceRetirement(ctx context.Context) {
-	m.mu.Lock()
-	r, requested := m.retirements[m.Self.VM]
-	v := m.view
-	m.mu.Unlock()
-	if !requested || r.Done || v.Version == 0 {
-		return
-	}
-	inUse := false
-	for _, set := range v.Sets {
-		for _, member := range set {
-			inUse = inUse || member.VM == m.Self.VM
-		}
-	}
-	if inUse && r.Running {
-		return
-	}
-	if !inUse && !slices.Contains(v.Evacuated, m.Self.VM) {
-		m.writeView(ctx, "emptied", func(v replica.View) (replica.View, bool) { return replica.MarkEvacuated(v, m.Self.VM) })
-		return
-	}
-	version, err := m.Retirements.ReportRetirement(ctx, r, !inUse)
-	if err != nil {
-		m.Log.Warn("cannot report retirement", "done", !inUse, "error", err)
-		return
-	}
-	r.Running, r.Done, r.Version = inUse, !inUse, version
-	m.mu.Lock()
-	m.retirements[m.Self.VM] = r
-	m.mu.Unlock()
-	m.Log.Info("retirement reported", "done", r.Done, "view", v.Version)
-}
-
-// getNoContent sends a GET request and fails unless the response has status 204.
-func (m *Membership) getNoContent(ctx context.Context, address, path string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return errors.Wrap(err, "build request")
-	}
-	resp, err := m.Client.Do(req)
-	if err != nil {
-		return err
-	}
-	_, _ = io.CopyN(io.Discard, resp.Body, 1) // The body is expected to be empty. After any other body, the connection is not reused.
-	if err := resp.Body.Close(); err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusNoContent {
-		return errors.Newf("unexpected status %d", resp.StatusCode)
-	}
-	return nil
-}
