--- a/core/placement/balance_test.go
+++ b/core/placement/balance_test.go
@@ -70,8 +70,7 @@
 // Load: 57 gateways in front of 50 engines, at about 0.5 and 0.9 of their capacity. A quarter of the programs has one prompt, and some
 // gateways get several times the requests of others. Guards against shared prompt parts that many engines read, against an engine
 // far above the mean load, and against engines with faults that get more than they can handle. The figures of the alternatives are
-// logged; the bounds are for the placement in use, with a margin for
-// other seeds.
+// logged; the bounds are for the balanced placement, with a margin for other seeds.
 func TestManyGateways(t *testing.T) {
 	cases := map[string]struct {
 		faultOf         func(at time.Duration) fault
@@ -112,6 +111,9 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			for i, perSecond := range []float64{100, 145} {
+				if i == 0 && c.faultOf != nil && !testing.Verbose() {
+					continue // The higher load decides. With the race detector, each run takes 10 s of a processor.
+				}
 				for j, v := range variants {
 					if j > 0 && !testing.Verbose() {
 						continue
