--- a/daemon/replica/copy_share_test.go
+++ b/daemon/replica/copy_share_test.go
@@ -144,7 +144,12 @@
 	return n
 }
 
-// closeGaps lets each member close its gaps, as it does in the background.
+// closeGaps closes the gaps of a member from all other members.
+func (m *Membership) closeGaps(ctx context.Context, v replica.View) {
+	m.closeGapsFrom(ctx, v, m.otherMembers(v, distanceOtherRegion+1))
+}
+
+// closeGaps lets each member close its gaps, as it does in the background if all members are in its region.
 func (g *shareGroup) closeGaps() {
 	for _, member := range g.view.CurrentSet() {
 		m := g.members[member.VM]
--- a/daemon/replica/gaps.go
+++ b/daemon/replica/gaps.go
@@ -38,19 +38,27 @@
 	}
 	m.gaps.running, m.gaps.startedAt = true, time.Now()
 	go func() {
-		m.closeGaps(ctx, v)
+		m.closeGapsFrom(ctx, v, m.otherMembers(v, distanceOtherRegion))
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.gaps.running = false
 	}()
 }
 
-// closeGaps fetches missing turns from the other members of a settled view, the nearest member first, up to maxGapBytes. Only one
-// call may run at a time.
-func (m *Membership) closeGaps(ctx context.Context, v replica.View) {
-	ids := m.gaps.dueTurns(m.Server.state.gapIDs(), time.Now())
-	others := slices.DeleteFunc(slices.Clone(v.CurrentSet()), func(other replica.Member) bool { return other.Key() == m.Self.Key() })
+// otherMembers returns the other members of the current set below a distance, nearest first.
+func (m *Membership) otherMembers(v replica.View, below int) []replica.Member {
+	others := slices.DeleteFunc(slices.Clone(v.CurrentSet()), func(other replica.Member) bool {
+		return other.Key() == m.Self.Key() || m.distance(other) >= below
+	})
 	slices.SortStableFunc(others, func(a, b replica.Member) int { return m.distance(a) - m.distance(b) })
+	return others
+}
+
+// closeGapsFrom fetches missing turns from other members of a settled view up to maxGapBytes. Only one call may run at a time. In
+// the background, only members of the own region are asked: pieces of 1 MB from other regions occupied the link between
+// regions, and turns of callers waited 72 ms (p50) for their quorum instead of 30 ms.
+func (m *Membership) closeGapsFrom(ctx context.Context, v replica.View, others []replica.Member) {
+	ids := m.gaps.dueTurns(m.Server.state.gapIDs(), time.Now())
 	fetched := 0
 	for len(ids) > 0 && fetched < maxGapBytes {
 		var next []string // The turns before the fetched ones.
