--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -43,6 +43,8 @@
 
 // runGateway runs the gateway role until SIGTERM or an interrupt.
 func runGateway(root context.Context, p *process) error {
+	terminated, cancel := notifyTermination()
+	defer cancel()
 	callers, err := listen(p.site.CallerListen)
 	if err != nil {
 		return err
@@ -94,8 +96,6 @@
 	p.tree.Add(supervisedTask{"connections", pool.Run})
 	p.tree.ServeBackground(root)
 
-	terminated, cancel := notifyTermination()
-	defer cancel()
 	<-terminated.Done()
 	return stopGateway(p, g, server)
 }
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -19,6 +19,8 @@
 
 // runReplica runs the replica role until SIGTERM or an interrupt.
 func runReplica(root context.Context, p *process) error {
+	terminated, cancel := notifyTermination()
+	defer cancel()
 	debug.SetGCPercent(replicaGCPercent)
 	if p.site.DataDir == "" {
 		return errors.New("settings file: dataDir: want a directory on a VM with the replica role")
@@ -81,8 +83,6 @@
 	p.tree.Add(serverTask("metrics", p.newOpsServer("ops", p.metricsHandler()), ops))
 	p.tree.ServeBackground(root)
 
-	terminated, cancel := notifyTermination()
-	defer cancel()
 	<-terminated.Done()
 	return nil
 }
