--- a/review/src-2/retire/main.go
+++ b/review/src-2/retire/main.go
@@ -1,10 +1,15 @@
-// Command retire runs three replicas and two gateways. The operator evacuates one replica, and later a second one while the
-// third is replaced by an empty VM. The day ends with a kill of all processes. The command exits with 1 if under a quarter of the
-// requests is served after that, with 0 if not, and with 2 if the case could not run. With TROUBLE=0 nothing is replaced.
+// Command retire runs three replicas and two gateways, and plays one of two days. Both end with a kill of all processes. The
+// command exits with 1 if under a quarter of the requests is served after that, with 0 if not, and with 2 if the case could not
+// run. With TROUBLE=0 no VM is replaced.
+//
+//   - "gone": the operator asks for the evacuation of one replica, a second one is replaced by an empty VM 1.5 s later, and the
+//     third one loses its disk when the successor has had time to catch up.
+//   - "done": one replica is evacuated. Later a second one is to be evacuated while the third is replaced by an empty VM.
 package main
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -30,6 +35,11 @@
 	retireSeconds  = 8.8              // durationS of a retirement
 	successorDelay = time.Second      // Time until the VM that replaces a removed one starts.
 	downTime       = 800 * time.Millisecond
+
+	goneAfterRequest = 1500 * time.Millisecond // Time between the request for the evacuation and the removal of the other replica.
+	timeToCatchUp    = 8 * time.Second         // catchUpS is 4.8 s. The bench waits for 8 s before it plays the next loss.
+	wipedDownTime    = time.Second
+
 	retainSeconds  = 60
 	tokensPerEvent = 32
 	eventsPerTurn  = 8
@@ -69,13 +79,13 @@
 
 func main() { os.Exit(run()) }
 
-// run expects the folder for record.txt and the folder of the binaries as arguments.
+// run expects the name of the day, the folder for record.txt and the folder of the binaries as arguments.
 func run() int {
-	if len(os.Args) != 3 {
-		fmt.Println("usage: retire RECORD_DIR BINARY_DIR")
+	if len(os.Args) != 4 {
+		fmt.Println("usage: retire DAY RECORD_DIR BINARY_DIR")
 		return 2
 	}
-	record, err := os.Create(filepath.Join(os.Args[1], "record.txt"))
+	record, err := os.Create(filepath.Join(os.Args[2], "record.txt"))
 	if err != nil {
 		fmt.Println(err)
 		return 2
@@ -87,7 +97,7 @@
 		return 2
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	f := &fleet{dir: dir, group: process.NewGroup(os.Args[2], dir), record: record}
+	f := &fleet{dir: dir, group: process.NewGroup(os.Args[3], dir), record: record}
 	defer f.close()
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGTERM, os.Interrupt)
@@ -96,7 +106,7 @@
 		f.close()
 		os.Exit(2)
 	}()
-	held, err := f.play(os.Getenv("TROUBLE") != "0")
+	held, err := f.play(os.Args[1], os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
 		f.logf("the case could not run: %v", err)
@@ -109,29 +119,83 @@
 	return 0
 }
 
-func (f *fleet) play(trouble bool) (held bool, err error) {
+func (f *fleet) play(day string, trouble bool) (held bool, err error) {
 	if err := f.start(); err != nil {
 		return false, err
 	}
+	switch day {
+	case "gone":
+		err = f.playGone(trouble)
+	case "done":
+		err = f.playDone(trouble)
+	default:
+		err = fmt.Errorf("no day is named %q", day)
+	}
+	if err != nil {
+		return false, err
+	}
+	return f.playFinalFault()
+}
+
+// playGone plays the day on which a replica is gone just after the evacuation of another one was asked for.
+func (f *fleet) playGone(trouble bool) error {
+	evacuated, wiped, replaced := f.vms[0], f.vms[1], f.vms[2]
+	f.send(12 * time.Second)
+	f.report("first seconds")
+	if f.served < f.sent*9/10 {
+		return fmt.Errorf("only %d of %d requests were served before the disruption", f.served, f.sent)
+	}
+	f.retire(evacuated)
+	f.send(goneAfterRequest)
+	if trouble {
+		f.remove(replaced)
+		f.send(successorDelay)
+		if _, err := f.addVM("replica", replaced.zone); err != nil {
+			return err
+		}
+	}
+	end := time.Now().Add(timeToCatchUp)
+	if f.sendUntilRetired(evacuated, timeToCatchUp) {
+		f.remove(evacuated)
+	}
+	f.send(time.Until(end))
+	f.report("until the next loss")
+	wiped.process.Kill()
+	if err := errors.Join(os.RemoveAll(wiped.dataDir), os.MkdirAll(wiped.dataDir, 0o700)); err != nil {
+		return err
+	}
+	f.logf("%s has lost its disk", wiped.name)
+	f.send(wipedDownTime)
+	if err := f.startVM(wiped); err != nil {
+		return err
+	}
+	f.logf("%s is back", wiped.name)
+	f.send(8 * time.Second)
+	f.report("after the lost disk")
+	return nil
+}
+
+// playDone plays the day on which an evacuation is reported as done while the other replica is gone.
+func (f *fleet) playDone(trouble bool) error {
 	f.send(5 * time.Second)
 	f.report("first seconds")
 	first, replaced, second := f.vms[0], f.vms[1], f.vms[2]
 	f.retire(first)
 	if !f.sendUntilRetired(first, 15*time.Second) {
-		return false, fmt.Errorf("the retirement of %s was not reported as done", first.name)
+		return fmt.Errorf("the retirement of %s was not reported as done", first.name)
 	}
 	f.remove(first)
 	f.send(5 * time.Second)
 	f.report("with two replicas")
 	if f.served < f.sent*9/10 {
-		return false, fmt.Errorf("only %d of %d requests were served before the disruption", f.served, f.sent)
+		return fmt.Errorf("only %d of %d requests were served before the disruption", f.served, f.sent)
 	}
 	f.retire(second)
 	if trouble {
 		f.remove(replaced)
 		f.send(successorDelay)
 		if _, err := f.addVM("replica", replaced.zone); err != nil {
-			return false, err
+			return err
 		}
 	}
 	if f.sendUntilRetired(second, 12*time.Second) {
@@ -139,6 +203,11 @@
 	}
 	f.send(5 * time.Second)
 	f.report("after the second retirement")
+	return nil
+}
+
+// playFinalFault kills all processes and reports whether RECOVER holds after that.
+func (f *fleet) playFinalFault() (held bool, err error) {
 	for _, v := range f.vms {
 		if !v.removed {
 			v.process.Kill()
@@ -155,11 +224,15 @@
 		}
 	}
 	f.logf("all machines are back")
+	sentBefore, servedBefore := f.sent, f.served
 	f.send(recoverTime)
 	f.report("until recoverS")
 	sent, served := f.sent, f.served
 	f.send(judgedTime)
 	f.report("later than recoverS")
+	if 4*servedBefore < sentBefore {
+		return false, fmt.Errorf("under a quarter was served before the final fault: %d of %d", servedBefore, sentBefore)
+	}
 	return 4*(f.served-served) >= f.sent-sent, nil
 }
 
