--- a/review/src-2/retire/main.go
+++ b/review/src-2/retire/main.go
@@ -19,6 +19,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -37,7 +38,7 @@
 	downTime       = 800 * time.Millisecond
 
 	goneAfterRequest = 1500 * time.Millisecond // Time between the request for the evacuation and the removal of the other replica.
-	timeToCatchUp    = 8 * time.Second         // catchUpS is 4.8 s. The bench waits for 8 s before it plays the next loss.
+	timeToCatchUp    = 7 * time.Second         // Time between the start of the successor and the next loss; catchUpS is 4.8 s.
 	wipedDownTime    = time.Second
 
 	retainSeconds  = 60
@@ -48,8 +49,10 @@
 const (
 	gateways     = 2
 	engines      = 4
-	requestPause = 100 * time.Millisecond // Pause between two requests of the client.
-	judgedTime   = 5 * time.Second        // Time after recoverTime in which requests are counted.
+	clients      = 4
+	requestPause = 300 * time.Millisecond // Pause between two requests of a client.
+	pollInterval = 50 * time.Millisecond
+	judgedTime   = 5 * time.Second // Time after recoverTime in which requests are counted.
 )
 
 type vm struct {
@@ -70,11 +73,13 @@
 	count   int
 	record  io.Writer
 
-	lastTurn       string // Last turn that was answered whole.
-	sent, served   int
-	statuses       map[int]int
-	nextGateway    int
-	continuesChain bool
+	vmsMu    sync.Mutex
+	frontEnd []string // Addresses of the gateways.
+
+	mu           sync.Mutex
+	lastTurn     string // Last turn that was answered whole.
+	sent, served int    // Requests that have ended.
+	statuses     map[int]int
 }
 
 func main() { os.Exit(run()) }
@@ -140,16 +145,16 @@
 // playGone plays the day on which a replica is gone just after the evacuation of another one was asked for.
 func (f *fleet) playGone(trouble bool) error {
 	evacuated, wiped, replaced := f.vms[0], f.vms[1], f.vms[2]
-	f.send(12 * time.Second)
+	time.Sleep(12 * time.Second)
 	f.report("first seconds")
-	if f.served < f.sent*9/10 {
-		return fmt.Errorf("only %d of %d requests were served before the disruption", f.served, f.sent)
+	if sent, served := f.counts(); served < sent*9/10 {
+		return fmt.Errorf("only %d of %d requests were served before the disruption", served, sent)
 	}
 	f.retire(evacuated)
-	f.send(goneAfterRequest)
+	time.Sleep(goneAfterRequest)
 	if trouble {
 		f.remove(replaced)
-		f.send(successorDelay)
+		time.Sleep(successorDelay)
 		if _, err := f.addVM("replica", replaced.zone); err != nil {
 			return err
 		}
@@ -158,26 +163,26 @@
 	if f.sendUntilRetired(evacuated, timeToCatchUp) {
 		f.remove(evacuated)
 	}
-	f.send(time.Until(end))
+	time.Sleep(time.Until(end))
 	f.report("until the next loss")
 	wiped.process.Kill()
 	if err := errors.Join(os.RemoveAll(wiped.dataDir), os.MkdirAll(wiped.dataDir, 0o700)); err != nil {
 		return err
 	}
 	f.logf("%s has lost its disk", wiped.name)
-	f.send(wipedDownTime)
+	time.Sleep(wipedDownTime)
 	if err := f.startVM(wiped); err != nil {
 		return err
 	}
 	f.logf("%s is back", wiped.name)
-	f.send(8 * time.Second)
+	time.Sleep(8 * time.Second)
 	f.report("after the lost disk")
 	return nil
 }
 
 // playDone plays the day on which an evacuation is reported as done while the other replica is gone.
 func (f *fleet) playDone(trouble bool) error {
-	f.send(5 * time.Second)
+	time.Sleep(5 * time.Second)
 	f.report("first seconds")
 	first, replaced, second := f.vms[0], f.vms[1], f.vms[2]
 	f.retire(first)
@@ -185,15 +190,15 @@
 		return fmt.Errorf("the retirement of %s was not reported as done", first.name)
 	}
 	f.remove(first)
-	f.send(5 * time.Second)
+	time.Sleep(5 * time.Second)
 	f.report("with two replicas")
-	if f.served < f.sent*9/10 {
-		return fmt.Errorf("only %d of %d requests were served before the disruption", f.served, f.sent)
+	if sent, served := f.counts(); served < sent*9/10 {
+		return fmt.Errorf("only %d of %d requests were served before the disruption", served, sent)
 	}
 	f.retire(second)
 	if trouble {
 		f.remove(replaced)
-		f.send(successorDelay)
+		time.Sleep(successorDelay)
 		if _, err := f.addVM("replica", replaced.zone); err != nil {
 			return err
 		}
@@ -201,7 +206,7 @@
 	if f.sendUntilRetired(second, 12*time.Second) {
 		f.remove(second)
 	}
-	f.send(5 * time.Second)
+	time.Sleep(5 * time.Second)
 	f.report("after the second retirement")
 	return nil
 }
@@ -224,19 +229,22 @@
 		}
 	}
 	f.logf("all machines are back")
-	sentBefore, servedBefore := f.sent, f.served
-	f.send(recoverTime)
+	sentBefore, servedBefore := f.counts()
+	time.Sleep(recoverTime)
 	f.report("until recoverS")
-	sent, served := f.sent, f.served
-	f.send(judgedTime)
+	sent, served := f.counts()
+	time.Sleep(judgedTime)
 	f.report("later than recoverS")
 	if 4*servedBefore < sentBefore {
 		return false, fmt.Errorf("under a quarter was served before the final fault: %d of %d", servedBefore, sentBefore)
 	}
-	return 4*(f.served-served) >= f.sent-sent, nil
+	sentLater, servedLater := f.counts()
+	return 4*(servedLater-served) >= sentLater-sent, nil
 }
 
 func (f *fleet) logf(format string, args ...any) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	line := time.Now().UTC().Format("15:04:05.000") + "  " + fmt.Sprintf(format, args...) + "\n"
 	fmt.Print(line)
 	_, _ = io.WriteString(f.record, line)
@@ -284,12 +292,20 @@
 			return err
 		}
 	}
-	for deadline := time.Now().Add(20 * time.Second); f.served < 10; f.send(requestPause) {
+	for i := range clients {
+		go f.runClient(i)
+	}
+	for deadline := time.Now().Add(20 * time.Second); ; time.Sleep(pollInterval) {
+		if _, served := f.counts(); served >= 10 {
+			break
+		}
 		if time.Now().After(deadline) {
 			return fmt.Errorf("the deployment does not serve")
 		}
 	}
+	f.mu.Lock()
 	f.sent, f.served, f.statuses = 0, 0, map[int]int{}
+	f.mu.Unlock()
 	f.logf("3 replicas and %d gateways serve; tolerate.machines is %d", gateways, tolerated)
 	return nil
 }
@@ -315,7 +331,7 @@
 	zones := map[string]string{"falls-a": "merrimack", "falls-b": "merrimack", "harbor-a": "seacoast"}
 	settings := map[string]any{
 		"node": v.name, "role": role, "ip": v.ip, "zone": zone, "region": zones[zone], "zones": zones,
-		"portRange": []int{v.portBase, v.portBase + 15}, "bootstrap": f.served == 0, "limits": map[string]any{"memoryMb": 154, "maxFds": 4100},
+		"portRange": []int{v.portBase, v.portBase + 15}, "bootstrap": f.count <= 5, "limits": map[string]any{"memoryMb": 154, "maxFds": 4100},
 		"tolerate": map[string]any{"machines": tolerated}, "bounds": map[string]any{"graceS": 8, "recoverS": recoverTime.Seconds()},
 		"platform": map[string]any{"addr": f.store.Addr(), "form": "objects", "writesPerS": 400, "readsPerS": 2000},
 	}
@@ -332,6 +348,11 @@
 		return nil, err
 	}
 	f.vms = append(f.vms, v)
+	if role == "gateway" {
+		f.vmsMu.Lock()
+		f.frontEnd = append(f.frontEnd, v.front)
+		f.vmsMu.Unlock()
+	}
 	f.logf("%s starts with an empty disk", v.name)
 	return v, f.startVM(v)
 }
@@ -362,7 +383,7 @@
 // sendUntilRetired sends requests until the retirement is reported as done. It reports false after the limit.
 func (f *fleet) sendUntilRetired(v *vm, limit time.Duration) bool {
 	state := ""
-	for end := time.Now().Add(limit); time.Now().Before(end); f.send(requestPause) {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(pollInterval) {
 		o, _ := f.store.Get("retirements", v.name)
 		var status struct {
 			State string `json:"state"`
@@ -380,32 +401,41 @@
 	return false
 }
 
-// send sends turns for a time, each second one the first of a program, the others going on from the last one that was answered
-// whole.
-func (f *fleet) send(d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(requestPause) {
-		f.sendTurn()
-	}
+// counts returns the number of requests that have ended, and of those that were served.
+func (f *fleet) counts() (sent, served int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sent, f.served
 }
 
-func (f *fleet) sendTurn() {
-	var fronts []*vm
-	for _, v := range f.vms {
-		if v.role == "gateway" {
-			fronts = append(fronts, v)
-		}
+// runClient sends turns until the program ends, each second one the first of a program, the others going on from the last one
+// that was answered whole.
+func (f *fleet) runClient(n int) {
+	for i := n; ; i++ {
+		f.vmsMu.Lock()
+		front := f.frontEnd[i%len(f.frontEnd)]
+		f.vmsMu.Unlock()
+		f.sendTurn(front, i/2%2 == 0)
+		time.Sleep(requestPause)
 	}
-	f.nextGateway++
-	f.continuesChain = !f.continuesChain
+}
+
+func (f *fleet) sendTurn(front string, continuesChain bool) {
 	previous := ""
-	if f.continuesChain {
+	if continuesChain {
+		f.mu.Lock()
 		previous = f.lastTurn
+		f.mu.Unlock()
 	}
 	id := deployment.NewID()
-	r := deployment.Send(&deployment.VM{FrontAddress: fronts[f.nextGateway%len(fronts)].front}, deployment.Call{
+	sentAt := time.Now()
+	r := deployment.Send(&deployment.VM{FrontAddress: front}, deployment.Call{
 		Path: deployment.PathRetained, ID: id, Program: "p" + id, Budget: 1 << 16, MaxTokens: eventsPerTurn * tokensPerEvent, PreviousTurn: previous,
 		Body: strings.Repeat("input of "+id+" ", 70), Deadline: 3 * time.Second,
 	})
+	runs := f.runs(id)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.sent++
 	if f.statuses == nil {
 		f.statuses = map[int]int{}
@@ -416,8 +446,8 @@
 		f.served++
 		f.lastTurn = id
 	}
-	_, _ = fmt.Fprintf(f.record, "%s  turn %s after %q: status %d, whole %t, engines ran it %d times\n", time.Now().UTC().Format("15:04:05.000"), id, previous, r.Status,
-		isWhole, f.runs(id))
+	_, _ = fmt.Fprintf(f.record, "%s  turn %s after %q: status %d, whole %t, engines ran it %d times\n", sentAt.UTC().Format("15:04:05.000"), id, previous, r.Status,
+		isWhole, runs)
 }
 
 func (f *fleet) runs(id string) int {
@@ -434,6 +464,9 @@
 
 // report logs the answers since the last report.
 func (f *fleet) report(phase string) {
-	f.logf("%s: answers by status %v; served so far %d of %d", phase, f.statuses, f.served, f.sent)
+	f.mu.Lock()
+	statuses, served, sent := f.statuses, f.served, f.sent
 	f.statuses = map[int]int{}
+	f.mu.Unlock()
+	f.logf("%s: answers by status %v; served so far %d of %d", phase, statuses, served, sent)
 }
