TestStopAnswersEveryForwardedRequest: keep any number of results

On a machine without other load its callers get more than 65,536 rejections before the process is gone, fill the channel of results and block, while the test waits for them before it reads the channel. It also copied all runs of the upstreams for each result.

Results are appended to a slice, and the runs are counted once. The checks of each result are the same.

--- a/testbed/deployment/forward_test.go
+++ b/testbed/deployment/forward_test.go
@@ -333,12 +333,21 @@
 
 	// Requests in flight at SIGTERM. Some of them wait at the hanging upstream.
 	const inFlight, callers = 24, 12
-	type sent struct {
-		call Call
-		resp Response
+	type result struct {
+		path, id string
+		status   int
+		err      error
+	}
+	var (
+		mu      sync.Mutex
+		results []result // Unbounded: a fast machine rejects many requests until the process is gone.
+		done    sync.WaitGroup
+	)
+	record := func(c Call, resp Response) {
+		mu.Lock()
+		defer mu.Unlock()
+		results = append(results, result{c.Path, c.ID, resp.Status, resp.Err})
 	}
-	results := make(chan sent, 1<<16)
-	var done sync.WaitGroup
 	for i := range inFlight {
 		path := PathOrder
 		if i%3 == 0 {
@@ -346,7 +355,7 @@
 		}
 		done.Go(func() {
 			c := Call{Path: path, ID: NewID(), Deadline: 20 * time.Second}
-			results <- sent{c, Send(g, c)}
+			record(c, Send(g, c))
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
@@ -366,7 +375,7 @@
 				for closed := false; !closed; {
 					c := Call{Path: PathOrder, ID: NewID(), Deadline: time.Duration(200+100*i*i) * time.Millisecond}
 					resp := conn.Send(c)
-					results <- sent{c, resp}
+					record(c, resp)
 					closed = resp.Err != nil || resp.Close
 				}
 				conn.Close()
@@ -375,20 +384,20 @@
 	}
 	must.NoError(t, <-stopped)
 	done.Wait()
-	close(results)
+	runsByID := d.countRunsByID()
 	served, ended := 0, 0
-	for r := range results {
-		switch runs := d.countRuns(r.call.ID); {
-		case r.resp.Err != nil:
-			test.EqOp(t, 0, runs, test.Sprintf("%s%s was forwarded and has no response: %v", r.call.Path, r.call.ID, r.resp.Err))
-		case r.resp.Status == http.StatusOK:
+	for _, r := range results {
+		switch runs := runsByID[r.id]; {
+		case r.err != nil:
+			test.EqOp(t, 0, runs, test.Sprintf("%s%s was forwarded and has no response: %v", r.path, r.id, r.err))
+		case r.status == http.StatusOK:
 			served++
-		case r.resp.Status == http.StatusServiceUnavailable:
+		case r.status == http.StatusServiceUnavailable:
 			test.EqOp(t, 0, runs)
-		case r.resp.Status == http.StatusBadGateway:
+		case r.status == http.StatusBadGateway:
 			ended++
 		default:
-			test.EqOp(t, http.StatusGatewayTimeout, r.resp.Status)
+			test.EqOp(t, http.StatusGatewayTimeout, r.status)
 		}
 	}
 	test.Positive(t, served)
--- a/testbed/deployment/main_test.go
+++ b/testbed/deployment/main_test.go
@@ -54,16 +54,17 @@
 }
 
 // countRuns returns how often a request has run, over all upstreams.
-func (d *Deployment) countRuns(id string) int {
-	n := 0
+func (d *Deployment) countRuns(id string) int { return d.countRunsByID()[id] }
+
+// countRunsByID returns how often each request has run, over all upstreams.
+func (d *Deployment) countRunsByID() map[string]int {
+	counts := map[string]int{}
 	for _, u := range append(d.Engines[:len(d.Engines):len(d.Engines)], d.Services...) {
 		for _, r := range u.Runs() {
-			if r.ID == id {
-				n++
-			}
+			counts[r.ID]++
 		}
 	}
-	return n
+	return counts
 }
 
 // eventually fails the test if the condition does not hold within the timeout.
