Do not take a part of a response for a whole one after a reset

Callers got a part of a response as a complete one: an upstream answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The same happened with HTTP/1.0 and with a 404.

Cause: the system reports a reset to one call only. If the write of the request body takes the error, the read sees an ordinary end of the connection, which is the end of a body without a length.

Fix: httpcheck.Conn, a wrapper of the client's side of a connection, records the result of the writes. When the connection ends, it ends a pending write, waits for its result and returns its error instead of io.EOF. A write that was ended by the deadline has taken no error from the connection, so a response that ends in order during an upload stays complete (TestEndOfResponseDuringUpload). All clients use it: the pool for upstreams, the HTTP client for replicas, relays, the store, peers and the serve role, the API client, the operators' command, and the load tool.

--- a/api/client/client.go
+++ b/api/client/client.go
@@ -16,13 +16,14 @@
 
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/api/httpcheck"
 )
 
 // Client sends requests to a set of daemons in round-robin order. It is safe for concurrent use.
 type Client struct {
 	BaseURLs     []string
 	Key          string
-	HTTP         *http.Client
+	HTTP         *http.Client // Nil for a default. Its transport should be an httpcheck.Transport.
 	requestCount atomic.Uint64
 }
 
@@ -33,11 +34,14 @@
 // maxResponseBytes bounds a response that is read into memory.
 const maxResponseBytes = 32 << 20
 
+// defaultHTTPClient is used by clients without an HTTP client of their own.
+var defaultHTTPClient = &http.Client{Transport: httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment})}
+
 func (c *Client) httpClient() *http.Client {
 	if c.HTTP != nil {
 		return c.HTTP
 	}
-	return http.DefaultClient
+	return defaultHTTPClient
 }
 
 func (c *Client) nextBaseURL() string {
--- a/cli/load/command.go
+++ b/cli/load/command.go
@@ -16,6 +16,7 @@
 	"github.com/cockroachdb/errors"
 
 	"jackdawbay.dev/api/client"
+	"jackdawbay.dev/api/httpcheck"
 )
 
 // Command implements the verb load.
@@ -170,6 +171,6 @@
 
 // NewClient returns a client that sends requests to the daemons in round-robin order.
 func NewClient(baseURLs []string, key string) *client.Client {
-	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true}
+	transport := httpcheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConnsPerHost, DisableCompression: true})
 	return &client.Client{BaseURLs: baseURLs, Key: key, HTTP: &http.Client{Transport: transport}}
 }
--- a/cli/platformclient/client.go
+++ b/cli/platformclient/client.go
@@ -16,6 +16,8 @@
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/httpcheck"
 )
 
 // Object is an object that the platform stores.
@@ -100,7 +102,8 @@
 		cfg.MaxReadAttempts = defaultMaxReadAttempts
 	}
 	c := &http.Client{
-		Timeout: cfg.RequestTimeout,
+		Timeout:   cfg.RequestTimeout,
+		Transport: httpcheck.NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment}),
 		// Redirects are not followed, because they would send the key to another address.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/daemon/forward/exchange.go
+++ b/daemon/forward/exchange.go
@@ -111,8 +111,7 @@
 	} else {
 		resp.writeDone = make(chan error, 1)
 		go func() {
-			buffers := append(net.Buffers{head}, r.Body...)
-			_, err := buffers.WriteTo(c.Conn)
+			_, err := c.WriteBuffers(append(net.Buffers{head}, r.Body...))
 			resp.writeDone <- err
 		}()
 	}
--- /dev/null
+++ b/daemon/forward/invalid_response_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/shoenig/test/must"
+)
+
+// Guards against a part of a body without a length that looks complete after a reset: the write of the request takes the error of
+// the connection, and the read sees its end.
+func TestResetDuringUpload(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 404 Not Found\r\n"} {
+		for range 10 {
+			body, err := upload(t, head, func(c *net.TCPConn) {
+				time.Sleep(20 * time.Millisecond)
+				_ = c.SetLinger(0) // Makes Close reset the connection.
+			})
+			must.Error(t, err, must.Sprintf("body %q", body))
+		}
+	}
+}
+
+// Guards against a whole body without a length that is rejected because its request is still being written.
+func TestEndOfResponseDuringUpload(t *testing.T) {
+	for range 10 {
+		body, err := upload(t, "HTTP/1.1 200 OK\r\n", func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			_, _ = io.Copy(io.Discard, c) // Reads the request to its end.
+		})
+		must.NoError(t, err)
+		must.EqOp(t, "part", body)
+	}
+}
+
+// upload sends a request that does not fit into the buffers of the system, to an upstream that responds before it reads the body. It
+// returns the body of the response.
+func upload(t *testing.T, head string, end func(c *net.TCPConn)) (string, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }() // The connection was accepted.
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }() // The response has been sent.
+		if _, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, head+"Id: mine\r\n\r\npart") // The client reports what is missing.
+		end(c.(*net.TCPConn))
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), upstreamLifetime)
+	defer cancel()
+	p := NewPool(time.Second, 4, metrics.NewSet())
+	c, err := p.Get(ctx, l.Addr().String())
+	must.NoError(t, err)
+	resp, err := p.Send(ctx, c, Request{
+		Method: http.MethodPost, Target: "/", Host: "h", Body: [][]byte{make([]byte, 24<<20)},
+		IsOwnResponse: func(h http.Header) bool { return h.Get("Id") == "mine" },
+	})
+	if err != nil {
+		return "", err
+	}
+	defer resp.Close(false)
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -18,6 +18,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 
+	"jackdawbay.dev/api/httpcheck"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/transport"
 )
@@ -45,7 +46,7 @@
 
 // Conn is a connection to an upstream. It serves one request at a time.
 type Conn struct {
-	net.Conn
+	*httpcheck.Conn
 	pool      *Pool // Counts the connection until it is closed.
 	closeOnce sync.Once
 	address   string
@@ -169,8 +170,9 @@
 		return nil, errors.Mark(errors.Wrap(err, "connect"), ErrNotSent)
 	}
 	p.dials.Inc()
-	limited := &limitedReader{Reader: raw}
-	return &Conn{Conn: raw, pool: p, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), DialTime: time.Since(startedAt)}, nil
+	checked := httpcheck.NewConn(raw)
+	limited := &limitedReader{Reader: checked}
+	return &Conn{Conn: checked, pool: p, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), DialTime: time.Since(startedAt)}, nil
 }
 
 // limitedReader returns errHeadTooLarge at its limit, if a limit is set.
@@ -218,7 +220,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.Conn.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -239,7 +241,7 @@
 // setProbes enables or disables keep-alive probes. Idle connections send none, since there are many and a request on a failed
 // one is detected by its unacknowledged data.
 func (c *Conn) setProbes(enabled bool) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+	if tcp, ok := c.Conn.Conn.(*net.TCPConn); ok {
 		return tcp.SetKeepAlive(enabled)
 	}
 	return nil
--- a/daemon/forward/silence_linux_test.go
+++ b/daemon/forward/silence_linux_test.go
@@ -18,7 +18,7 @@
 	must.NoError(t, err)
 	option := func(level, name int) int {
 		t.Helper()
-		raw, err := resp.conn.Conn.(*net.TCPConn).SyscallConn()
+		raw, err := resp.conn.Conn.Conn.(*net.TCPConn).SyscallConn()
 		must.NoError(t, err)
 		value := -1
 		must.NoError(t, raw.Control(func(fd uintptr) { value, err = syscall.GetsockoptInt(int(fd), level, name) }))
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"jackdawbay.dev/api/httpcheck"
 )
 
 // Options configures an HTTP client.
@@ -37,7 +39,7 @@
 // ErrConnectionRefused marks errors of requests to an address without a listener.
 var ErrConnectionRefused = errors.New("connection refused")
 
-// NewClient returns an HTTP client. HTTP/2 is disabled because its transport retries requests that a server refused.
+// NewClient returns an HTTP client. It does not use HTTP/2, whose transport retries requests that a server refused.
 func NewClient(o Options) *http.Client {
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: 15 * time.Second}
 	if o.KeepAlive > 0 {
@@ -57,16 +59,15 @@
 		return c, nil
 	}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: httpcheck.NewTransport(&http.Transport{
 			DialContext:            dial,
 			MaxConnsPerHost:        o.MaxPerHost,
 			MaxIdleConnsPerHost:    64,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			IdleConnTimeout:        30 * time.Second,
 			DisableKeepAlives:      o.NoReuse,
+			MaxResponseHeaderBytes: maxResponseHeaderBytes,
 			DisableCompression:     true,
-			Protocols:              http1Only(),
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -81,13 +82,6 @@
 	}
 }
 
-// http1Only returns the set of protocols with HTTP/1 alone.
-func http1Only() *http.Protocols {
-	p := new(http.Protocols)
-	p.SetHTTP1(true)
-	return p
-}
-
 // NonRewindableBody returns a request body that the HTTP transport cannot rewind. net/http retries a request after a
 // connection failure if it can rewind the body and considers the request idempotent. A header Idempotency-Key makes it
 // consider any request idempotent.
--- a/daemon/transport/usertimeout_linux_test.go
+++ b/daemon/transport/usertimeout_linux_test.go
@@ -12,6 +12,8 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/api/httpcheck"
 )
 
 // Guards against a request on a failed connection that fails only after the timeout of the request, which is seconds for
@@ -26,7 +28,7 @@
 		must.NoError(t, err)
 		resp, err := NewClient(Options{DialTimeout: time.Second, KeepAlive: keepAlive}).Do(req)
 		must.NoError(t, err)
-		raw, err := conn.(*net.TCPConn).SyscallConn()
+		raw, err := conn.(*httpcheck.Conn).Conn.(*net.TCPConn).SyscallConn()
 		must.NoError(t, err)
 		must.NoError(t, raw.Control(func(fd uintptr) {
 			got, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
--- a/testbed/agent/run.go
+++ b/testbed/agent/run.go
@@ -18,6 +18,7 @@
 	"jackdawbay.dev/api/caller"
 	"jackdawbay.dev/api/client"
 	"jackdawbay.dev/api/errkind"
+	"jackdawbay.dev/api/httpcheck"
 	"jackdawbay.dev/daemon/clock"
 )
 
@@ -129,7 +130,7 @@
 }
 
 func newRunner(cfg Config, index int, out *lineWriter, progress *gateProgress) *runner {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	transport := httpcheck.NewTransport(&http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second})
 	return &runner{
 		cfg:          cfg,
 		programIndex: index,
--- a/testbed/deployment/forward_test.go
+++ b/testbed/deployment/forward_test.go
@@ -48,6 +48,24 @@
 	}
 }
 
+// Guards against a part of a response that looks complete: it has no length, and its connection is reset while the request is still
+// being written, so that the write takes the error of the connection.
+func TestResetDuringUpload(t *testing.T) {
+	o := defaultOptions()
+	o.MaxBodyBytes = 16 << 20
+	d := startDeployment(t, o)
+	d.setFaultOnAll(backend.EarlyReset)
+	body := strings.Repeat("x", 12<<20)
+	for range 5 {
+		for _, path := range []string{PathOrder, PathLookup} {
+			c := Call{Path: path, ID: NewID(), Body: body}
+			resp := Send(d.Gateways[0], c)
+			must.NoError(t, resp.Err)
+			test.EqOp(t, http.StatusBadGateway, resp.Status, test.Sprintf("%s: %q", path, resp.Body))
+		}
+	}
+}
+
 // Guards against an idempotent request that fails although another upstream would serve it.
 func TestIdempotentIsRetried(t *testing.T) {
 	d := startDeployment(t, defaultOptions())
--- a/testbed/standin/backend/backend.go
+++ b/testbed/standin/backend/backend.go
@@ -29,6 +29,7 @@
 	UnframedBody      Fault = "unframed"    // Sends a body without a length and closes the connection.
 	UnframedBodyReset Fault = "unframedrst" // Sends a body without a length and resets the connection in its middle.
 	EarlyReject       Fault = "early"       // Rejects the request with 503 before reading the body.
+	EarlyReset        Fault = "earlyrst"    // Sends a part of a body without a length before reading the body, and resets the connection.
 	Reject            Fault = "refuse"      // Rejects the request with 503 and a header that reports that it has not run.
 	Executed503       Fault = "unclear503"  // Runs the request and returns 503 without the header of Reject.
 	Executed500       Fault = "500"         // Runs the request and returns 500.
@@ -168,6 +169,10 @@
 			}
 			continue
 		}
+		if f == EarlyReset {
+			u.serveEarlyReset(c, r)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
