Do not take an answer with an undefined status code for a response

Callers got an answer that was none: an upstream in trouble sent the status 000, the gateway skipped it as an interim response, and what followed, its own body, was read as the response. So were 001 to 099 and a 101 that nobody had requested. Codes above 599 were passed on.

Cause: every code below 200 counted as interim, and net/http, which reads the head, accepts any three characters that strconv.Atoi accepts.

Fix: httpcheck.Conn checks the head of a response byte by byte, also those of interim responses, and returns it when it is complete: net/http takes the last line before an error for a whole one. Its limit replaces those of the pool and the HTTP client, which were equal. The start of a head may have arrived with the end of a skipped response; the pool gives such bytes back, so that they are checked as well.

--- a/api/httpcheck/conn.go
+++ b/api/httpcheck/conn.go
@@ -1,5 +1,5 @@
-// Package httpcheck decides for all clients of the project what a complete HTTP/1 response is. net/http accepts more: a body without a
-// length whose connection was reset while the request was still being written. Clients use NewTransport, or read from a Conn.
+// Package httpcheck decides for all clients of the project what a complete HTTP/1 response is. net/http accepts more: status codes
+// that are undefined, and a body without a length whose connection was reset while the request was still being written. Clients use NewTransport, or read from a Conn.
 package httpcheck
 
 import (
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"os"
 	"sync"
 	"time"
@@ -18,31 +19,128 @@
 // pastDeadline ends pending writes.
 var pastDeadline = time.Unix(1, 0)
 
-// Conn is the client's side of a connection. If it ends after a write has failed, Read returns the error of the write. One goroutine
-// may read while another one writes.
+// maxHeadBytes is the limit of a response head and the interim responses before it. It is twice the limit that the users'
+// configurations set for callers.
+const maxHeadBytes = 32 << 10
+
+// Conn is the client's side of a connection. A response head is returned by Read when it is complete. Read fails with
+// ErrInvalidResponse at the first byte that cannot belong to a response, and with the error of a write if the connection ends after
+// that write has failed. One goroutine may read while another one writes.
 type Conn struct {
 	net.Conn
 
 	mu         sync.Mutex
+	isChecking bool // The next byte belongs to a response head.
+	head       head
+	headBytes  int    // Checked bytes since ExpectResponse.
+	unchecked  []byte // Bytes that precede those of the connection.
+	partial    []byte // Start of a head that is not complete.
+	checked    []byte // Bytes for the next Read.
+
 	writesDone *sync.Cond
 	writing    int
 	writeErr   error // First error of a write, unless it is a timeout.
 }
 
-// NewConn returns a checked connection.
+// NewConn returns a connection that expects a response.
 func NewConn(c net.Conn) *Conn {
-	checked := &Conn{Conn: c}
+	checked := &Conn{Conn: c, isChecking: true}
 	checked.writesDone = sync.NewCond(&checked.mu)
 	return checked
 }
 
+// ExpectResponse states that the next byte begins a response. The unread bytes were read from the connection and precede the others;
+// the connection keeps them.
+func (c *Conn) ExpectResponse(unread []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isChecking, c.head, c.headBytes = true, head{}, 0
+	c.unchecked, c.partial, c.checked = unread, nil, nil
+}
+
 // Read implements io.Reader.
 func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if err == io.EOF {
-		err = c.endOfInput()
+	for {
+		if n := c.take(&c.checked, b); n > 0 {
+			return n, nil
+		}
+		n, err := c.take(&c.unchecked, b), error(nil)
+		if n == 0 {
+			n, err = c.Conn.Read(b)
+		}
+		if err == io.EOF {
+			err = c.endOfInput()
+		}
+		valid, checkErr := c.check(b[:n])
+		if checkErr != nil {
+			return 0, checkErr
+		}
+		if len(valid) == 0 && err == nil && len(b) > 0 {
+			continue // The head is not complete.
+		}
+		return c.give(b, valid), c.endOfHead(err)
 	}
-	return n, err
+}
+
+// take moves the start of a buffer to b.
+func (c *Conn) take(buffer *[]byte, b []byte) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := copy(b, *buffer)
+	*buffer = (*buffer)[n:]
+	return n
+}
+
+// give moves bytes to b and keeps the rest for the next Read.
+func (c *Conn) give(b, valid []byte) int {
+	n := copy(b, valid)
+	if n < len(valid) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.checked = valid[n:]
+	}
+	return n
+}
+
+// endOfHead returns the error of a read, which must not look like the end of a response if it is inside a head.
+func (c *Conn) endOfHead(err error) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == io.EOF && len(c.partial) > 0 {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+// check returns the bytes that precede an incomplete head. net/http takes the last line of a head for complete if an error follows
+// it, so that no part of a head may be returned before its end was checked.
+func (c *Conn) check(b []byte) ([]byte, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isChecking {
+		return b, nil
+	}
+	end := 0
+	for i := 0; i < len(b) && c.isChecking; i++ {
+		if c.headBytes++; c.headBytes > maxHeadBytes {
+			return nil, invalid("head exceeds its limit")
+		}
+		if err := c.head.next(b[i]); err != nil {
+			return nil, err
+		}
+		switch {
+		case c.head.isFinal():
+			c.isChecking, end = false, len(b)
+		case c.head.part == ended:
+			c.head, end = head{}, i+1
+		}
+	}
+	valid := b[:end]
+	if end > 0 && len(c.partial) > 0 {
+		valid, c.partial = append(c.partial, valid...), nil
+	}
+	c.partial = append(c.partial, b[end:]...)
+	return valid, nil
 }
 
 // endOfInput returns the error for the end of the connection: io.EOF if the peer has closed it. The system reports a reset only once.
@@ -146,3 +244,14 @@
 	secure := tls.Client(c, config)
 	return secure, secure.HandshakeContext(ctx)
 }
+
+// RoundTrip implements http.RoundTripper. If a response on a reused connection is invalid, http.Transport repeats a request that it
+// considers replayable, as after a reset.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok && info.Reused {
+			c.ExpectResponse(nil)
+		}
+	}}
+	return t.Transport.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
--- a/daemon/forward/exchange.go
+++ b/daemon/forward/exchange.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -38,9 +37,6 @@
 	// over the slowest link of the users' deployments, 30 Mbit/s. In addition, a VM with a small share of a CPU pauses for
 	// some 100 ms.
 	staleBodyTimeout = 300 * time.Millisecond
-	// maxHeadBytes limits the head of a response including the interim responses before it. It is twice the limit that the
-	// users' configurations set for callers.
-	maxHeadBytes = 32 << 10
 	// maxInterimResponses is the number of interim responses (status 1xx) that are skipped before a response.
 	maxInterimResponses = 8
 	// maxDiscardBytes and discardTimeout limit what is read of a discarded response. Beyond them, reading costs more than a
@@ -51,9 +47,6 @@
 	writeTimeout = 20 * time.Millisecond
 )
 
-// responsePrefix is the start of every HTTP/1 response.
-const responsePrefix = "HTTP/1."
-
 // pastDeadline is a connection deadline in the past. It aborts pending reads and writes.
 var pastDeadline = time.Unix(1, 0)
 
@@ -157,12 +150,8 @@
 
 // readHead reads the head of a response and skips the interim responses before it.
 func readHead(c *Conn, method string) (*http.Response, error) {
-	c.limited.setLimit(maxHeadBytes)
-	defer c.limited.clearLimit()
+	c.expectResponse()
 	for range maxInterimResponses + 1 {
-		if err := checkPrefix(c.reader); err != nil {
-			return nil, markHeadError(err)
-		}
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, markHeadError(err)
@@ -174,22 +163,6 @@
 	return nil, errors.Wrap(ErrInvalidResponse, "too many interim responses")
 }
 
-var errInvalidPrefix = errors.New("response does not start with HTTP/1.")
-
-// checkPrefix checks the first bytes of a response as they arrive, since an invalid line may never end.
-func checkPrefix(reader *bufio.Reader) error {
-	for n := 1; n <= len(responsePrefix); n++ {
-		b, err := reader.Peek(n)
-		if !strings.HasPrefix(responsePrefix, string(b)) {
-			return errInvalidPrefix
-		}
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // markHeadError marks an error with ErrResponseLost if the connection ended, and with ErrInvalidResponse otherwise.
 func markHeadError(err error) error {
 	var netErr net.Error
--- a/daemon/forward/exchange_test.go
+++ b/daemon/forward/exchange_test.go
@@ -134,7 +134,7 @@
 	own := "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n"
 	cases := map[string]string{
 		"plain":             own + "\r\nok",
-		"large head":        own + "A: " + strings.Repeat("x", maxHeadBytes-1024) + "\r\n\r\nok",
+		"large head":        own + "A: " + strings.Repeat("x", 31<<10) + "\r\n\r\nok",
 		"interim responses": strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", maxInterimResponses) + own + "\r\nok",
 		"other responses": strings.Repeat("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 100000\r\nA: "+strings.Repeat("x", 20<<10)+"\r\n\r\n"+
 			strings.Repeat("y", 100_000), maxStaleResponses-1) + own + "\r\nok",
--- a/daemon/forward/invalid_response_test.go
+++ b/daemon/forward/invalid_response_test.go
@@ -10,9 +10,41 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cockroachdb/errors"
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
+// Guards against an answer with an undefined status code that is forwarded, or that is skipped as an interim response, so that its
+// body is taken for the response.
+func TestUndefinedStatusIsNoResponse(t *testing.T) {
+	const own = "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 2\r\n\r\nok"
+	for _, status := range []string{"000 None", "001 None", "099 None", "101 Switching Protocols", "600 Other", "999 Other", "+20 OK", "-01 None"} {
+		for name, rest := range map[string]string{
+			"with a body":           "Id: mine\r\nContent-Length: 2\r\n\r\nok",
+			"before a response":     "\r\n" + own,
+			"with a response in it": "Id: mine\r\nContent-Length: 1000\r\n\r\n" + own,
+		} {
+			t.Run(status+" "+name, func(t *testing.T) { checkInvalid(t, "HTTP/1.1 "+status+"\r\n"+rest) })
+		}
+	}
+}
+
+func checkInvalid(t *testing.T, answer string) {
+	t.Helper()
+	address, _ := startUpstream(t, answer, "", 0)
+	resp, err := sendRequest(t, address)
+	if err == nil {
+		t.Fatalf("status %d with header %v was taken for a response", resp.StatusCode, resp.Header)
+	}
+	test.True(t, errors.Is(err, ErrInvalidResponse), test.Sprintf("got error %v", err))
+}
+
+// Guards against a late response to another request whose successor is not checked, because it arrived with it.
+func TestResponseAfterAnotherIsChecked(t *testing.T) {
+	checkInvalid(t, "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 000 None\r\nId: mine\r\nContent-Length: 2\r\n\r\nok")
+}
+
 // Guards against a part of a body without a length that looks complete after a reset: the write of the request takes the error of
 // the connection, and the read sees its end.
 func TestResetDuringUpload(t *testing.T) {
--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -5,8 +5,8 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -50,8 +50,7 @@
 	pool      *Pool // Counts the connection until it is closed.
 	closeOnce sync.Once
 	address   string
-	limited   *limitedReader
-	reader    *bufio.Reader // Reads from limited.
+	reader    *bufio.Reader
 	idleUntil time.Time
 	Reused    bool
 	DialTime  time.Duration // Zero for a reused connection.
@@ -171,34 +170,15 @@
 	}
 	p.dials.Inc()
 	checked := httpcheck.NewConn(raw)
-	limited := &limitedReader{Reader: checked}
-	return &Conn{Conn: checked, pool: p, address: address, limited: limited, reader: bufio.NewReaderSize(limited, readBufferBytes), DialTime: time.Since(startedAt)}, nil
+	return &Conn{Conn: checked, pool: p, address: address, reader: bufio.NewReaderSize(checked, readBufferBytes), DialTime: time.Since(startedAt)}, nil
 }
 
-// limitedReader returns errHeadTooLarge at its limit, if a limit is set.
-type limitedReader struct {
-	io.Reader
-	limited   bool
-	remaining int
-}
-
-var errHeadTooLarge = errors.New("response head exceeds the size limit")
-
-func (r *limitedReader) setLimit(n int) { r.limited, r.remaining = true, n }
-
-func (r *limitedReader) clearLimit() { r.limited = false }
-
-// Read implements io.Reader.
-func (r *limitedReader) Read(b []byte) (int, error) {
-	if !r.limited {
-		return r.Reader.Read(b)
-	}
-	if r.remaining <= 0 {
-		return 0, errHeadTooLarge
-	}
-	n, err := r.Reader.Read(b[:min(len(b), r.remaining)])
-	r.remaining -= n
-	return n, err
+// expectResponse makes the connection check the next bytes as the head of a response. Bytes of it may have arrived with the end of the
+// previous response.
+func (c *Conn) expectResponse() {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // Does not fail for bytes that are buffered.
+	c.ExpectResponse(bytes.Clone(buffered))
+	c.reader.Reset(c.Conn)
 }
 
 // popIdle removes the most recently used idle connection that is not excluded from the pool. It returns nil if there is none.
--- a/daemon/transport/response_test.go
+++ b/daemon/transport/response_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 )
 
@@ -32,6 +33,23 @@
 	return "http://" + l.Addr().String()
 }
 
+// Guards against invalid answers that the clients of the store, of other daemons, and of the engines and services of the serve role
+// take for a response.
+func TestInvalidResponses(t *testing.T) {
+	client := NewClient(Options{DialTimeout: time.Second})
+	for _, answer := range []string{
+		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		resp, err := client.Get(respondOnce(t, answer))
+		test.Error(t, err, test.Sprintf("%q", answer))
+		if err == nil {
+			_ = resp.Body.Close() // The test has failed.
+		}
+	}
+}
+
 // Guards against a part of a body without a length that looks complete after a reset during the request.
 func TestResetDuringUpload(t *testing.T) {
 	client := NewClient(Options{DialTimeout: time.Second})
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -29,10 +29,6 @@
 	NoReuse bool
 }
 
-// maxResponseHeaderBytes is the maximum size of the headers of a response. net/http allows 10 MiB; the largest headers in
-// use have a few hundred bytes.
-const maxResponseHeaderBytes = 32 << 10
-
 // ErrNotSent marks errors of requests that certainly did not reach the server.
 var ErrNotSent = errors.New("request was not sent")
 
@@ -60,13 +56,12 @@
 	}
 	return &http.Client{
 		Transport: httpcheck.NewTransport(&http.Transport{
-			DialContext:            dial,
-			MaxConnsPerHost:        o.MaxPerHost,
-			MaxIdleConnsPerHost:    64,
-			IdleConnTimeout:        30 * time.Second,
-			DisableKeepAlives:      o.NoReuse,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-			DisableCompression:     true,
+			DialContext:         dial,
+			MaxConnsPerHost:     o.MaxPerHost,
+			MaxIdleConnsPerHost: 64,
+			IdleConnTimeout:     30 * time.Second,
+			DisableKeepAlives:   o.NoReuse,
+			DisableCompression:  true,
 		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/testbed/standin/backend/backend.go
+++ b/testbed/standin/backend/backend.go
@@ -30,6 +30,7 @@
 	UnframedBodyReset Fault = "unframedrst" // Sends a body without a length and resets the connection in its middle.
 	EarlyReject       Fault = "early"       // Rejects the request with 503 before reading the body.
 	EarlyReset        Fault = "earlyrst"    // Sends a part of a body without a length before reading the body, and resets the connection.
+	UndefinedStatus   Fault = "status000"   // Runs the request and returns the status 000.
 	Reject            Fault = "refuse"      // Rejects the request with 503 and a header that reports that it has not run.
 	Executed503       Fault = "unclear503"  // Runs the request and returns 503 without the header of Reject.
 	Executed500       Fault = "500"         // Runs the request and returns 500.
@@ -221,6 +222,9 @@
 	case MalformedResponse:
 		_, _ = io.WriteString(c, "\x00\x01garbage\r\n\r\n") // The connection ends in any case.
 		return false
+	case UndefinedStatus:
+		u.serveUndefinedStatus(c, r, stamp)
+		return false
 	case Executed503:
 		_, err := io.WriteString(c, u.responseHead("503 Service Unavailable", r, stamp+"Content-Length: 0\r\n"))
 		return err == nil
--- a/testbed/standin/backend/invalid.go
+++ b/testbed/standin/backend/invalid.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,3 +19,9 @@
 	time.Sleep(earlyResetDelay)
 	resetConn(c)
 }
+
+// serveUndefinedStatus sends a response whose status code is undefined and whose body looks like a response.
+func (u *Upstream) serveUndefinedStatus(c net.Conn, r *http.Request, stamp string) {
+	body := u.responseHead("200 OK", r, stamp+"Content-Length: 4\r\n") + "none"
+	_, _ = io.WriteString(c, u.responseHead("000 None", r, fmt.Sprintf("%sContent-Length: %d\r\n", stamp, len(body)))+body) // The connection ends in any case.
+}
