Do not take an answer with an invalid header name for a response

Callers got answers of upstreams in trouble whose heads had a blank in the name of a header: the line was passed on, and if it was the header that frames the body, the caller got the raw framing as the body.

Cause: net/http keeps such names as they are, finds no framing in them and reads to the end of the connection. It also joins a line that begins with a blank to the previous one and ignores a transfer encoding in HTTP/1.0.

Fix: httpcheck accepts header names of tokens and header values without control bytes, and no continued lines. A transfer encoding in HTTP/1.0, or beside a length, is invalid as well (RFC 9112, sections 6.1 and 6.3).

Measured: the tests pass with the race detector in api/httpcheck, daemon/forward, daemon/transport and testbed/deployment.

--- a/api/httpcheck/conn.go
+++ b/api/httpcheck/conn.go
@@ -1,5 +1,6 @@
 // Package httpcheck decides for all clients of the project what a complete HTTP/1 response is. net/http accepts more: status codes
-// that are undefined, and a body without a length whose connection was reset while the request was still being written. Clients use NewTransport, or read from a Conn.
+// that are undefined, header names with blanks, framing that HTTP/1.0 does not have, and a body without a length whose connection was
+// reset while the request was still being written. Clients use NewTransport, or read from a Conn.
 package httpcheck
 
 import (
--- a/api/httpcheck/head.go
+++ b/api/httpcheck/head.go
@@ -1,6 +1,10 @@
 package httpcheck
 
-import "github.com/cockroachdb/errors"
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
 
 // ErrInvalidResponse marks the error of bytes that are not an HTTP/1 response. The request may have been executed.
 var ErrInvalidResponse = errors.New("invalid HTTP response")
@@ -32,12 +36,23 @@
 	switchingProtocols = 101
 )
 
+// Names of the headers that frame a body.
+const (
+	nameTransferEncoding = "transfer-encoding"
+	nameContentLength    = "content-length"
+)
+
 // head checks a response head byte by byte, so that an invalid one is found before its end, which may never come. The zero value
 // expects the first byte.
 type head struct {
-	part        part
-	bytesOfPart int
-	status      int
+	part         part
+	bytesOfPart  int
+	minorVersion byte
+	status       int
+
+	name                [len(nameTransferEncoding)]byte // Start of the name of the current header, in lower case.
+	hasTransferEncoding bool
+	hasContentLength    bool
 }
 
 // isFinal reports whether the head has ended and is not that of an interim response.
@@ -97,6 +112,7 @@
 	if !isDigit(b) {
 		return invalid("no HTTP/1 status line")
 	}
+	h.minorVersion = b - '0'
 	h.enter(inStatus)
 	return nil
 }
@@ -151,18 +167,43 @@
 	return h.nextOfName(b)
 }
 
-// nextOfName leaves the check of the name to net/http.
 func (h *head) nextOfName(b byte) error {
-	switch b {
-	case ':':
+	switch {
+	case b == ':' && h.bytesOfPart > 0:
+		h.recordName()
 		h.enter(inValue)
-	case '\r', '\n':
-		return h.endLine(b, "header name")
+		return nil
+	case !isToken(b): // Includes the blank that continues the previous line, an obsolete form.
+		return invalid("invalid byte in a header name")
+	}
+	if h.bytesOfPart < len(h.name) {
+		h.name[h.bytesOfPart] = b | ('a' - 'A') // Other characters of the two names do not change.
 	}
+	h.bytesOfPart++
 	return nil
 }
 
+func (h *head) recordName() {
+	if h.bytesOfPart > len(h.name) {
+		return
+	}
+	switch string(h.name[:h.bytesOfPart]) {
+	case nameTransferEncoding:
+		h.hasTransferEncoding = true
+	case nameContentLength:
+		h.hasContentLength = true
+	}
+}
+
+// end checks the framing of the body. HTTP/1.0 has no transfer encodings, and with both headers the end of the body depends on the
+// reader (RFC 9112, sections 6.1 and 6.3).
 func (h *head) end() error {
+	switch {
+	case h.hasTransferEncoding && h.minorVersion == 0:
+		return invalid("HTTP/1.0 response with a transfer encoding")
+	case h.hasTransferEncoding && h.hasContentLength:
+		return invalid("both a transfer encoding and a content length")
+	}
 	h.enter(ended)
 	return nil
 }
@@ -173,3 +214,8 @@
 
 // isText reports whether a byte may stand in a reason phrase or a header value.
 func isText(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
+
+// isToken reports whether a byte may stand in a header name.
+func isToken(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
--- a/api/httpcheck/httpcheck_test.go
+++ b/api/httpcheck/httpcheck_test.go
@@ -31,8 +31,26 @@
 	"switch of protocols":          "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + framed,
 	"another version":              "HTTP/2.0 200 OK\r\n" + framed,
 	"control byte in the reason":   "HTTP/1.1 200 O\x01K\r\n" + framed,
+	"blank in a name":              "HTTP/1.1 200 OK\r\nX Name: a\r\n" + framed,
+	"blank after a name":           "HTTP/1.1 200 OK\r\nX-Name : a\r\n" + framed,
+	"tab after a name":             "HTTP/1.1 200 OK\r\nX-Name\t: a\r\n" + framed,
+	"blank before a name":          "HTTP/1.1 200 OK\r\n X-Name: a\r\n" + framed,
+	"continued line":               "HTTP/1.1 200 OK\r\nX-Name: a\r\n Content-Length: 1\r\n\r\nok",
+	"control byte in a name":       "HTTP/1.1 200 OK\r\nX-\x01Name: a\r\n" + framed,
+	"delete in a name":             "HTTP/1.1 200 OK\r\nX-Name\x7f: a\r\n" + framed,
+	"byte above ASCII in a name":   "HTTP/1.1 200 OK\r\nX-N\xe9: a\r\n" + framed,
+	"no name":                      "HTTP/1.1 200 OK\r\n: a\r\n" + framed,
+	"line without a colon":         "HTTP/1.1 200 OK\r\nX-Name\r\n" + framed,
 	"control byte in a value":      "HTTP/1.1 200 OK\r\nX-Name: a\x00b\r\n" + framed,
 	"carriage return in a value":   "HTTP/1.1 200 OK\r\nX-Name: a\rb\r\n" + framed,
+	"blank in the length":          "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok",
+	"blank after the length":       "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nok",
+	"blank in the encoding":        "HTTP/1.1 200 OK\r\nTransfer -Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"blank after the encoding":     "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"control byte in the encoding": "HTTP/1.1 200 OK\r\nTransfer-Encoding\x01: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"encoding in HTTP/1.0":         "HTTP/1.0 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"encoding and length":          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"blank in an interim response": "HTTP/1.1 103 Early Hints\r\nX Name: a\r\n\r\nHTTP/1.1 200 OK\r\n" + framed,
 	"no response":                  "\x00\x01garbage\r\n\r\n",
 	"response after an empty line": "\r\nHTTP/1.1 200 OK\r\n" + framed,
 	"undefined code of an interim": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n" + framed,
@@ -223,6 +241,13 @@
 			if resp.StatusCode != h.status {
 				t.Fatalf("status %d, net/http reads %d", h.status, resp.StatusCode)
 			}
+			for name := range resp.Header {
+				for _, b := range []byte(name) {
+					if !isToken(b) {
+						t.Fatalf("header name %q was accepted", name)
+					}
+				}
+			}
 			return
 		}
 	})
--- a/daemon/forward/invalid_response_test.go
+++ b/daemon/forward/invalid_response_test.go
@@ -30,6 +30,25 @@
 	}
 }
 
+// Guards against an answer whose head has invalid names that is forwarded, or whose body is read without its framing.
+func TestInvalidHeaderNameIsNoResponse(t *testing.T) {
+	for _, line := range []string{
+		"X Name: a", "X-Name : a", "X-Name\t: a", " X-Name: a", "X-\x01Name: a", "X-Name\x7f: a",
+		"Content-Length : 2", "Content Length: 2", "Transfer-Encoding : chunked", "Transfer -Encoding: chunked", "Transfer-Encoding\x00: chunked",
+	} {
+		t.Run(line, func(t *testing.T) {
+			checkInvalid(t, "HTTP/1.1 200 OK\r\nId: mine\r\n"+line+"\r\n\r\n2\r\nok\r\n0\r\n\r\n")
+		})
+	}
+}
+
+// Guards against a body whose framing depends on the reader: HTTP/1.0 has no transfer encodings.
+func TestContradictoryFramingIsNoResponse(t *testing.T) {
+	const chunks = "2\r\nok\r\n0\r\n\r\n"
+	checkInvalid(t, "HTTP/1.0 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
+	checkInvalid(t, "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n"+chunks)
+}
+
 func checkInvalid(t *testing.T, answer string) {
 	t.Helper()
 	address, _ := startUpstream(t, answer, "", 0)
--- a/daemon/transport/response_test.go
+++ b/daemon/transport/response_test.go
@@ -41,6 +41,10 @@
 		"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 099 None\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
 		"HTTP/1.1 999 None\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nX Name: a\r\nContent-Length: 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\n{}",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding\x01: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
 	} {
 		resp, err := client.Get(respondOnce(t, answer))
 		test.Error(t, err, test.Sprintf("%q", answer))
--- a/testbed/deployment/forward_test.go
+++ b/testbed/deployment/forward_test.go
@@ -28,7 +28,7 @@
 func TestNonIdempotentRunsOnce(t *testing.T) {
 	d := startDeployment(t, defaultOptions())
 	for _, f := range []backend.Fault{backend.DropResponse, backend.ResetConnection, backend.TruncateBody, backend.MalformedResponse,
-		backend.Executed503, backend.UnframedBodyReset, backend.EncodedBody, backend.UnsignedResponse, backend.UndefinedStatus} {
+		backend.Executed503, backend.UnframedBodyReset, backend.EncodedBody, backend.UnsignedResponse, backend.UndefinedStatus, backend.InvalidHeaderName} {
 		for _, method := range []string{http.MethodPost, http.MethodGet} {
 			t.Run(string(f)+" "+method, func(t *testing.T) {
 				conn, err := Dial(context.Background(), d.Gateways[0])
@@ -71,7 +71,7 @@
 	d := startDeployment(t, defaultOptions())
 	for _, f := range []backend.Fault{backend.DropResponse, backend.ResetConnection, backend.TruncateBody, backend.MalformedResponse,
 		backend.Executed503, backend.UnframedBodyReset, backend.EncodedBody, backend.UnsignedResponse, backend.Reject, backend.Executed500,
-		backend.UndefinedStatus} {
+		backend.UndefinedStatus, backend.InvalidHeaderName} {
 		t.Run(string(f), func(t *testing.T) {
 			d.Services[0].SetFault(f)
 			defer d.Services[0].SetFault(backend.NoFault)
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -283,7 +283,7 @@
 func (s *soakRun) injectUpstreamFault(r *rand.Rand, targets *faultTargets, d time.Duration) {
 	faults := []backend.Fault{backend.DropResponse, backend.ResetConnection, backend.TruncateBody, backend.MalformedResponse, backend.ExtraResponse,
 		backend.UnframedBodyReset, backend.EarlyReject, backend.EarlyReset, backend.Reject, backend.Executed503, backend.Executed500, backend.Hang, backend.UnsignedResponse,
-		backend.UndefinedStatus}
+		backend.UndefinedStatus, backend.InvalidHeaderName}
 	u := s.randomUpstream(r)
 	f := faults[r.IntN(len(faults))]
 	s.injectFor(targets, u.ID, string(f), d/2, func() { u.SetFault(f) }, func() { u.SetFault(backend.NoFault) })
--- a/testbed/standin/backend/backend.go
+++ b/testbed/standin/backend/backend.go
@@ -31,6 +31,7 @@
 	EarlyReject       Fault = "early"       // Rejects the request with 503 before reading the body.
 	EarlyReset        Fault = "earlyrst"    // Sends a part of a body without a length before reading the body, and resets the connection.
 	UndefinedStatus   Fault = "status000"   // Runs the request and returns the status 000.
+	InvalidHeaderName Fault = "blankname"   // Runs the request and returns a chunked body with a blank in the name of its framing header.
 	Reject            Fault = "refuse"      // Rejects the request with 503 and a header that reports that it has not run.
 	Executed503       Fault = "unclear503"  // Runs the request and returns 503 without the header of Reject.
 	Executed500       Fault = "500"         // Runs the request and returns 500.
@@ -225,6 +226,9 @@
 	case UndefinedStatus:
 		u.serveUndefinedStatus(c, r, stamp)
 		return false
+	case InvalidHeaderName:
+		u.serveInvalidHeaderName(c, r, stamp)
+		return false
 	case Executed503:
 		_, err := io.WriteString(c, u.responseHead("503 Service Unavailable", r, stamp+"Content-Length: 0\r\n"))
 		return err == nil
--- a/testbed/standin/backend/invalid.go
+++ b/testbed/standin/backend/invalid.go
@@ -25,3 +25,10 @@
 	body := u.responseHead("200 OK", r, stamp+"Content-Length: 4\r\n") + "none"
 	_, _ = io.WriteString(c, u.responseHead("000 None", r, fmt.Sprintf("%sContent-Length: %d\r\n", stamp, len(body)))+body) // The connection ends in any case.
 }
+
+// serveInvalidHeaderName sends a response with a blank in the name of the header that frames its body.
+func (u *Upstream) serveInvalidHeaderName(c net.Conn, r *http.Request, stamp string) {
+	body := ResponseBody(r.Header.Get("X-Jackdawbay-Request-Id"))
+	framed := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	_, _ = io.WriteString(c, u.responseHead("200 OK", r, stamp+"Transfer-Encoding : chunked\r\n")+framed) // The connection ends in any case.
+}
