Count the bytes that peers have not read in the tests of crowds

Clients may read slowly as well, and what a process holds for them counts as its memory. The meter of the crowds adds the bytes that the process has written and that were not acknowledged. The stopped readers of a gateway are 1,000 in place of 500, and the open watches of a relay get a list of 300 KB, the size of the largest deployment.

--- a/testbed/crowd/meter_test.go
+++ b/testbed/crowd/meter_test.go
@@ -21,8 +21,8 @@
 // maxExcess is the multiple of its memory at which a process is killed, so that a fault cannot exhaust the memory of the machine.
 const maxExcess = 8
 
-// meter records the highest memory and the most descriptors of a process. Bytes that have arrived on its connections and that it has
-// not read count as memory.
+// meter records the highest memory and the most descriptors of a process. The bytes in the queues of its connections count as memory:
+// those that have arrived and that it has not read, and those that it has written and that its peers have not read.
 type meter struct {
 	process *process.Process
 	size    vmSize
@@ -30,9 +30,11 @@
 	stop    chan struct{}
 	stopped chan struct{}
 
-	peak, resident, unread int64 // Bytes; resident and unread are those of the sample with the peak.
-	descriptors            int
-	err                    error // First error of a sample while the process was running.
+	peak        int64 // Bytes of the sample with the most; the following are its parts.
+	resident    int64
+	queues      queues
+	descriptors int
+	err         error // First error of a sample while the process was running.
 }
 
 func startMeter(p *process.Process, size vmSize) *meter {
@@ -65,7 +67,7 @@
 		return err
 	}
 	m.descriptors = max(m.descriptors, descriptors)
-	unread, err := unreadBytes(sockets)
+	queues, err := queuesOf(sockets)
 	if err != nil {
 		return err
 	}
@@ -73,8 +75,8 @@
 	if err != nil {
 		return err
 	}
-	if resident+unread > m.peak {
-		m.peak, m.resident, m.unread = resident+unread, resident, unread
+	if sum := resident + queues.unread + queues.unsent; sum > m.peak {
+		m.peak, m.resident, m.queues = sum, resident, queues
 	}
 	return nil
 }
@@ -109,14 +111,19 @@
 	inodeNone    = "0" // A connection that was not accepted yet.
 )
 
-// unreadBytes returns the bytes that have arrived on the sockets, and on the connections that their listeners have not accepted.
-func unreadBytes(sockets map[string]bool) (int64, error) {
+// queues are the bytes that the system holds for sockets.
+type queues struct {
+	unread int64 // Arrived, also on connections that the listeners have not accepted.
+	unsent int64 // Written and not acknowledged.
+}
+
+func queuesOf(sockets map[string]bool) (queues, error) {
 	raw, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return 0, err
+		return queues{}, err
 	}
-	listening := map[string]bool{}
-	unread, unaccepted := int64(0), map[string]int64{}
+	var sum queues
+	listening, unaccepted := map[string]bool{}, map[string]int64{}
 	for line := range strings.Lines(string(raw)) {
 		fields := strings.Fields(line)
 		if len(fields) <= columnInode || fields[0] == "sl" {
@@ -128,22 +135,22 @@
 			}
 			continue // Its queue counts connections.
 		}
-		_, queue, _ := strings.Cut(fields[columnQueues], ":")
-		n, err := strconv.ParseInt(queue, 16, 64)
-		if err != nil {
-			return 0, err
+		var unsent, unread int64
+		if _, err := fmt.Sscanf(fields[columnQueues], "%x:%x", &unsent, &unread); err != nil {
+			return queues{}, err
 		}
 		switch {
 		case sockets[fields[columnInode]]:
-			unread += n
+			sum.unread += unread
+			sum.unsent += unsent
 		case fields[columnInode] == inodeNone:
-			unaccepted[fields[columnLocal]] += n
+			unaccepted[fields[columnLocal]] += unread
 		}
 	}
 	for local := range listening {
-		unread += unaccepted[local]
+		sum.unread += unaccepted[local]
 	}
-	return unread, nil
+	return sum, nil
 }
 
 func (m *meter) residentBytes() (int64, error) {
@@ -164,8 +171,8 @@
 	t.Helper()
 	close(m.stop)
 	<-m.stopped
-	t.Logf("%s: %.1f MB at most (resident %.1f, unread %.1f) of %d, %d of %d descriptors", m.process.Name, megabytes(m.peak), megabytes(m.resident),
-		megabytes(m.unread), m.size.memoryMB, m.descriptors, m.size.maxFDs)
+	t.Logf("%s: %.1f MB at most (resident %.1f, unread %.1f, unsent %.1f) of %d, %d of %d descriptors", m.process.Name, megabytes(m.peak),
+		megabytes(m.resident), megabytes(m.queues.unread), megabytes(m.queues.unsent), m.size.memoryMB, m.descriptors, m.size.maxFDs)
 	select {
 	case <-m.process.Done():
 		t.Fatal("the process has ended")
@@ -173,7 +180,7 @@
 	}
 	must.EqOp(t, m.pid, m.process.PID())
 	must.NoError(t, m.err)
-	test.LessEq(t, int64(m.size.memoryMB)<<20, m.peak, test.Sprint("resident memory and unread bytes"))
+	test.LessEq(t, int64(m.size.memoryMB)<<20, m.peak, test.Sprint("resident memory and bytes in queues"))
 	test.LessEq(t, m.size.maxFDs, m.descriptors, test.Sprint("open file descriptors"))
 }
 
--- a/testbed/crowd/vm_test.go
+++ b/testbed/crowd/vm_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strconv"
@@ -214,7 +215,7 @@
 	}
 }
 
-// Guards against bytes of upstreams that arrive for streams whose callers do not read.
+// Guards against bytes of streams whose callers do not read: those that the gateway has written, and those that arrive from upstreams.
 func TestCrowdOfStoppedReaders(t *testing.T) {
 	d := startVM(t, gatewayVM, 4<<20)
 	engine, err := d.AddUpstream(deployment.EngineService, "engine-flood")
@@ -222,7 +223,7 @@
 	engine.SetFault(backend.EndlessFlood)
 	time.Sleep(time.Second) // The gateway learns of the engine.
 	m := startMeter(d.Gateways[0].Process, gatewayVM)
-	connectWithoutReading(t, 500, d.Gateways[0].FrontAddress, func() string {
+	connectWithoutReading(t, 1000, d.Gateways[0].FrontAddress, func() string {
 		return strings.Replace(requestHead(), deployment.PathOrder, deployment.PathResumable, 1) + "Content-Length: 0\r\n\r\n"
 	})
 	time.Sleep(4 * time.Second)
@@ -284,6 +285,14 @@
 // Guards against open streams of a relay, at the descriptors of the VM.
 func TestCrowdOfWatches(t *testing.T) {
 	d := startVM(t, replicaVM, 4<<20)
+	d.Configure(func(routes []map[string]any) []map[string]any {
+		for i := range 1000 { // 300 KB, as the largest lists of the deployments.
+			further := maps.Clone(routes[0])
+			further["name"], further["pathPrefix"] = fmt.Sprintf("further-%d", i), fmt.Sprintf("/further-%d/", i)
+			routes = append(routes, further)
+		}
+		return routes
+	})
 	m := startMeter(d.Replicas[0].Process, replicaVM)
 	address := fmt.Sprintf("%s:%d", d.Replicas[0].IP, d.Replicas[0].PortBase)
 	connectWithoutReading(t, replicaVM.clients, address, func() string { return "GET /relay/v1/stream HTTP/1.1\r\nHost: relay\r\n\r\n" })
