Limit the number of headers in a response

A response head may have 32 KB, which is room for 6,500 headers of five bytes. Each takes some 100 bytes besides its text, so that an upstream in trouble could make a gateway hold twenty times the limit for each request.

A head has at most 1,024 lines, including those of interim responses. The test "too many headers" of TestInvalidResponses failed before: the head was taken. "many headers" guards against a limit that is lower.

--- a/api/httpcheck/conn.go
+++ b/api/httpcheck/conn.go
@@ -24,6 +24,10 @@
 // configurations set for callers.
 const maxHeadBytes = 32 << 10
 
+// maxHeadLines is the limit of the lines of such a head. Each header takes some 100 bytes besides its text, so that a head of short ones
+// would take many times its size.
+const maxHeadLines = 1024
+
 // Conn is the client's side of a connection. A response head is returned by Read when it is complete. Read fails with
 // ErrInvalidResponse at the first byte that cannot belong to a response, and with the error of a write if the connection ends after
 // that write has failed. One goroutine may read while another one writes.
@@ -34,6 +38,7 @@
 	isChecking bool // The next byte belongs to a response head.
 	head       head
 	headBytes  int    // Checked bytes since ExpectResponse.
+	headLines  int    // Checked lines since ExpectResponse.
 	unchecked  []byte // Bytes that precede those of the connection.
 	partial    []byte // Start of a head that is not complete.
 	checked    []byte // Bytes for the next Read.
@@ -55,7 +60,7 @@
 func (c *Conn) ExpectResponse(unread []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isChecking, c.head, c.headBytes = true, head{}, 0
+	c.isChecking, c.head, c.headBytes, c.headLines = true, head{}, 0, 0
 	c.unchecked, c.partial, c.checked = unread, nil, nil
 }
 
@@ -123,7 +128,11 @@
 	}
 	end := 0
 	for i := 0; i < len(b) && c.isChecking; i++ {
-		if c.headBytes++; c.headBytes > maxHeadBytes {
+		c.headBytes++
+		if b[i] == '\n' {
+			c.headLines++
+		}
+		if c.headBytes > maxHeadBytes || c.headLines > maxHeadLines {
 			return nil, invalid("head exceeds its limit")
 		}
 		if err := c.head.next(b[i]); err != nil {
--- a/api/httpcheck/httpcheck_test.go
+++ b/api/httpcheck/httpcheck_test.go
@@ -54,12 +54,14 @@
 	"no response":                  "\x00\x01garbage\r\n\r\n",
 	"response after an empty line": "\r\nHTTP/1.1 200 OK\r\n" + framed,
 	"undefined code of an interim": "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 000 None\r\n\r\nHTTP/1.1 200 OK\r\n" + framed,
+	"too many headers":             "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", maxHeadLines) + framed,
 	"status 000 without a reason":  "HTTP/1.1 000\r\n" + framed,
 }
 
 // validResponses are responses with the body "ok".
 var validResponses = map[string]string{
 	"length":                      "HTTP/1.1 200 OK\r\n" + framed,
+	"many headers":                "HTTP/1.1 200 OK\r\n" + strings.Repeat("a:\r\n", maxHeadLines-4) + framed,
 	"large head":                  "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", maxHeadBytes-1024) + "\r\n" + framed,
 	"chunks":                      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
 	"no length":                   "HTTP/1.1 200 OK\r\n\r\nok",
