Share the list of all objects between the streams of a relay

A relay sends the list of all objects at the start of each stream, 300 KB on the largest deployment. It joined the lists of the kinds for each stream, and encoded them for each one during the first 3 s after the store is back, since they state for how long it is. Streams that begin at the same time and are not read held a copy each.

The joined list is kept, and one that states the time since the store is back is used for 50 ms. A receiver gets a time that is too short by that at most, which keeps missing objects for longer, not shorter. A list from before an outage is no longer used after it.

--- a/daemon/relay/server.go
+++ b/daemon/relay/server.go
@@ -5,7 +5,9 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +30,9 @@
 	lingerTime        = 10 * time.Second       // Time for which the store is followed after the last stream has ended.
 	writeTimeout      = 2 * time.Second        // A receiver that takes no data for this time is disconnected.
 	lingerCheckPeriod = time.Second
+	// snapshotLifetime is the lifetime of a snapshot that states since when the store is available. A receiver may get a time that is
+	// too short by this.
+	snapshotLifetime = 50 * time.Millisecond
 )
 
 // Server reads the objects of some kinds from the store while other VMs ask for them, and passes them on.
@@ -239,6 +244,7 @@
 type feed struct {
 	mu       sync.Mutex
 	kinds    map[string]*kindState
+	all      joinedSnapshots
 	changes  []change // Oldest first, with consecutive positions.
 	position uint64   // Position of the last change.
 	changed  chan struct{}
@@ -250,7 +256,8 @@
 	isListed       bool
 	isAvailable    bool
 	availableSince time.Time
-	snapshot       []byte // Encoded message with all objects; nil if it must be encoded again.
+	snapshot       []byte    // Encoded message with all objects; nil if it must be encoded again.
+	snapshotUntil  time.Time // Time until which the snapshot is valid; zero for no limit.
 }
 
 type change struct {
@@ -280,7 +287,7 @@
 		return
 	}
 	if k.isAvailable = available; available {
-		k.availableSince = time.Now()
+		k.availableSince, k.snapshot = time.Now(), nil
 	}
 	f.wakeLocked()
 }
@@ -393,30 +400,48 @@
 		}
 		return out.Bytes(), next, f.changed, true
 	}
-	for kind, k := range f.kinds {
-		line, err := k.encodeSnapshot(kind)
+	var snapshots [][]byte
+	for _, kind := range slices.Sorted(maps.Keys(f.kinds)) {
+		line, err := f.kinds[kind].encodeSnapshot(kind)
 		if err != nil {
 			return nil, position, f.changed, false // Cannot happen: all values are valid JSON.
 		}
-		out.Write(line)
+		snapshots = append(snapshots, line)
 	}
-	return out.Bytes(), next, f.changed, true
+	return f.all.join(snapshots), next, f.changed, true
+}
+
+// joinedSnapshots are the snapshots of all kinds in one piece, which streams that begin at the same time share.
+type joinedSnapshots struct {
+	parts  [][]byte
+	joined []byte
+}
+
+func (j *joinedSnapshots) join(snapshots [][]byte) []byte {
+	isSame := func(a, b []byte) bool { return len(a) == len(b) && &a[0] == &b[0] }
+	if !slices.EqualFunc(j.parts, snapshots, isSame) {
+		j.parts, j.joined = snapshots, bytes.Join(snapshots, nil)
+	}
+	return j.joined
 }
 
 // encodeSnapshot returns a message with all objects. It is encoded once for the streams that begin at the same time.
 func (k *kindState) encodeSnapshot(kind string) ([]byte, error) {
-	if k.snapshot != nil {
+	now := time.Now()
+	if k.snapshot != nil && (k.snapshotUntil.IsZero() || now.Before(k.snapshotUntil)) {
 		return k.snapshot, nil
 	}
 	m := message{Kind: kind, Revision: k.revision, IsFull: true}
-	if availableFor := time.Since(k.availableSince); availableFor < reregistrationTime {
+	k.snapshotUntil = time.Time{}
+	if availableFor := now.Sub(k.availableSince); availableFor < reregistrationTime {
 		m.AvailableMS = max(availableFor.Milliseconds(), 1)
+		k.snapshotUntil = now.Add(snapshotLifetime)
 	}
 	for _, o := range k.objects {
 		m.Objects = append(m.Objects, o)
 	}
 	line, err := m.encode()
-	if err == nil && m.AvailableMS == 0 {
+	if err == nil {
 		k.snapshot = line
 	}
 	return line, err
