Bound what the system holds for connections by the memory of the VM

A process went over its memory with clients that each sent what one may send: what has arrived and was not read, and what was written and was not acknowledged, was up to 128 KB and several MB for each connection, and the number of connections followed from the descriptors alone. On 112 MB with 4,100 descriptors, 2,500 clients with bodies of 1 MB made 387 MB of unread bytes beside 87 MB of resident memory, and 1,000 streams that were not read 598 MB of unsent ones.

A listener has one connection for 128 KB of memory at most, 896 on 112 MB, if that is fewer than three quarters of the descriptors. The heap's soft limit is 0.62 of the memory, so that there is room for the buffers. A relay has streams for a quarter of its connections, since each may hold its whole send buffer.

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -45,11 +45,11 @@
 func runGateway(root context.Context, p *process) error {
 	terminated, cancel := notifyTermination()
 	defer cancel()
-	callers, err := listen(p.site.CallerListen)
+	callers, err := intake.Listen(p.site.CallerListen, intake.CallerBuffers)
 	if err != nil {
 		return err
 	}
-	ready, err := listen(p.site.ReadyListen)
+	ready, err := intake.Listen(p.site.ReadyListen, intake.CallerBuffers)
 	if err != nil {
 		return err
 	}
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -9,6 +9,7 @@
 
 	corequota "jackdawbay.dev/core/quota"
 	core "jackdawbay.dev/core/replica"
+	"jackdawbay.dev/daemon/intake"
 	store "jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/quota"
 	"jackdawbay.dev/daemon/relay"
@@ -25,11 +26,11 @@
 	if p.site.DataDir == "" {
 		return errors.New("settings file: dataDir: want a directory on a VM with the replica role")
 	}
-	l, err := listen(p.site.ReplicaListen)
+	l, err := intake.Listen(p.site.ReplicaListen, intake.PeerBuffers)
 	if err != nil {
 		return err
 	}
-	ops, err := listen(p.site.OpsListen)
+	ops, err := intake.Listen(p.site.OpsListen, intake.CallerBuffers)
 	if err != nil {
 		return err
 	}
@@ -77,7 +78,7 @@
 	p.tree.Add(supervisedTask{"issuer", issuer.Run})
 	listener := p.newServer(router)
 	if limit := p.limitConnections(listener, nil).Limit(); limit > 0 {
-		relays.LimitStreams(limit / 2) // The other half is for turns and copies.
+		relays.LimitStreams(limit / 4) // The others are for turns and copies.
 	}
 	p.tree.Add(serverTask("replica", listener, l))
 	p.tree.Add(serverTask("metrics", p.newOpsServer("ops", p.metricsHandler()), ops))
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -32,8 +32,6 @@
 )
 
 const (
-	// memoryLimitRatio is the soft memory limit of the Go runtime as a fraction of the memory limit of the process.
-	memoryLimitRatio = 0.7
 	// storeTimeout is the timeout of one call to the store, and of connecting to it. The store responds within milliseconds,
 	// so a connection without a response for this time is abandoned.
 	storeTimeout = 800 * time.Millisecond
@@ -95,7 +93,7 @@
 		exitOnInvalidSettings(err)
 	}
 	log := slog.New(logging.NewHandler(writer, level)).With("role", name, "vm", siteSettings.VM)
-	heapLimit := int64(memoryLimitRatio * float64(siteSettings.MaxMemoryBytes))
+	heapLimit := intake.HeapLimit(siteSettings.MaxMemoryBytes)
 	if heapLimit > 0 {
 		debug.SetMemoryLimit(heapLimit)
 	}
@@ -174,7 +172,7 @@
 func (p *process) limitConnections(server *http.Server, next func(net.Conn, http.ConnState)) *intake.Connections {
 	limit := p.flags.MaxConnections
 	if limit <= 0 {
-		limit = intake.MaxConnections(p.site.MaxFDs)
+		limit = intake.MaxConnections(p.site.MaxFDs, p.site.MaxMemoryBytes)
 	}
 	connections := intake.NewConnections("clients", limit, p.account, p.log, p.metrics)
 	server.ConnState = func(c net.Conn, state http.ConnState) {
@@ -193,7 +191,7 @@
 		return
 	}
 	address := net.JoinHostPort(p.site.IP, strconv.Itoa(int(p.flags.MetricsPort)))
-	l, err := listen(address)
+	l, err := intake.Listen(address, intake.CallerBuffers)
 	if err != nil {
 		p.log.Warn("metrics are not served at their port", "address", address, "error", err)
 		return
@@ -255,12 +253,6 @@
 	}
 }
 
-// listen opens a TCP listener at an address.
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	return l, errors.Wrapf(err, "listen on %s", address)
-}
-
 // serverTask returns a task that serves HTTP on a listener until its context ends.
 func serverTask(name string, server *http.Server, l net.Listener) supervisedTask {
 	return supervisedTask{name, func(ctx context.Context) error {
--- a/daemon/forward/pool.go
+++ b/daemon/forward/pool.go
@@ -20,6 +20,7 @@
 
 	"jackdawbay.dev/api/httpcheck"
 	"jackdawbay.dev/daemon/clock"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/transport"
 )
 
@@ -96,6 +97,7 @@
 func NewPool(dialTimeout time.Duration, maxIdle int, set *metrics.Set) *Pool {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	transport.LimitSilence(&dialer, silenceInterval)
+	intake.LimitBuffers(&dialer, intake.UpstreamBuffers)
 	return &Pool{
 		dialer:  dialer,
 		maxIdle: maxIdle,
--- a/daemon/intake/limits.go
+++ b/daemon/intake/limits.go
@@ -29,6 +29,13 @@
 	progressBytes = 4 << 10
 )
 
+// heapRatio is the soft limit of the heap as a part of the memory of the process. The rest is for the program file, 13 MB, for what the
+// runtime needs above its limit for a moment, and for the receive buffers of connections.
+const heapRatio = 0.62
+
+// HeapLimit returns the soft limit of the heap of a process, or zero if its memory has no limit.
+func HeapLimit(memoryBytes int64) int64 { return int64(heapRatio * float64(memoryBytes)) }
+
 // NewAccount returns the account of a process whose heap has a soft limit, and that holds a number of bytes for other
 // purposes, such as a cache. If override is above zero, it is the size of the account. Without both limits the account is nil.
 func NewAccount(heapLimit, otherBytes, override int64) *memory.Account {
@@ -51,11 +58,25 @@
 // MaxUpstreamConnections returns the number of connections to upstreams that a process may have beside those of clients.
 func MaxUpstreamConnections(maxFDs, clients int) int { return max(maxFDs-otherFDs-clients, 8) }
 
+// memoryPerConnection is the memory of the VM for each connection. With it, the receive buffers of all connections and those of as many
+// connections to upstreams have at most a quarter of the memory.
+const memoryPerConnection = 128 << 10
+
 // MaxConnections returns the number of connections that a listener may have. A quarter of the descriptors, and at least 64, are
-// left for connections to upstreams, replicas and the store, and for files. Without a limit of descriptors it returns zero.
-func MaxConnections(maxFDs int) int {
-	if maxFDs <= 0 {
-		return 0
+// left for connections to upstreams, replicas and the store, and for files. Zero stands for no limit, also in the result.
+func MaxConnections(maxFDs int, memoryBytes int64) int {
+	limit := 0
+	if maxFDs > 0 {
+		limit = max(maxFDs-max(64, maxFDs/4), minConnections)
 	}
-	return max(maxFDs-max(64, maxFDs/4), 16)
+	if memoryBytes > 0 {
+		byMemory := max(int(memoryBytes/memoryPerConnection), minConnections)
+		if limit == 0 || byMemory < limit {
+			limit = byMemory
+		}
+	}
+	return limit
 }
+
+// minConnections keeps a VM with a wrong setting usable.
+const minConnections = 16
