Count request heads before they have arrived whole

A head was counted when its request began, with 24 KB whatever its size. Until then nothing was counted, and heads of many short headers take many times their size in the header map: 2,500 clients with heads of 16 KB that miss their end took 648 MB on a VM of 112 MB, and with 60 KB 2.4 GB. The listener for readiness checks had the limit of net/http, 1 MB.

The connections of all listeners of the gateway and the replica count their memory, and that of the head as it arrives, by bytes and by lines. Without memory for more, clients that have stopped give way; else the connection is closed. Every listener has the limit of 64 KB for a head. While a large body arrives, its connection has a receive buffer for the link between regions, for which memory is reserved.

--- a/daemon/cmd/jackdawbayd/gateway.go
+++ b/daemon/cmd/jackdawbayd/gateway.go
@@ -26,7 +26,6 @@
 const (
 	upstreamDialTimeout = 500 * time.Millisecond
 	maxIdlePerUpstream  = 16
-	maxHeaderBytes      = 64 << 10
 	// drainDuration is the time for which a stopping gateway still accepts requests. The balancer removes a gateway after two
 	// failed readiness checks, one second apart.
 	drainDuration = 2500 * time.Millisecond
@@ -79,13 +78,12 @@
 		Intake: p.intake, WriteTimeout: p.flags.WriteTimeout,
 	})
 	server := p.newServer(g)
-	server.MaxHeaderBytes = maxHeaderBytes
-	callerConns := p.limitConnections(server, g.ConnState())
+	callerConns, callerListener := p.limitConnections(server, callers, g.ConnState())
 	if p.site.MaxFDs > 0 {
 		pool.LimitConns(func() int { return intake.MaxUpstreamConnections(p.site.MaxFDs, callerConns.Count()) })
 	}
-	p.tree.Add(serverTask("callers", server, callers))
-	p.tree.Add(serverTask("ready", p.newOpsServer("ready", readyHandler(g, p)), ready))
+	p.tree.Add(serverTask("callers", server, callerListener))
+	p.tree.Add(p.opsTask("ready", readyHandler(g, p), ready))
 	p.tree.Add(supervisedTask{"configuration", cat.FollowConfig})
 	p.tree.Add(supervisedTask{"upstreams", cat.FollowUpstreams})
 	p.tree.Add(supervisedTask{"views", func(ctx context.Context) error { return replicas.FollowViews(ctx, mirror) }})
--- a/daemon/cmd/jackdawbayd/replica.go
+++ b/daemon/cmd/jackdawbayd/replica.go
@@ -77,11 +77,12 @@
 	p.tree.Add(supervisedTask{"membership", members.Run})
 	p.tree.Add(supervisedTask{"issuer", issuer.Run})
 	listener := p.newServer(router)
-	if limit := p.limitConnections(listener, nil).Limit(); limit > 0 {
+	connections, peerListener := p.limitConnections(listener, l, nil)
+	if limit := connections.Limit(); limit > 0 {
 		relays.LimitStreams(limit / 4) // The others are for turns and copies.
 	}
-	p.tree.Add(serverTask("replica", listener, l))
-	p.tree.Add(serverTask("metrics", p.newOpsServer("ops", p.metricsHandler()), ops))
+	p.tree.Add(serverTask("replica", listener, peerListener))
+	p.tree.Add(p.opsTask("ops", p.metricsHandler(), ops))
 	p.tree.ServeBackground(root)
 
 	<-terminated.Done()
--- a/daemon/cmd/jackdawbayd/role.go
+++ b/daemon/cmd/jackdawbayd/role.go
@@ -152,36 +152,33 @@
 	}, kinds)
 }
 
+// maxHeaderBytes is the limit of a request head. It is four times the limit that the users' configurations set for callers.
+const maxHeaderBytes = 64 << 10
+
 // newServer returns an HTTP server for one of the listeners of the process.
 func (p *process) newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: p.flags.HeaderTimeout}
+	return &http.Server{Handler: handler, ReadHeaderTimeout: p.flags.HeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // maxOpsConnections is the limit of connections for readiness checks and metrics. Few systems ask for them.
 const maxOpsConnections = 16
 
-// newOpsServer returns an HTTP server for readiness checks or metrics.
-func (p *process) newOpsServer(name string, handler http.Handler) *http.Server {
+// opsTask returns a task that serves readiness checks or metrics on a listener.
+func (p *process) opsTask(name string, handler http.Handler, l intake.Listener) supervisedTask {
 	server := p.newServer(handler)
-	server.ConnState = intake.NewConnections(name, maxOpsConnections, nil, p.log, p.metrics).OnStateChange
-	return server
+	connections := intake.NewConnections(name, maxOpsConnections, p.account, p.log, p.metrics)
+	return serverTask(name, server, connections.Attach(server, l, nil))
 }
 
 // limitConnections limits the connections of the server for clients. It calls the next hook for http.Server.ConnState, which may be
-// nil.
-func (p *process) limitConnections(server *http.Server, next func(net.Conn, http.ConnState)) *intake.Connections {
+// nil. The server must serve the listener that is returned.
+func (p *process) limitConnections(server *http.Server, l intake.Listener, next func(net.Conn, http.ConnState)) (*intake.Connections, net.Listener) {
 	limit := p.flags.MaxConnections
 	if limit <= 0 {
 		limit = intake.MaxConnections(p.site.MaxFDs, p.site.MaxMemoryBytes)
 	}
 	connections := intake.NewConnections("clients", limit, p.account, p.log, p.metrics)
-	server.ConnState = func(c net.Conn, state http.ConnState) {
-		connections.OnStateChange(c, state)
-		if next != nil {
-			next(c, state)
-		}
-	}
-	return connections
+	return connections, connections.Attach(server, l, next)
 }
 
 // addMetricsPort serves the metrics at the port of the flag --metrics-port, if it is set. If another process uses the port,
@@ -196,7 +193,7 @@
 		p.log.Warn("metrics are not served at their port", "address", address, "error", err)
 		return
 	}
-	p.tree.Add(serverTask("metrics port", p.newOpsServer("metrics_port", p.metricsHandler()), l))
+	p.tree.Add(p.opsTask("metrics_port", p.metricsHandler(), l))
 }
 
 // metricsHandler serves /metrics and nothing else.
--- a/daemon/intake/connections.go
+++ b/daemon/intake/connections.go
@@ -52,8 +52,11 @@
 }
 
 // OnStateChange is a hook for http.Server.ConnState.
-func (c *Connections) OnStateChange(conn net.Conn, state http.ConnState) {
-	if victim, reason := c.update(conn, state); victim != nil {
+func (c *Connections) OnStateChange(connection net.Conn, state http.ConnState) {
+	if counted, ok := connection.(*conn); ok {
+		counted.enter(state)
+	}
+	if victim, reason := c.update(connection, state); victim != nil {
 		c.closed(reason)
 		c.log.Warn("connection closed at the limit", logging.LimitPerSource("reason", reason), "caller", victim.RemoteAddr().String(), "limit", c.limit)
 		_ = victim.Close() // The server notices it by itself.
--- a/daemon/intake/intake.go
+++ b/daemon/intake/intake.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -83,6 +84,8 @@
 type arrival struct {
 	control *http.ResponseController
 	timeout time.Duration
+	conn    *conn  // Nil if the listener is not attached.
+	restore func() // Restores the receive buffer of the connection; nil if it was not enlarged.
 
 	mu      sync.Mutex
 	evicted bool
@@ -98,6 +101,17 @@
 	a.setDeadline(now.Add(a.timeout))
 }
 
+// enlarge gives the connection a receive buffer for a large body, if there is memory for it.
+func (a *arrival) enlarge(now time.Time, h *memory.Holder) {
+	if a.conn == nil || a.restore != nil {
+		return
+	}
+	reserve := func(n int64) memory.Decision { return h.Reserve(now, n) }
+	if restore, ok := a.conn.enlarge(syscall.SO_RCVBUF, a.conn.buffers.ReceiveBytes, reserve, h); ok {
+		a.restore = restore
+	}
+}
+
 func (a *arrival) setDeadline(deadline time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -123,7 +137,7 @@
 		in.report(r, ErrTooLarge, 0)
 		return nil, ErrTooLarge
 	}
-	a := &arrival{control: http.NewResponseController(w)}
+	a := &arrival{control: http.NewResponseController(w), conn: connOf(r.Context())}
 	if in != nil {
 		a.timeout = in.cfg.BodyTimeout
 	}
@@ -131,6 +145,9 @@
 	h.StartReceiving(now, a.evict)
 	a.arm(now)
 	pieces, received, err := in.readPieces(a, r, h, limit)
+	if a.restore != nil {
+		a.restore()
+	}
 	if h.StopReceiving() {
 		err = ErrGaveWay
 	}
@@ -179,6 +196,9 @@
 		now := time.Now()
 		h.Received(now, int64(n))
 		a.arm(now)
+		if received > largeBytes {
+			a.enlarge(now, h)
+		}
 	}
 }
 
