Reject requests without memory, and let stopped readers give way

The memory of a request without its body was added to the account without a decision, so that many small requests went over it. What the system holds of a body that is written to an upstream, or of a response that is not read, was not counted. Callers that do not read kept all connections, so that an ordinary one was closed.

The memory of a request is reserved when it arrives, with what the system holds for its two connections; without it, the caller gets 503 "overloaded" and has not run. While memory or connections are short, callers that have taken nothing of their response for a second give way like those that have stopped sending. Large responses get a larger send buffer if there is memory for it.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -24,7 +24,7 @@
 	Bytes         int64         // Limit of all holders together.
 	ReservedBytes int64         // Part of Bytes that only small holders and responses may use.
 	SmallBytes    int64         // A holder with at most this number of bytes is small.
-	StalledAfter  time.Duration // A holder that has received too little for this time has stopped sending.
+	StalledAfter  time.Duration // A client that has sent too little, or taken nothing, for this time has stopped.
 	// ProgressBytes is the number of bytes that count as progress. With single bytes as progress, a client could keep its
 	// memory by sending one now and then.
 	ProgressBytes int64
@@ -34,17 +34,18 @@
 type Account struct {
 	cfg Config
 
-	mu        sync.Mutex
-	used      int64
-	leaving   int64         // Bytes of holders that were told to give way and have not released them.
-	receiving *list.List    // Holders whose client is sending, in the order of their last progress.
-	released  chan struct{} // Closed at the next release; nil if nobody waits.
-	evicted   uint64
-	refused   uint64
+	mu       sync.Mutex
+	used     int64
+	leaving  int64         // Bytes of holders that were told to give way and have not released them.
+	awaiting *list.List    // Holders that wait for their client, in the order of its last progress.
+	sending  int           // Those of them that wait for it to take a response.
+	released chan struct{} // Closed at the next release; nil if nobody waits.
+	evicted  uint64
+	refused  uint64
 }
 
 // New returns an account.
-func New(cfg Config) *Account { return &Account{cfg: cfg, receiving: list.New()} }
+func New(cfg Config) *Account { return &Account{cfg: cfg, awaiting: list.New()} }
 
 // Holder is a user of the account, for example a request. Close must be called. The methods of a nil Holder grant everything.
 type Holder struct {
@@ -52,7 +53,8 @@
 	evict        func()
 	bytes        int64
 	isEvicted    bool
-	element      *list.Element // Set while the client is sending.
+	element      *list.Element // Set while the holder waits for its client.
+	isSending    bool
 	lastProgress time.Time
 	sinceMark    int64 // Bytes received since lastProgress.
 }
@@ -80,7 +82,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Usage{Bytes: a.used, Receiving: a.receiving.Len(), Evicted: a.evicted, Refused: a.refused}
+	return Usage{Bytes: a.used, Receiving: a.awaiting.Len() - a.sending, Evicted: a.evicted, Refused: a.refused}
 }
 
 // Released returns a channel that is closed when bytes are released.
@@ -109,8 +111,31 @@
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
+	h.await(now, evict)
+}
+
+// StartSending marks that the client of the holder has to take a part of its response. It is like StartReceiving; the progress is
+// StopSending.
+func (h *Holder) StartSending(now time.Time, evict func()) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.await(now, evict)
+	h.isSending = true
+	h.account.sending++
+}
+
+// StopSending marks that the client has taken the part.
+func (h *Holder) StopSending() { h.StopReceiving() }
+
+func (h *Holder) await(now time.Time, evict func()) {
+	h.unlist()
 	h.evict, h.lastProgress, h.sinceMark = evict, now, 0
-	h.element = h.account.receiving.PushBack(h)
+	if !h.isEvicted {
+		h.element = h.account.awaiting.PushBack(h)
+	}
 }
 
 // Received records bytes that have arrived from the client.
@@ -124,7 +149,7 @@
 		return
 	}
 	h.lastProgress, h.sinceMark = now, 0
-	h.account.receiving.MoveToBack(h.element)
+	h.account.awaiting.MoveToBack(h.element)
 }
 
 // StopReceiving marks that the client does not send any more. It reports whether the holder was told to give way.
@@ -140,12 +165,16 @@
 
 func (h *Holder) unlist() {
 	if h.element != nil {
-		h.account.receiving.Remove(h.element)
+		h.account.awaiting.Remove(h.element)
 		h.element = nil
 	}
+	if h.isSending {
+		h.isSending = false
+		h.account.sending--
+	}
 }
 
-// Reserve reserves bytes for data of the client. When memory is short, holders whose clients have stopped sending give way,
+// Reserve reserves bytes for data of the client. When memory is short, holders whose clients have stopped sending or reading give way,
 // the longest silent first. Holders that make progress keep their bytes. A small holder may use the reserved part, and any
 // stopped holder gives way to it; a large holder gets memory only from large ones.
 func (h *Holder) Reserve(now time.Time, n int64) Decision { return h.reserve(now, n, false) }
@@ -196,7 +225,7 @@
 // reports false if there are not enough.
 func (a *Account) stalledHolders(now time.Time, missing int64, except *Holder, includeSmall bool) ([]*Holder, bool) {
 	var victims []*Holder
-	for e := a.receiving.Front(); e != nil && missing > 0; e = e.Next() {
+	for e := a.awaiting.Front(); e != nil && missing > 0; e = e.Next() {
 		v := e.Value.(*Holder)
 		if now.Sub(v.lastProgress) < a.cfg.StalledAfter {
 			break
@@ -224,7 +253,7 @@
 		return false
 	}
 	a.mu.Lock()
-	e := a.receiving.Front()
+	e := a.awaiting.Front()
 	if e == nil || now.Sub(e.Value.(*Holder).lastProgress) < a.cfg.StalledAfter {
 		a.mu.Unlock()
 		return false
--- a/daemon/gateway/body.go
+++ b/daemon/gateway/body.go
@@ -9,9 +9,9 @@
 	"jackdawbay.dev/daemon/intake"
 )
 
-// requestBytes is the memory that a request takes besides its body: the buffers of its connections, its headers and the stacks
-// of its goroutines.
-const requestBytes = 24 << 10
+// requestBytes is the memory that a request takes besides its body and the connection of its caller: the connection to the upstream,
+// the headers for it, the stacks of the goroutines, and what the system holds for both connections.
+const requestBytes = 32 << 10
 
 // retryAfterNoMemory is the time after which clients that have stopped sending give way to others.
 const retryAfterNoMemory = time.Second
@@ -38,6 +38,10 @@
 		return false
 	}
 	c.bodyRead = true
+	if !c.reserveUpload(pieces) {
+		c.respondError(errkind.Overloaded, "", retryAfterNoMemory)
+		return false
+	}
 	if c.route.StoreTurns {
 		joined, ok := c.g.cfg.Intake.Join(c.r.Context(), c.memory, pieces)
 		if !ok {
@@ -54,6 +58,15 @@
 	return true
 }
 
+// reserveUpload reserves the memory of the system for a body that is being written to an upstream.
+func (c *call) reserveUpload(pieces [][]byte) bool {
+	n := int64(0)
+	for _, p := range pieces {
+		n += int64(len(p))
+	}
+	return intake.Reserve(c.r.Context(), c.memory, min(n, intake.LargeBufferMemory))
+}
+
 // Memory for storing a turn.
 const (
 	// storeCopies is the number of replicas to which a turn is usually sent at the same time, each in an encoding of its own.
--- a/daemon/gateway/body_test.go
+++ b/daemon/gateway/body_test.go
@@ -105,7 +105,7 @@
 	g, _ := newBodyGateway(1<<20, 0, 300*time.Millisecond)
 	ended := make(chan error, 1)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w = g.limitWrites(w, r)
+		w = g.limitWrites(w, r, nil)
 		piece := make([]byte, 1<<20)
 		for {
 			if _, err := w.Write(piece); err != nil {
@@ -135,7 +135,7 @@
 	const pieces, writeTimeout = 4, 800 * time.Millisecond
 	g, _ := newBodyGateway(1<<20, 0, writeTimeout)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w = g.limitWrites(w, r)
+		w = g.limitWrites(w, r, nil)
 		for range pieces {
 			time.Sleep(writeTimeout / 2)
 			_, _ = io.WriteString(w, "piece")         // The caller checks the response.
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -11,6 +11,7 @@
 	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/quorum"
 )
 
@@ -40,6 +41,7 @@
 	unit           quotaUnit
 	service        string
 	memory         *memory.Holder
+	hasMemory      bool     // The memory of a request without a body is reserved.
 	bodyRead       bool     // The body of the caller was read to its end.
 	upstreamBody   [][]byte // Body that is sent to the upstream, in pieces.
 	callerBody     []byte   // Body that was received from the caller. Only set for turns that are stored.
@@ -72,8 +74,10 @@
 
 func (g *Gateway) newCall(w http.ResponseWriter, r *http.Request, arrivedAt time.Time) *call {
 	holder := g.cfg.Intake.Open()
-	holder.Add(requestBytes)
-	return &call{g: g, w: w, r: r, arrivedAt: arrivedAt, memory: holder, buffer: responseBuffer{budget: &g.bufferBudget, memory: holder}}
+	hasMemory := intake.Reserve(r.Context(), holder, requestBytes)
+	return &call{
+		g: g, w: w, r: r, arrivedAt: arrivedAt, memory: holder, hasMemory: hasMemory, buffer: responseBuffer{budget: &g.bufferBudget, memory: holder},
+	}
 }
 
 func (c *call) serve() {
@@ -84,6 +88,10 @@
 		return
 	}
 	c.meta = meta
+	if !c.hasMemory {
+		c.rejectBody(errkind.Overloaded, retryAfterNoMemory)
+		return
+	}
 	table := c.g.cfg.Catalog.Table()
 	if table == nil {
 		c.respondError(errkind.NoConfiguration, "", retryAfterNoConfiguration)
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -190,7 +190,9 @@
 	if g.stopDeadline.Load() != nil {
 		w.Header().Set("Connection", "close")
 	}
-	g.newCall(g.limitWrites(w, r), r, arrivedAt).serve()
+	c := g.newCall(w, r, arrivedAt)
+	c.w = g.limitWrites(w, r, c.memory)
+	c.serve()
 }
 
 // Run settles charges in the background until the context ends.
--- a/daemon/gateway/receive.go
+++ b/daemon/gateway/receive.go
@@ -9,6 +9,7 @@
 
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/daemon/forward"
+	"jackdawbay.dev/daemon/intake"
 )
 
 // receive reads a response and forwards it if it is valid.
@@ -58,6 +59,7 @@
 	case c.buffer.reserve(length):
 		pieces, err = readKnownLength(resp.Body, length)
 	default:
+		defer intake.EnlargeSendBuffer(c.r, c.memory, length)()
 		c.writeHead(resp, length)
 		if _, err := io.Copy(c.w, resp.Body); err != nil {
 			resp.Close(false)
@@ -81,6 +83,7 @@
 	for _, p := range pieces {
 		length += int64(len(p))
 	}
+	defer intake.EnlargeSendBuffer(c.r, c.memory, length)()
 	c.writeHead(resp, length)
 	for _, p := range pieces {
 		if _, err := c.w.Write(p); err != nil {
--- a/daemon/gateway/slow_reader.go
+++ b/daemon/gateway/slow_reader.go
@@ -3,10 +3,12 @@
 import (
 	"net/http"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"jackdawbay.dev/core/memory"
 	"jackdawbay.dev/daemon/logging"
 )
 
@@ -19,18 +21,25 @@
 	http.ResponseWriter
 	g       *Gateway
 	r       *http.Request
+	memory  *memory.Holder
 	control *http.ResponseController
 	armedAt time.Time
 	isSlow  bool // The caller has not read in time.
+
+	mu      sync.Mutex
+	evicted bool // The caller has to give way to others, as memory or connections are short.
 }
 
+// pastDeadline ends pending writes.
+var pastDeadline = time.Unix(1, 0)
+
 // limitWrites applies the write timeout to a response. net/http ends the context of the request when a write fails, so that no
 // upstream continues the response.
-func (g *Gateway) limitWrites(w http.ResponseWriter, r *http.Request) http.ResponseWriter {
+func (g *Gateway) limitWrites(w http.ResponseWriter, r *http.Request, held *memory.Holder) http.ResponseWriter {
 	if g.cfg.WriteTimeout <= 0 {
 		return w
 	}
-	t := &timedWriter{ResponseWriter: w, g: g, r: r, control: http.NewResponseController(w)}
+	t := &timedWriter{ResponseWriter: w, g: g, r: r, memory: held, control: http.NewResponseController(w)}
 	t.arm(time.Now()) // Also replaces the deadline of the previous request on the connection.
 	return t
 }
@@ -44,15 +53,29 @@
 		return
 	}
 	t.armedAt = now
-	_ = t.control.SetWriteDeadline(now.Add(t.g.cfg.WriteTimeout)) // Fails only without a connection, in tests.
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.evicted {
+		_ = t.control.SetWriteDeadline(now.Add(t.g.cfg.WriteTimeout)) // Fails only without a connection, in tests.
+	}
+}
+
+func (t *timedWriter) evict() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.evicted = true
+	_ = t.control.SetWriteDeadline(pastDeadline) // Fails only without a connection, in tests.
 }
 
 // Write implements io.Writer.
 func (t *timedWriter) Write(b []byte) (int, error) {
 	written := 0
 	for {
-		t.arm(time.Now())
+		now := time.Now()
+		t.arm(now)
+		t.memory.StartSending(now, t.evict)
 		n, err := t.ResponseWriter.Write(b[written:min(len(b), written+timedWriteBytes)])
+		t.memory.StopSending()
 		written += n
 		if err != nil {
 			t.report(err)
@@ -66,8 +89,11 @@
 
 // FlushError implements the interface that http.ResponseController uses.
 func (t *timedWriter) FlushError() error {
-	t.arm(time.Now())
+	now := time.Now()
+	t.arm(now)
+	t.memory.StartSending(now, t.evict)
 	err := t.control.Flush()
+	t.memory.StopSending()
 	if err != nil {
 		t.report(err)
 	}
