Bound the memory of the serve role

The serve role had no account of memory: 2,500 clients with bodies of 4 MB that stop short of their end took 17.8 GB where 112 MB were set, and heads of short headers 2.7 GB. A body also held one of the 2,000 places for calls while it arrived, so that an ordinary request was rejected beside them.

Its listeners use the limits of the other roles: an account of memory for heads and bodies, connections by memory and descriptors, the sizes of buffers, and a limit of 64 KB for a head. A request takes a place when its body has arrived.

--- a/daemon/cmd/jackdawbayd/main.go
+++ b/daemon/cmd/jackdawbayd/main.go
@@ -8,11 +8,13 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/alecthomas/kong"
 
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/logging"
 	"jackdawbay.dev/daemon/node"
 	"jackdawbay.dev/daemon/settings"
@@ -89,6 +91,7 @@
 func run(nodeSettings node.Settings, log *slog.Logger) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
+	debug.SetMemoryLimit(intake.HeapLimit(nodeSettings.MemoryBytes))
 	n, err := node.New(nodeSettings, log)
 	if err != nil {
 		return err
--- a/daemon/ingress/calls.go
+++ b/daemon/ingress/calls.go
@@ -40,17 +40,19 @@
 const attemptExpiryGrace = completionTimeout + 5*time.Second
 
 func (s *Server) postCall(w http.ResponseWriter, r *http.Request, tenant string) {
-	endRequest, err := s.beginRequest()
+	var body caller.Call
+	held, err := s.decodeBody(w, r, &body)
 	if err != nil {
-		s.reject(w, tenant, err)
+		s.rejectBody(w, r, tenant, err)
 		return
 	}
-	defer endRequest()
-	var body caller.Call
-	if err := decodeBody(w, r, s.cfg.MaxBodyBytes, &body); err != nil {
+	defer held.Close()
+	endRequest, err := s.beginRequest()
+	if err != nil {
 		s.reject(w, tenant, err)
 		return
 	}
+	defer endRequest()
 	c, err := s.prepareCall(tenant, mux.Vars(r)["id"], body)
 	if err != nil {
 		s.reject(w, tenant, err)
--- a/daemon/ingress/chat.go
+++ b/daemon/ingress/chat.go
@@ -76,17 +76,24 @@
 // program, and its messages are the program's whole history followed by the new messages. Without the header, the
 // request is a program of one call.
 func (s *Server) postChat(w http.ResponseWriter, r *http.Request, tenant string) {
-	endRequest, err := s.beginRequest()
+	var raw json.RawMessage
+	held, err := s.decodeBody(w, r, &raw)
+	if err != nil {
+		s.rejectBody(w, r, tenant, err)
+		return
+	}
+	defer held.Close()
+	req, err := decodeChatBody(raw)
 	if err != nil {
 		s.reject(w, tenant, err)
 		return
 	}
-	defer endRequest()
-	req, err := decodeChat(w, r, s.cfg.MaxBodyBytes)
+	endRequest, err := s.beginRequest()
 	if err != nil {
 		s.reject(w, tenant, err)
 		return
 	}
+	defer endRequest()
 	c, ephemeral, err := s.newChatCall(r, tenant, req)
 	if err != nil {
 		s.reject(w, tenant, err)
@@ -103,14 +110,6 @@
 	}
 }
 
-func decodeChat(w http.ResponseWriter, r *http.Request, limit int64) (chatRequest, error) {
-	var raw json.RawMessage
-	if err := decodeBody(w, r, limit, &raw); err != nil {
-		return chatRequest{}, err
-	}
-	return decodeChatBody(raw)
-}
-
 func decodeChatBody(raw []byte) (chatRequest, error) {
 	var req chatRequest
 	// Unknown fields are allowed, because clients send settings of other services.
--- a/daemon/ingress/decode.go
+++ b/daemon/ingress/decode.go
@@ -24,19 +24,6 @@
 	maxExpirySeconds = 7 * 24 * 3600
 )
 
-// decodeBody reads a request body of at most limit bytes and decodes it into dst. Each error has an error kind.
-func decodeBody(w http.ResponseWriter, r *http.Request, limit int64, dst any) error {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return errkind.Newf(errkind.BodyTooLarge, "The limit is %d bytes.", limit)
-		}
-		return errkind.Wrap(errkind.MalformedBody, err, "The body was not received whole.")
-	}
-	return DecodeStrict(body, dst)
-}
-
 // DecodeStrict decodes a single JSON value. It rejects unknown fields and data after the value.
 func DecodeStrict(body []byte, dst any) error {
 	d := json.NewDecoder(strings.NewReader(string(body)))
--- a/daemon/ingress/ingress.go
+++ b/daemon/ingress/ingress.go
@@ -16,6 +16,7 @@
 	"jackdawbay.dev/api/errkind"
 	"jackdawbay.dev/api/records"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/upstream"
 )
@@ -73,6 +74,7 @@
 	signer   *program.Signer
 	metrics  *Metrics
 	log      *slog.Logger
+	intake   *intake.Intake
 
 	activeStreams   *streamRegistry
 	retries         *retryBudgets
@@ -94,6 +96,7 @@
 	Signer   *program.Signer
 	Metrics  *Metrics
 	Log      *slog.Logger
+	Intake   *intake.Intake // Bounds the memory of request bodies; nil sets no limit.
 }
 
 // New returns a server.
@@ -109,6 +112,7 @@
 		signer:          d.Signer,
 		metrics:         d.Metrics,
 		log:             d.Log,
+		intake:          d.Intake,
 		activeStreams:   newStreamRegistry(cfg.ResumeGrace),
 		retries:         newRetryBudgets(),
 		outputEstimates: newOutputEstimator(),
--- a/daemon/ingress/programs.go
+++ b/daemon/ingress/programs.go
@@ -19,17 +19,19 @@
 }
 
 func (s *Server) createProgram(w http.ResponseWriter, r *http.Request, tenant string) {
-	endRequest, err := s.beginRequest()
+	var body caller.CreateProgram
+	held, err := s.decodeBody(w, r, &body)
 	if err != nil {
-		s.reject(w, tenant, err)
+		s.rejectBody(w, r, tenant, err)
 		return
 	}
-	defer endRequest()
-	var body caller.CreateProgram
-	if err := decodeBody(w, r, s.cfg.MaxBodyBytes, &body); err != nil {
+	defer held.Close()
+	endRequest, err := s.beginRequest()
+	if err != nil {
 		s.reject(w, tenant, err)
 		return
 	}
+	defer endRequest()
 	created, err := s.validateAndCreate(r, tenant, body)
 	if err != nil {
 		s.reject(w, tenant, err)
--- a/daemon/node/node.go
+++ b/daemon/node/node.go
@@ -14,6 +14,7 @@
 	"github.com/thejerf/suture/v4"
 
 	"jackdawbay.dev/core/journal"
+	"jackdawbay.dev/core/memory"
 	"jackdawbay.dev/core/program"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/cluster"
@@ -21,6 +22,7 @@
 	"jackdawbay.dev/daemon/dispatch"
 	"jackdawbay.dev/daemon/grants"
 	"jackdawbay.dev/daemon/ingress"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/peer"
 	"jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/transport"
@@ -49,8 +51,13 @@
 	PlatformReadsPerSecond  float64
 	FleetWritesPerSecond    float64 // Maximum rate of platform writes of all daemons together.
 	MaxPrograms             int
-	Journal                 journal.WriterConfig
-	Ingress                 ingress.Config
+
+	MemoryBytes int64         // Memory of the daemon; zero sets no limit.
+	MaxFDs      int           // File descriptors of the daemon; zero sets no limit.
+	BodyTimeout time.Duration // Time without a byte of a request body after which it is ended; zero sets no limit.
+
+	Journal journal.WriterConfig
+	Ingress ingress.Config
 }
 
 // Node is one daemon.
@@ -69,9 +76,12 @@
 	slotDispatchers *slotDispatchers
 	dataCentreLoads *loadTable
 	grants          *grants.Manager
+	account         *memory.Account
+	intake          *intake.Intake
 
 	caller, peer, ops *http.Server
-	listeners         [3]net.Listener
+	listeners         [3]intake.Listener
+	attached          [3]net.Listener // The listeners with the limits of connections.
 }
 
 const dialTimeout = 2 * time.Second
@@ -81,6 +91,8 @@
 	log = log.With("vm", settings.VM, "data_centre", settings.DataCentre)
 	options := transport.Options{SourceAddress: settings.SourceAddress, DialTimeout: dialTimeout}
 	n := &Node{settings: settings, log: log, metrics: metrics.NewSet(), slotDispatchers: newSlotDispatchers(), dataCentreLoads: newLoadTable()}
+	n.account = intake.NewAccount(intake.HeapLimit(settings.MemoryBytes), 0, 0)
+	n.intake = intake.New(intake.Config{Account: n.account, BodyTimeout: settings.BodyTimeout, Log: log, Metrics: n.metrics})
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -129,6 +141,7 @@
 		Signer:   signer,
 		Metrics:  n.callMetrics,
 		Log:      log,
+		Intake:   n.intake,
 	})
 	n.buildServers(r)
 	return n, nil
@@ -145,30 +158,53 @@
 
 func (n *Node) term() uint64 { return n.agent.Roster().Term }
 
-// headerTimeout bounds how long a connection may take to send the headers of a request.
-const headerTimeout = 10 * time.Second
+// Limits of the listeners.
+const (
+	// headerTimeout bounds how long a connection may take to send the headers of a request.
+	headerTimeout  = 10 * time.Second
+	maxHeaderBytes = 64 << 10
+	// callerShare and peerShare are the shares of the connections of the daemon.
+	callerShare, peerShare = 0.75, 0.25
+	// maxOpsConnections is the limit for health checks and metrics. Few systems ask for them.
+	maxOpsConnections = 16
+)
 
 func (n *Node) buildServers(r *router) {
-	n.caller = &http.Server{Handler: n.ingress.Handler(), ReadHeaderTimeout: headerTimeout}
-	n.peer = &http.Server{Handler: n.newPeerHandler(r), ReadHeaderTimeout: headerTimeout}
-	n.ops = &http.Server{Handler: n.newOpsHandler(), ReadHeaderTimeout: headerTimeout}
+	limit := func(share float64) int {
+		return intake.MaxConnections(int(share*float64(n.settings.MaxFDs)), int64(share*float64(n.settings.MemoryBytes)))
+	}
+	n.caller = n.newServer(0, "callers", limit(callerShare), n.ingress.Handler())
+	n.peer = n.newServer(1, "peers", limit(peerShare), n.newPeerHandler(r))
+	n.ops = n.newServer(2, "ops", maxOpsConnections, n.newOpsHandler())
+}
+
+// newServer returns a server for one of the listeners.
+func (n *Node) newServer(i int, name string, maxConnections int, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+	n.attached[i] = intake.NewConnections(name, maxConnections, n.account, n.log, n.metrics).Attach(server, n.listeners[i], nil)
+	return server
 }
 
 func (n *Node) listen() error {
-	for i, address := range []string{n.settings.CallerListen, n.settings.PeerListen, n.settings.OpsListen} {
-		l, err := net.Listen("tcp", address)
+	for i, l := range []struct {
+		address string
+		buffers intake.Buffers
+	}{
+		{n.settings.CallerListen, intake.CallerBuffers}, {n.settings.PeerListen, intake.PeerBuffers}, {n.settings.OpsListen, intake.CallerBuffers},
+	} {
+		opened, err := intake.Listen(l.address, l.buffers)
 		if err != nil {
 			n.closeListeners()
-			return errors.Wrapf(err, "listen on %s", address)
+			return err
 		}
-		n.listeners[i] = l
+		n.listeners[i] = opened
 	}
 	return nil
 }
 
 func (n *Node) closeListeners() {
 	for _, l := range n.listeners {
-		if l != nil {
+		if l.Listener != nil {
 			// The listener is no longer used.
 			_ = l.Close()
 		}
@@ -211,7 +247,7 @@
 	}
 	servers := suture.NewSimple("listeners")
 	for i, s := range []*http.Server{n.caller, n.peer, n.ops} {
-		servers.Add(supervisedTask{"listener", func(context.Context) error { return serve(s, n.listeners[i]) }})
+		servers.Add(supervisedTask{"listener", func(context.Context) error { return serve(s, n.attached[i]) }})
 	}
 	supervisor.Add(workers)
 	supervisor.Add(servers)
--- a/daemon/node/peerhttp.go
+++ b/daemon/node/peerhttp.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"net/url"
 
+	"github.com/cockroachdb/errors"
 	"github.com/gorilla/mux"
 
 	"jackdawbay.dev/api/errkind"
 	"jackdawbay.dev/core/membership"
 	"jackdawbay.dev/core/program"
+	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/peer"
 )
 
@@ -23,7 +25,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		var m Message
 		if r.Method == http.MethodPost {
-			d := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxPeerBodyBytes))
+			d := json.NewDecoder(r.Body)
 			if err := d.Decode(&m); err != nil {
 				errkind.Write(w, errkind.Wrap(errkind.MalformedBody, err, ""))
 				return
@@ -106,7 +108,13 @@
 			errkind.Write(w, errkind.New(errkind.Unauthenticated, ""))
 			return
 		}
-		next.ServeHTTP(w, r)
+		n.intake.Buffered(next, maxPeerBodyBytes, func(w http.ResponseWriter, err error) {
+			if errors.Is(err, intake.ErrTooLarge) {
+				errkind.Write(w, errkind.New(errkind.BodyTooLarge, ""))
+				return
+			}
+			errkind.Write(w, errkind.New(errkind.Overloaded, ""))
+		}).ServeHTTP(w, r)
 	})
 }
 
--- a/daemon/settings/settings.go
+++ b/daemon/settings/settings.go
@@ -4,10 +4,12 @@
 import (
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/url"
 	"os"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,6 +44,9 @@
 	MaxBodyBytes    int64         `help:"Largest request body in bytes." default:"16777216" env:"JACKDAWBAY_MAX_BODY_BYTES"`
 	ResumeGrace     time.Duration `help:"Time for which an answer goes on without a reader." default:"5s" env:"JACKDAWBAY_RESUME_GRACE"`
 	BacklogBytes    int           `help:"Journal bytes that may wait for the platform." default:"67108864" env:"JACKDAWBAY_BACKLOG_BYTES"`
+	MemoryBytes     int64         `help:"Memory of the daemon in bytes; 0 for that of the machine." default:"0" env:"JACKDAWBAY_MEMORY_BYTES"`
+	MaxFDs          int           `name:"max-fds" help:"File descriptors of the daemon; 0 for the limit of the process." default:"0" env:"JACKDAWBAY_MAX_FDS"`
+	BodyTimeout     time.Duration `help:"Time without a byte of a request body after which it is ended." default:"10s" env:"JACKDAWBAY_BODY_TIMEOUT"`
 	LogLevel        string        `help:"Lowest level that is logged: debug, info, warn or error." default:"info" env:"JACKDAWBAY_LOG_LEVEL"`
 }
 
@@ -77,6 +82,9 @@
 		PlatformReadsPerSecond:  v.rate("platform-reads", f.PlatformReads),
 		FleetWritesPerSecond:    v.rate("fleet-writes", f.FleetWrites),
 		MaxPrograms:             v.number("max-programs", f.MaxPrograms, 1, 10_000_000),
+		MemoryBytes:             v.memory("memory-bytes", f.MemoryBytes),
+		MaxFDs:                  v.descriptors("max-fds", f.MaxFDs),
+		BodyTimeout:             v.duration("body-timeout", f.BodyTimeout, 10*time.Millisecond, time.Hour),
 		Ingress:                 ingress.DefaultConfig(),
 		Journal:                 journal.DefaultWriterConfig(),
 	}
@@ -174,3 +182,40 @@
 	}
 	return value
 }
+
+// minMemoryBytes is the least memory with which a daemon starts.
+const minMemoryBytes = 64 << 20
+
+// memory returns the memory of the machine in place of zero.
+func (v *validator) memory(flag string, value int64) int64 {
+	if value == 0 {
+		total, err := machineMemory()
+		if err != nil {
+			v.addProblem(flag, "0", "a number of bytes, since that of the machine is not known")
+		}
+		return total
+	}
+	if value < minMemoryBytes {
+		v.addProblem(flag, fmt.Sprint(value), fmt.Sprintf("0, or %d and more", minMemoryBytes))
+	}
+	return value
+}
+
+// minFDs is the least number of descriptors with which a daemon starts.
+const minFDs = 64
+
+// descriptors returns the limit of the process in place of zero.
+func (v *validator) descriptors(flag string, value int) int {
+	if value == 0 {
+		var limit syscall.Rlimit
+		if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+			v.addProblem(flag, "0", "a number of descriptors, since that of the process is not known")
+			return 0
+		}
+		return int(min(limit.Cur, math.MaxInt32))
+	}
+	if value < minFDs {
+		v.addProblem(flag, fmt.Sprint(value), fmt.Sprintf("0, or %d and more", minFDs))
+	}
+	return value
+}
