--- a/daemon/forward/invalid_response_test.go
+++ b/daemon/forward/invalid_response_test.go
@@ -45,8 +45,12 @@
 // Guards against a body whose framing depends on the reader: HTTP/1.0 has no transfer encodings.
 func TestContradictoryFramingIsNoResponse(t *testing.T) {
 	const chunks = "2\r\nok\r\n0\r\n\r\n"
-	checkInvalid(t, "HTTP/1.0 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n"+chunks)
-	checkInvalid(t, "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n"+chunks)
+	for name, head := range map[string]string{
+		"encoding in HTTP/1.0": "HTTP/1.0 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"encoding and length":  "HTTP/1.1 200 OK\r\nId: mine\r\nTransfer-Encoding: chunked\r\nContent-Length: 12\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) { checkInvalid(t, head+chunks) })
+	}
 }
 
 func checkInvalid(t *testing.T, answer string) {
--- a/testbed/soak/faults.go
+++ b/testbed/soak/faults.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"jackdawbay.dev/testbed/crowd"
 	"jackdawbay.dev/testbed/deployment"
 	"jackdawbay.dev/testbed/relay"
 	"jackdawbay.dev/testbed/standin/backend"
@@ -99,11 +100,13 @@
 	if r.IntN(2) == 0 {
 		vm = replica
 	}
-	switch r.IntN(16) {
+	switch r.IntN(17) {
 	case 0, 1:
 		s.injectFor(targets, vm.Name, "kill", d, func() { s.d.KillVM(vm) }, func() { s.startVM(vm) })
 	case 2:
 		s.restartGateway(targets, gateway)
+	case 16:
+		s.injectCrowd(r, targets, gateway, d)
 	case 3:
 		s.injectFor(targets, vm.Name, "freeze", d, func() { s.recordSignalError(s.d.FreezeVM(vm)) }, func() { s.recordSignalError(s.d.ThawVM(vm)) })
 	case 4:
@@ -306,3 +309,26 @@
 	s.d.Store.SetDelay(0)
 	s.d.Store.DropWriteResponses(0, 0)
 }
+
+// crowdClients is the number of clients of a crowd. Their bodies have more than the memory of a gateway.
+const crowdClients = 400
+
+// injectCrowd connects clients to a gateway that stop short of the end of their request and stay connected.
+func (s *soakRun) injectCrowd(r *rand.Rand, targets *faultTargets, gateway *deployment.VM, d time.Duration) {
+	bodies := []*crowd.Body{
+		nil, // The head has no end either.
+		{Bytes: 1000, PieceBytes: 1000, StopShort: true},
+		{Bytes: 1 << 20, PieceBytes: 16 << 10, StopShort: true},
+		{Bytes: 1 << 20, PieceBytes: 1000, Chunked: true, StopShort: true},
+	}
+	body := bodies[r.IntN(len(bodies))]
+	var clients crowd.Crowd
+	s.injectFor(targets, "crowd at "+gateway.Name, "crowd", d, func() {
+		for range crowdClients {
+			head := "POST " + deployment.PathOrder + "x HTTP/1.1\r\nHost: " + deployment.Host + "\r\nX-Jackdawbay-Request-Id: " + deployment.NewID() + "\r\n"
+			if err := clients.Connect(gateway.FrontAddress, head, body); err != nil {
+				return // The gateway does not run at the moment.
+			}
+		}
+	}, clients.Close)
+}
