Return at most the bytes that a holder of memory has

A request that is aborted closes its holder before its deferred parts return theirs. The memory of a large send buffer was returned twice, so that the account gave out more than there is.

Release is limited to what the holder has. TestReleaseAfterClose failed before (-100 bytes in use). TestStoppedReaderGivesWay covers the decision about callers that do not read.

--- a/core/memory/memory.go
+++ b/core/memory/memory.go
@@ -279,14 +279,14 @@
 	}
 }
 
-// Release returns bytes.
+// Release returns bytes, at most those that the holder has. A request that is aborted closes its holder before its parts end.
 func (h *Holder) Release(n int64) {
 	if h == nil || n == 0 {
 		return
 	}
 	h.account.mu.Lock()
 	defer h.account.mu.Unlock()
-	h.release(n)
+	h.release(min(n, h.bytes))
 }
 
 func (h *Holder) release(n int64) {
--- a/core/memory/memory_test.go
+++ b/core/memory/memory_test.go
@@ -198,3 +198,38 @@
 		h.Release(10)
 	}
 }
+
+// Guards against bytes that are returned twice, after which others get more than there is.
+func TestReleaseAfterClose(t *testing.T) {
+	a := New(testConfig())
+	h := a.Open()
+	must.EqOp(t, Granted, h.Reserve(start, 100))
+	h.Close()
+	h.Release(100)
+	test.EqOp(t, 0, a.Usage().Bytes)
+}
+
+// Guards against a client that does not take its response and keeps the memory that others need, and against one that does and gives
+// way.
+func TestStoppedReaderGivesWay(t *testing.T) {
+	for name, stopped := range map[string]bool{"reads": false, "has stopped": true} {
+		t.Run(name, func(t *testing.T) {
+			a := New(testConfig())
+			evicted := false
+			reader := a.Open()
+			must.EqOp(t, Granted, reader.ReserveResponse(start, 900))
+			reader.StartSending(start, func() { evicted = true })
+			test.EqOp(t, 0, a.Usage().Receiving, test.Sprint("its body has arrived"))
+			if !stopped {
+				reader.StopSending()
+				reader.StartSending(start.Add(1500*time.Millisecond), func() { evicted = true })
+			}
+			want := Refused
+			if stopped {
+				want = Wait
+			}
+			test.EqOp(t, want, a.Open().Reserve(start.Add(2*time.Second), 200))
+			test.EqOp(t, stopped, evicted)
+		})
+	}
+}
