--- a/daemon/gateway/body_test.go
+++ b/daemon/gateway/body_test.go
@@ -84,6 +84,23 @@
 	}
 }
 
+// decodingCodec decodes no headers.
+type decodingCodec struct{ plainCodec }
+
+func (decodingCodec) DecodeRequest(http.Header) (RequestMeta, error) { return RequestMeta{RequestID: "r"}, nil }
+
+// Guards against requests that take more memory than there is although each of them is small.
+func TestRequestWithoutMemory(t *testing.T) {
+	g, account := newBodyGateway(requestBytes-1, 0, 0)
+	g.cfg.Codec = decodingCodec{}
+	w := httptest.NewRecorder()
+	g.newCall(w, httptest.NewRequest(http.MethodGet, "/", nil), time.Now()).serve()
+	test.EqOp(t, http.StatusServiceUnavailable, w.Code)
+	test.StrContains(t, w.Body.String(), `"not_run":"true"`)
+	test.EqOp(t, "close", w.Header().Get("Connection"))
+	test.EqOp(t, 0, account.Usage().Bytes)
+}
+
 // Guards against a history that is copied, in the wrong order, or not counted.
 func TestAddHistory(t *testing.T) {
 	g, account := newBodyGateway(requestBytes+10, 0, 0)
--- a/testbed/crowd/crowd_test.go
+++ b/testbed/crowd/crowd_test.go
@@ -55,11 +55,18 @@
 // second, so that bodies that are complete are held at the same time.
 func start(t *testing.T) *deployment.Deployment {
 	t.Helper()
-	skipIfKnownRed(t)
-	d, err := deployment.Start(deployment.Options{
-		Binaries: binariesDir, Dir: t.TempDir(), Gateways: 1, Replicas: 1, Services: 1, TimeoutMS: 10_000, RetainS: 60,
+	return startDeployment(t, deployment.Options{
+		Gateways: 1, Replicas: 1, Services: 1, TimeoutMS: 10_000, RetainS: 60,
 		ResponseDelay: 500 * time.Millisecond, MemoryMB: memoryMB, MaxFDs: maxFDs, MaxBodyBytes: maxBodyBytes,
 	})
+}
+
+// startDeployment starts a deployment, unless the test is known to fail, and closes it at the end of the test.
+func startDeployment(t *testing.T, o deployment.Options) *deployment.Deployment {
+	t.Helper()
+	skipIfKnownRed(t)
+	o.Binaries, o.Dir = binariesDir, t.TempDir()
+	d, err := deployment.Start(o)
 	t.Cleanup(func() {
 		if t.Failed() {
 			for _, vm := range append(d.Gateways, d.Replicas...) {
--- a/testbed/crowd/vm_test.go
+++ b/testbed/crowd/vm_test.go
@@ -38,22 +38,10 @@
 // startVM starts a deployment whose VMs have a size.
 func startVM(t *testing.T, size vmSize, maxBodyBytes int64) *deployment.Deployment {
 	t.Helper()
-	skipIfKnownRed(t)
-	d, err := deployment.Start(deployment.Options{
-		Binaries: binariesDir, Dir: t.TempDir(), Gateways: 1, Replicas: 1, Services: 1, TimeoutMS: 10_000, RetainS: 60, EventsPerStream: 2,
+	return startDeployment(t, deployment.Options{
+		Gateways: 1, Replicas: 1, Services: 1, TimeoutMS: 10_000, RetainS: 60, EventsPerStream: 2,
 		MemoryMB: size.memoryMB, MaxFDs: size.maxFDs, MaxBodyBytes: maxBodyBytes, ReplicaMemoryMB: replicaVM.memoryMB, ReplicaMaxFDs: replicaVM.maxFDs,
 	})
-	t.Cleanup(func() {
-		if t.Failed() {
-			for _, vm := range append(d.Gateways, d.Replicas...) {
-				log := d.ReadLog(vm)
-				t.Logf("end of the log of %s:\n%s", vm.Name, log[max(0, len(log)-4000):])
-			}
-		}
-		d.Close()
-	})
-	must.NoError(t, err)
-	return d
 }
 
 // request is what each client of a crowd sends: a head and a body that are never complete.
