Record the whole request of an upstream that resets early

The gateway had sent the whole body.

A body up to 64 KB is read before the response. It has been written by then in any case, so the fault is the same; larger ones still get the response while they are written, which TestResetDuringUpload needs.

--- a/testbed/standin/backend/invalid.go
+++ b/testbed/standin/backend/invalid.go
@@ -11,9 +11,20 @@
 // earlyResetDelay is the time between the response of EarlyReset and the reset.
 const earlyResetDelay = 50 * time.Millisecond
 
-// serveEarlyReset responds before the body of the request was read.
+// maxWholeBodyBytes is the size up to which EarlyReset reads the body of a request before it responds, so that its run can be checked.
+// Such a body has been written when the response arrives in any case.
+const maxWholeBodyBytes = 64 << 10
+
+// serveEarlyReset responds before the body of the request was read, unless it is small.
 func (u *Upstream) serveEarlyReset(c net.Conn, r *http.Request) {
-	u.recordRun(r, "")
+	var body []byte
+	if r.ContentLength <= maxWholeBodyBytes {
+		var err error
+		if body, err = io.ReadAll(r.Body); err != nil {
+			return
+		}
+	}
+	u.recordRun(r, string(body))
 	defer u.finishRun()
 	_, _ = io.WriteString(c, u.responseHead("200 OK", r, "X-Jackdawbay-Server-Stamp: "+u.ID+"\r\n")+"part") // The connection ends in any case.
 	time.Sleep(earlyResetDelay)
