--- a/testbed/crowd/vm_test.go
+++ b/testbed/crowd/vm_test.go
@@ -24,11 +24,11 @@
 // vmSize has the limits of a VM and the number of clients of a crowd on it.
 type vmSize struct{ memoryMB, maxFDs, clients int }
 
-// Sizes of the smallest VMs of the users' deployments: the one with the least memory for each descriptor, a third of it, and the
+// Sizes of the smallest VMs of the users' deployments: the one with the least memory for each descriptor, half of it, and the
 // smallest VM with a disk. These values and the crowds are fixed and must not be adapted to the code.
 var (
 	gatewayVM = vmSize{memoryMB: 112, maxFDs: 4100, clients: 2500}
-	thirdOfVM = vmSize{memoryMB: 56, maxFDs: 2050, clients: 1250}
+	halfOfVM = vmSize{memoryMB: 56, maxFDs: 2050, clients: 1250}
 	replicaVM = vmSize{memoryMB: 144, maxFDs: 8200, clients: 5000}
 )
 
@@ -142,7 +142,7 @@
 func TestCrowdOnSmallestVM(t *testing.T) { testGatewayCrowds(t, gatewayVM, 4<<20) }
 
 // Guards against bounds that hold for one size of VM only.
-func TestCrowdOnSmallerVM(t *testing.T) { testGatewayCrowds(t, thirdOfVM, 1<<20) }
+func TestCrowdOnSmallerVM(t *testing.T) { testGatewayCrowds(t, halfOfVM, 1<<20) }
 
 // waitingTime is the deadline of the requests that wait for a response.
 const waitingTime = 4 * time.Second
