--- a/daemon/gateway/body_test.go
+++ b/daemon/gateway/body_test.go
@@ -87,7 +87,9 @@
 // decodingCodec decodes no headers.
 type decodingCodec struct{ plainCodec }
 
-func (decodingCodec) DecodeRequest(http.Header) (RequestMeta, error) { return RequestMeta{RequestID: "r"}, nil }
+func (decodingCodec) DecodeRequest(http.Header) (RequestMeta, error) {
+	return RequestMeta{RequestID: "r"}, nil
+}
 
 // Guards against requests that take more memory than there is although each of them is small.
 func TestRequestWithoutMemory(t *testing.T) {
--- a/testbed/crowd/vm_test.go
+++ b/testbed/crowd/vm_test.go
@@ -28,7 +28,7 @@
 // smallest VM with a disk. These values and the crowds are fixed and must not be adapted to the code.
 var (
 	gatewayVM = vmSize{memoryMB: 112, maxFDs: 4100, clients: 2500}
-	halfOfVM = vmSize{memoryMB: 56, maxFDs: 2050, clients: 1250}
+	halfOfVM  = vmSize{memoryMB: 56, maxFDs: 2050, clients: 1250}
 	replicaVM = vmSize{memoryMB: 144, maxFDs: 8200, clients: 5000}
 )
 
