Repair a set of replicas before the next loss, and go on without a lost read quorum

Cause: several rules looked at different things. A retirement took the spare of a failed member, or left a set whose other member had failed; a change beside an unfinished one waited 10 s, also when the unfinished one could not end or no turn was served; a retirement was reported as done without regard to who was left. Then a further loss took the read quorum of an earlier set, and without one nothing was ever proposed, copied or served again.

Fix: failed members are repaired first, planned work waits for the view to settle, a change waits for the previous one only if that can end and turns are served, and a VM stays while it may be needed. When a disk of a set is lost and its silent members do not return, the view goes on with what is left, after the suspects could have removed themselves in the store. A turn that may be lost is answered 503, never 404.

--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -35,8 +35,25 @@
 
 	// VMs that store no data that is still needed, so that they may be removed. They are not added to a set again.
 	Evacuated []string `json:"emptied,omitempty"`
+
+	// Keys of silent members without which a set has no read quorum. A member that finds itself here removes itself. One that
+	// stays counts as gone; see the rule about a lost read quorum in docs/design/replica-sets.md.
+	Suspects []string `json:"suspects,omitempty"`
+	Returned []string `json:"returned,omitempty"` // Members that have removed themselves from the suspects.
+
+	// Time of day at which members were given up without a read quorum of their set. Completed writes may be missing since.
+	LostAt time.Time `json:"lost_at,omitzero"`
+}
+
+// MayLackWrites reports whether a write that is to be retained for a time may have been lost with members that were given up.
+// It counts a clock that is behind as one that is right.
+func (v View) MayLackWrites(now time.Time, retention time.Duration) bool {
+	return !v.LostAt.IsZero() && now.Sub(v.LostAt) < retention+lostWritesMargin
 }
 
+// lostWritesMargin covers clocks that jump by seconds, and the margin by which replicas retain writes longer.
+const lostWritesMargin = 30 * time.Second
+
 // CurrentSet returns the set that receives writes, or nil if the view has no sets.
 func (v View) CurrentSet() []Member {
 	if len(v.Sets) == 0 {
@@ -165,11 +182,14 @@
 	Evacuating               map[string]bool               // VMs to be evacuated.
 	EvacuateWithoutSuccessor map[string]bool               // VMs to be evacuated that no longer wait for a successor.
 	RecentlyRegistered       map[string]bool               // VMs that registered recently. One of them may be the successor of a VM that has failed permanently.
+	SuspectedFor             time.Duration                 // Time since this replica has observed the suspects of the view, unchanged.
+	ReturnedFor              time.Duration                 // The same of the members that have removed themselves from the suspects.
+	Now                      time.Time                     // Time of day.
 }
 
-// responsiveMembers returns the keys of the members that are responsive. A VM that lost its disk responds as a different
+// Responsive returns the keys of the members that are responsive. A VM that lost its disk responds as a different
 // member.
-func (f Fleet) responsiveMembers() map[string]bool {
+func (f Fleet) Responsive() map[string]bool {
 	keys := map[string]bool{}
 	for _, m := range f.Registered {
 		if f.IsResponsive(m.VM) {
@@ -191,23 +211,73 @@
 const ReplaceBySpareAfter = 7 * time.Second
 
 // ReplaceWhileCopyingAfter is how long a member must be unresponsive before it is replaced while earlier sets are still
-// being copied. Each additional set must be read as well, so a view change waits for the previous one to complete if
-// possible.
+// being copied and that can be completed without the member. Each additional set must be read as well, so a view change waits
+// for the previous one to complete if possible.
 const ReplaceWhileCopyingAfter = ReplaceBySpareAfter + 3*time.Second
 
+// GiveUpAfter is how long a suspected member may remove itself from the suspects before it counts as gone. It is longer than a
+// power loss including the restart.
+const GiveUpAfter = ReplaceBySpareAfter
+
+// SuspectAgainAfter is the time after which a member that has removed itself from the suspects, and is silent still, may be suspected
+// again. A member that is cut off from the others would otherwise make them write a view at each step.
+const SuspectAgainAfter = 30 * time.Second
+
+// EvacuationConfirmTime is the time for which the conditions of MarkEvacuated must hold before it is applied, so that a member that
+// had failed when they began does not count as responsive.
+const EvacuationConfirmTime = MaxResponseAge
+
+// Reason states why a view is to be changed, or why it is not.
+type Reason string
+
+// Reasons of Propose.
+const (
+	ReasonFirstView     Reason = "first_view"      // There is no view yet.
+	ReasonChangeDue     Reason = "change_due"      // Another set or another address is needed.
+	ReasonNoChange      Reason = "no_change"       // The view is as it should be.
+	ReasonNoReadQuorum  Reason = "no_read_quorum"  // Members without which writes could be lost do not respond.
+	ReasonSuspect       Reason = "suspect"         // Such members are to be entered as suspects.
+	ReasonSuspectsWait  Reason = "suspects_wait"   // The suspects may still remove themselves.
+	ReasonSuspectsBack  Reason = "suspects_back"   // The suspects respond again, or are not needed.
+	ReasonGiveUp        Reason = "give_up"         // The suspects count as gone; the view goes on with what the others have.
+	ReasonTooFewMembers Reason = "too_few_members" // Fewer VMs respond than a set needs.
+)
+
+// Reasons returns all reasons.
+func Reasons() []Reason {
+	return []Reason{ReasonFirstView, ReasonChangeDue, ReasonNoChange, ReasonNoReadQuorum, ReasonSuspect, ReasonSuspectsWait, ReasonSuspectsBack, ReasonGiveUp,
+		ReasonTooFewMembers}
+}
+
 // Propose returns the next view if a change is due. The argument toleratedFailures is the number of VMs with a disk that may be
 // lost at the same time from now on. The caller must write the view with a conditional write on the view that it read. Only
 // enough members to read every completed write have to be responsive, because a change needs just the conditional write to the
 // store and sources for the copies. A write quorum is not required, since it may be larger than the set of members that remain
 // after a tolerated loss.
-func Propose(v View, f Fleet, toleratedFailures int) (View, bool) {
+func Propose(v View, f Fleet, toleratedFailures int) (next View, due bool) {
+	next, due, _ = ProposeWithReason(v, f, toleratedFailures)
+	return next, due
+}
+
+// ProposeWithReason is like Propose and also returns the reason of the result.
+func ProposeWithReason(v View, f Fleet, toleratedFailures int) (next View, due bool, reason Reason) {
 	if v.Version == 0 {
-		return nextView(View{}, f, nil, toleratedFailures)
+		if next, due = nextView(View{}, f, nil, toleratedFailures); !due {
+			return next, due, ReasonTooFewMembers
+		}
+		return next, due, ReasonFirstView
+	}
+	if !v.HasReadQuorum(f.Responsive()) {
+		return proposeWithoutReadQuorum(v, f, toleratedFailures)
+	}
+	if next, due = nextView(v, f, v.CurrentSet(), toleratedFailures); due {
+		return next, due, ReasonChangeDue
 	}
-	if !v.HasReadQuorum(f.responsiveMembers()) {
-		return v, false // The observer itself may be partitioned, and no copy could complete.
+	if len(v.Suspects)+len(v.Returned) > 0 {
+		next.Version, next.Suspects, next.Returned = v.Version+1, nil, nil
+		return next, true, ReasonSuspectsBack
 	}
-	return nextView(v, f, v.CurrentSet(), toleratedFailures)
+	return next, due, ReasonNoChange
 }
 
 // ProposerRank returns the rank of a VM among the VMs that may propose a view, and whether the VM is eligible. The eligible
@@ -244,34 +314,31 @@
 	}
 	next := make([]Member, 0, len(current)+1)
 	changed := false
-	var toReplace []Member
-	replaceAfter := ReplaceBySpareAfter
+	var silent, leaving []Member
 	spares := spareMembers(v, f)
-	successors := spares
-	if len(spares) == 0 {
-		successors = current // One of the members may be the successor of a failed member, added before the failure was observed.
-	}
-	for _, s := range successors {
-		if f.RecentlyRegistered[s.VM] {
-			replaceAfter = ReplaceBySuccessorAfter
-		}
-	}
-	if !v.IsSettled() {
-		replaceAfter = ReplaceWhileCopyingAfter
-	}
+	responsive := f.Responsive()
+	isServing := v.isWriteQuorum(responsive)
+	replaceAfter := replacementDelay(f, spares, current)
 	for _, m := range current {
 		latest, found := registered[m.VM]
+		delay := replaceAfter
+		if !v.IsSettled() && isServing && !v.isCopyPending(m) {
+			delay = ReplaceWhileCopyingAfter
+		}
 		switch {
 		case found && latest.Disk != m.Disk:
 			next = append(next, latest)
 			changed = true
-		case f.Evacuating[m.VM] || f.UnresponsiveFor(m.VM) > replaceAfter:
-			toReplace = append(toReplace, m)
+		case f.UnresponsiveFor(m.VM) > delay:
+			silent = append(silent, m)
+		case f.Evacuating[m.VM] && v.IsSettled():
+			leaving = append(leaving, m) // Planned work waits for the previous change.
 		default:
 			next = append(next, m)
 		}
 	}
-	for _, m := range toReplace {
+	// A failed member takes a spare before one that is to be evacuated and still has its data.
+	for _, m := range silent {
 		if s, ok := takeSpare(&spares, next, m.DataCentre); ok {
 			next = append(next, s)
 			changed = true
@@ -279,8 +346,25 @@
 		}
 		// Removing a failed member makes the set tolerate the next loss. The remaining members must be able to serve
 		// without it.
-		removable := v.IsSettled() && f.UnresponsiveFor(m.VM) > replaceAfter || v.isCopyPending(m)
-		if countMembers(next, f.responsiveMembers()) > toleratedFailures && (f.EvacuateWithoutSuccessor[m.VM] || removable) {
+		if countMembers(next, responsive)+countMembers(leaving, responsive) > toleratedFailures && (v.IsSettled() || v.isCopyPending(m)) {
+			changed = true
+			continue
+		}
+		// A VM that is to be evacuated and is not in the set any more still responds: without it, no turn is served.
+		if s, ok := takeEvacuating(v, f, next); ok && !isServing {
+			next = append(next, s)
+			changed = true
+			continue
+		}
+		next = append(next, m)
+	}
+	for _, m := range leaving {
+		if s, ok := takeSpare(&spares, next, m.DataCentre); ok {
+			next = append(next, s)
+			changed = true
+			continue
+		}
+		if countMembers(next, responsive) > toleratedFailures && f.EvacuateWithoutSuccessor[m.VM] {
 			changed = true
 			continue
 		}
@@ -304,7 +388,7 @@
 		return updateAddresses(v, registered)
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
-	proposed := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated}
+	proposed := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated, LostAt: v.LostAt}
 	for i, set := range v.Sets {
 		proposed.Sets = append(proposed.Sets, set)
 		proposed.ToleratedBySet = append(proposed.ToleratedBySet, v.toleratedBy(i))
@@ -314,6 +398,31 @@
 	return proposed, true
 }
 
+// replacementDelay returns how long a member must be unresponsive before it is replaced or removed while nothing is copied.
+func replacementDelay(f Fleet, spares, current []Member) time.Duration {
+	successors := spares
+	if len(spares) == 0 {
+		successors = current // One of the members may be the successor of a failed member, added before the failure was observed.
+	}
+	for _, s := range successors {
+		if f.RecentlyRegistered[s.VM] {
+			return ReplaceBySuccessorAfter
+		}
+	}
+	return ReplaceBySpareAfter
+}
+
+// takeEvacuating returns a responsive VM that is to be evacuated, is in no set that takes writes, and has not been reported as
+// evacuated.
+func takeEvacuating(v View, f Fleet, set []Member) (Member, bool) {
+	for _, m := range f.Registered {
+		if f.Evacuating[m.VM] && f.IsResponsive(m.VM) && !slices.Contains(v.Evacuated, m.VM) && !Contains(set, m.Key()) && !Contains(v.CurrentSet(), m.Key()) {
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
 // updateAddresses sets the new address of members whose address has changed. They remain the same members, so no set is
 // added and nothing is copied.
 func updateAddresses(v View, registered map[string]Member) (View, bool) {
@@ -434,14 +543,15 @@
 }
 
 // MarkEvacuated returns the view after a VM that is to be evacuated has found that no set includes it, and whether the view
-// changed. The VM may be removed only when this view is in force, since another replica may be adding the VM to a set.
-func MarkEvacuated(v View, vm string) (View, bool) {
+// changed. The VM may be removed only when this view is in force, since another replica may be adding the VM to a set. It
+// stays while the members that respond are not a write quorum that bears a loss: it may have to be a member again.
+func MarkEvacuated(v View, vm string, responded map[string]bool) (View, bool) {
 	for _, m := range Union(v.Sets) {
 		if m.VM == vm {
 			return v, false
 		}
 	}
-	if slices.Contains(v.Evacuated, vm) {
+	if slices.Contains(v.Evacuated, vm) || !v.IsSettled() || !v.isWriteQuorum(responded) || countMembers(v.CurrentSet(), responded) <= v.toleratedBy(len(v.Sets)-1) {
 		return v, false
 	}
 	next := v
--- a/daemon/quorum/failure.go
+++ b/daemon/quorum/failure.go
@@ -21,6 +21,7 @@
 	CauseTimeout             Cause = "time_out"       // Responsive members had not responded to this operation when its time was over.
 	CauseInsufficientResults Cause = "answers_short"  // The members responded, but too few of them stored or returned the requested data.
 	CauseViewChanges         Cause = "view_changes"   // The view changed in each of the attempts.
+	CauseMayBeLost           Cause = "may_be_lost"    // No member has a turn, and members that may have had it were given up.
 )
 
 // Failure describes why an operation found no quorum, with the state of the replicas at that time.
--- a/daemon/quorum/groups.go
+++ b/daemon/quorum/groups.go
@@ -121,7 +121,7 @@
 }
 
 // BeginTurn charges the upper bound of a turn and reads its chain, as Client.BeginTurn does. A program may continue a turn of
-// another program, which another group may store. A turn is missing only if no group has it.
+// another program, which another group may store. A turn is missing only if no group has it, and none may have lost it.
 func (g *Groups) BeginTurn(ctx context.Context, program string, charge *core.Charge, previousTurn string, retention time.Duration, cached func(id string) (replica.Turn, bool)) (BeginResult, error) {
 	own := g.client(program)
 	result, err := own.BeginTurn(ctx, program, charge, previousTurn, retention, cached)
@@ -137,6 +137,13 @@
 	if err != nil {
 		return BeginResult{}, err
 	}
+	if result.MissingTurn != "" {
+		for _, c := range g.all() {
+			if c.View().MayLackWrites(time.Now(), retention) {
+				return BeginResult{}, &noQuorumError{c.newFailure(CauseMayBeLost, nil)}
+			}
+		}
+	}
 	return result, nil
 }
 
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,6 +75,8 @@
 	progress       *copyProgress           // Used only by the copy in progress.
 	gaps           gapCloser               // Used only by closeGaps; running and startedAt are guarded by mu.
 	loggedStatuses map[string]memberStatus // Last logged status by member key, for members of the current set. Used only by Run.
+	evacuableSince time.Time               // Time since when this VM could be reported as evacuated; zero if it could not. Used only by Run.
+	loggedReason   replica.Reason          // Last logged reason for a change of the view, or for none. Used only by Run.
 
 	mu                     sync.Mutex
 	registered             map[string]replica.Member // By VM.
@@ -95,6 +98,7 @@
 	firstViewLoggedAt      time.Time                 // Time of the last log line about a first view that cannot be formed. Used only by Run.
 	lowerToleranceSince    time.Time                 // Time since when the settings tolerate fewer failures than the view; zero if they do not.
 	copiedEpoch            uint64                    // Epoch for which the earlier sets were copied last.
+	suspects, returned     observedKeys              // Of the newest view.
 	startTime              time.Time
 	wakeups                chan struct{} // Wakes Run.
 }
@@ -280,6 +284,9 @@
 	if !m.Server.adopt(ctx, v) {
 		return
 	}
+	if slices.Contains(v.Suspects, m.Self.Key()) {
+		m.writeView(ctx, "present", func(v replica.View) (replica.View, bool) { return replica.MarkPresent(v, m.Self.Key()) })
+	}
 	copyDue := !v.IsSettled() && replica.Contains(v.CurrentSet(), m.Self.Key()) && v.MustCopy(m.Self) && !m.isMarkedCopied(v)
 	m.Server.copyDue.Store(copyDue)
 	if !copyDue {
@@ -326,8 +333,9 @@
 	}
 	tolerated := m.proposedTolerance(v)
 	rank, canPropose := replica.ProposerRank(v, f, m.Self.VM)
-	_, due := replica.Propose(v, f, tolerated)
+	_, due, reason := replica.ProposeWithReason(v, f, tolerated)
 	m.logStatusChanges(v, f, due && canPropose)
+	m.logReason(v, f, reason)
 	if !due || !canPropose {
 		m.changeDueSince = time.Time{}
 		return
@@ -402,7 +410,10 @@
 func (m *Membership) fleetSnapshot() replica.Fleet {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	f := replica.Fleet{Evacuating: map[string]bool{}}
+	now := time.Now()
+	f := replica.Fleet{Evacuating: map[string]bool{}, Now: now}
+	f.SuspectedFor = m.suspects.observe(now, m.view.Suspects)
+	f.ReturnedFor = m.returned.observe(now, m.view.Returned)
 	f.Registered = m.peersLocked()
 	f.RecentlyRegistered = map[string]bool{}
 	for vm, at := range m.registrationObservedAt {
@@ -417,7 +428,7 @@
 	for vm, at := range m.lastResponse {
 		lastResponses[vm] = at
 	}
-	self, startTime, now := m.Self.VM, m.startTime, time.Now()
+	self, startTime := m.Self.VM, m.startTime
 	f.UnresponsiveFor = func(vm string) time.Duration {
 		if vm == self {
 			return 0
@@ -431,6 +442,41 @@
 	return f
 }
 
+// observedKeys is a list of keys of a view with the time since when it is unchanged.
+type observedKeys struct {
+	keys  []string
+	since time.Time
+}
+
+// observe returns the time since when the keys are unchanged.
+func (o *observedKeys) observe(now time.Time, keys []string) time.Duration {
+	if o.since.IsZero() || !slices.Equal(o.keys, keys) {
+		o.keys, o.since = keys, now
+	}
+	return now.Sub(o.since)
+}
+
+// logReason logs why a view is to be changed, or why it is not, each time that this changes.
+func (m *Membership) logReason(v replica.View, f replica.Fleet, reason replica.Reason) {
+	m.Server.viewReason.Store(string(reason))
+	if reason == m.loggedReason {
+		return
+	}
+	m.loggedReason = reason
+	if v.Version == 0 {
+		return // canFormFirstView logs what is missing.
+	}
+	responsive := f.Responsive()
+	var silent []string
+	for _, member := range replica.Union(v.Sets) {
+		if !responsive[member.Key()] {
+			silent = append(silent, member.Key())
+		}
+	}
+	m.Log.Info("change of the view", "reason", reason, "view", v.Version, "sets", len(v.Sets), "copied", len(v.Copied), "silent", strings.Join(silent, ", "),
+		"suspects", strings.Join(v.Suspects, ", "), "returned", strings.Join(v.Returned, ", "))
+}
+
 // writeView writes the view that update returns, if it reports a change. The write is conditional on the revision of the
 // view that this replica has observed. After a conflict, it updates the view from the store.
 func (m *Membership) writeView(ctx context.Context, reason string, update func(replica.View) (replica.View, bool)) {
--- a/daemon/replica/retirement.go
+++ b/daemon/replica/retirement.go
@@ -46,7 +46,20 @@
 		return
 	}
 	if !inUse && !slices.Contains(v.Evacuated, m.Self.VM) {
-		m.writeView(ctx, "emptied", func(v replica.View) (replica.View, bool) { return replica.MarkEvacuated(v, m.Self.VM) })
+		mark := func(v replica.View) (replica.View, bool) {
+			return replica.MarkEvacuated(v, m.Self.VM, m.fleetSnapshot().Responsive())
+		}
+		if _, ok := mark(v); !ok {
+			m.evacuableSince = time.Time{}
+			return
+		}
+		if m.evacuableSince.IsZero() {
+			m.evacuableSince = time.Now()
+		}
+		if time.Since(m.evacuableSince) < replica.EvacuationConfirmTime {
+			return
+		}
+		m.writeView(ctx, "emptied", mark)
 		return
 	}
 	version, err := m.Retirements.ReportRetirement(ctx, r, !inUse)
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -54,6 +54,7 @@
 	wasFull atomic.Bool // For the log: the last write was refused because the disk is full.
 
 	copyDue     atomic.Bool  // The view requires this replica to copy the earlier sets, and it has not reported that it has.
+	viewReason  atomic.Value // Why the view is to be changed, or why it is not: a string of replica.Reason.
 	turnsToCopy atomic.Int64 // Turns that the copy in progress has to fetch; zero before it has read the inventories.
 
 	metricSet   *metrics.Set
@@ -111,6 +112,14 @@
 		}
 		return 0
 	})
+	for _, reason := range replica.Reasons() {
+		set.NewGauge(`jackdawbay_replica_view_change{reason="`+string(reason)+`"}`, func() float64 {
+			if s.viewReason.Load() == string(reason) {
+				return 1
+			}
+			return 0
+		})
+	}
 	set.NewGauge("jackdawbay_replica_turns_to_copy", func() float64 { return float64(s.turnsToCopy.Load()) })
 	set.NewGauge("jackdawbay_replica_chain_gaps", func() float64 { return float64(st.gapCount()) })
 	set.NewGauge(`jackdawbay_view_version`, func() float64 { return float64(s.View().Version) })
