Know a successor by its registration, and give up no member that could return in time

Callers: a tolerated loss could still end service for good, or give up members with their disks.

Causes: whether a VM is the possible successor of a failed one depended on when a process first saw its registration: never at the VM itself, and not after a restart of the others, so that the repair took 7 s in place of 2.5 s. The time of a suspect ran on while the store was away. Two proposers that reach different members undid each other's suspects. A VM to be evacuated was left out of what goes on. A member that was given up was not read when it returned. A registration older than the view put a lost disk into a set again.

Fix: the registration holds its time; the suspects' time counts only while the store answers; returned suspects stay returned; given-up members stay in the view and become an earlier set when they are back.

Checks changed: the model of batches drops a write at a give-up only if no live member has it; the repair model's VMs learn of successors as the daemon does, and a cut-off VM copies nothing.

--- a/core/replica/batch_model_test.go
+++ b/core/replica/batch_model_test.go
@@ -90,7 +90,13 @@
 			m.disks[v.CurrentSet()[m.r.IntN(len(v.CurrentSet()))].VM]++
 		}
 	case 6:
-		if next, due := Propose(m.latest(), newFleet(m.registered(), nil), 1); due {
+		next, due, reason := ProposeWithReason(m.latest(), newFleet(m.registered(), nil), 1)
+		if reason == ReasonGiveUp { // Too many disks are lost. What any live member of the sets has must still be found.
+			m.acked = slices.DeleteFunc(m.acked, func(id string) bool {
+				return !slices.ContainsFunc(m.liveMembers(m.latest()), func(key string) bool { return m.stored[key][id] })
+			})
+		}
+		if due {
 			m.views = append(m.views, next)
 		}
 	default:
@@ -167,8 +173,8 @@
 func (m *batchModel) missingWrite() string {
 	v := m.views[max(0, len(m.views)-1-m.r.IntN(2))]
 	responded := m.quorum(v, v.IsReadComplete)
-	if responded == nil || !v.LostAt.IsZero() {
-		return "" // After more losses than tolerated, the view states that writes may be missing.
+	if responded == nil {
+		return ""
 	}
 	for _, id := range m.acked {
 		found := false
--- a/core/replica/lost.go
+++ b/core/replica/lost.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"sort"
+	"strings"
 )
 
 // proposeWithoutReadQuorum returns the next view if a read quorum of a set is lost for good. Without this step, the loss of a part
@@ -34,13 +35,12 @@
 	return next, true, ReasonGiveUp
 }
 
-// missingMembers returns the keys of the silent members of the sets without a read quorum, and reports whether such a set has lost
-// a disk for good: without that, a silent member may be down with its disk and come back. A set is left out if its members could
-// still come back in sufficient number.
+// missingMembers returns the keys of the silent members of the sets without a read quorum. It reports false if such a set could still
+// get one: no disk of it is lost, so that each silent member may come back with its disk, or a silent member may just be restarting.
 func missingMembers(v View, f Fleet) (silent []string, isFinal bool) {
-	disks := map[string]string{}
+	registered := map[string]Member{}
 	for _, m := range f.Registered {
-		disks[m.VM] = m.Disk
+		registered[m.VM] = m
 	}
 	responsive := f.Responsive()
 	for i, set := range v.Sets {
@@ -49,10 +49,10 @@
 		}
 		hasLostDisk := false
 		for _, m := range set {
-			disk, found := disks[m.VM]
+			latest, found := registered[m.VM]
 			switch {
 			case responsive[m.Key()]:
-			case found && disk != m.Disk:
+			case found && isLost(v, m, latest):
 				hasLostDisk = true
 			case f.UnresponsiveFor(m.VM) <= ReplaceBySuccessorAfter:
 				return nil, false
@@ -68,29 +68,46 @@
 	return silent, true
 }
 
+// isLost reports whether the disk of a member is lost, since its VM has registered with another one.
+func isLost(v View, m, registered Member) bool {
+	return registered.Disk != m.Disk && (!Contains(v.CurrentSet(), m.Key()) || !v.hadMember(registered.Key()))
+}
+
 // giveUp returns a view whose earlier sets are the members that respond, one each, so that a copy reads all of them. It reports
 // false if fewer VMs respond than a set needs.
 func giveUp(v View, f Fleet, toleratedFailures int) (View, bool) {
 	responsive := f.Responsive()
-	next := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated, LostAt: f.Now}
-	var members []Member
+	next := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated, GivenUp: slices.Clone(v.GivenUp), LostAt: f.Now}
+	var members, evacuating []Member
 	for _, m := range Union(v.Sets) {
 		if !responsive[m.Key()] {
+			i := slices.IndexFunc(f.Registered, func(registered Member) bool { return registered.VM == m.VM })
+			if i < 0 || !isLost(v, m, f.Registered[i]) {
+				next.GivenUp = append(next.GivenUp, m)
+			}
 			continue
 		}
 		next.Sets = append(next.Sets, []Member{m})
 		next.ToleratedBySet = append(next.ToleratedBySet, 0)
-		if !f.Evacuating[m.VM] && len(members) < TargetSetSize(toleratedFailures) {
+		if f.Evacuating[m.VM] {
+			evacuating = append(evacuating, m)
+		} else if len(members) < TargetSetSize(toleratedFailures) {
 			members = append(members, m)
 		}
 	}
 	var spares []Member
 	for _, m := range f.Registered {
-		if f.IsResponsive(m.VM) && !f.Evacuating[m.VM] && !slices.Contains(v.Evacuated, m.VM) && !Contains(members, m.Key()) {
+		switch {
+		case !f.IsResponsive(m.VM) || slices.Contains(v.Evacuated, m.VM) || Contains(members, m.Key()) || Contains(evacuating, m.Key()):
+		case f.Evacuating[m.VM]:
+			evacuating = append(evacuating, m)
+		default:
 			spares = append(spares, m)
 		}
 	}
-	sort.Slice(spares, func(i, j int) bool { return spares[i].VM < spares[j].VM })
+	byName := func(a, b Member) int { return strings.Compare(a.VM, b.VM) }
+	slices.SortFunc(spares, byName)
+	slices.SortFunc(evacuating, byName)
 	for len(members) < TargetSetSize(toleratedFailures) {
 		s, ok := takeSpare(&spares, members, "")
 		if !ok {
@@ -98,15 +115,41 @@
 		}
 		members = append(members, s)
 	}
+	for len(members) < MinFirstSetSize(toleratedFailures) && len(evacuating) > 0 {
+		members, evacuating = append(members, evacuating[0]), evacuating[1:]
+	}
 	if len(members) < MinFirstSetSize(toleratedFailures) {
 		return v, false
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].VM < members[j].VM })
+	slices.SortFunc(members, byName)
 	next.Sets = append(next.Sets, members)
 	next.ToleratedBySet = append(next.ToleratedBySet, toleratedFailures)
 	return next, true
 }
 
+// readReturned returns a view with an earlier set for each given-up member that responds with its disk, so that its writes are copied
+// to the members of the last set.
+func readReturned(v View, f Fleet) (View, bool) {
+	responsive := f.Responsive()
+	next := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: v.ToleratedFailures, Evacuated: v.Evacuated, LostAt: v.LostAt}
+	for _, m := range v.GivenUp {
+		if !responsive[m.Key()] {
+			next.GivenUp = append(next.GivenUp, m)
+			continue
+		}
+		next.Sets = append(next.Sets, []Member{m})
+		next.ToleratedBySet = append(next.ToleratedBySet, 0)
+	}
+	if len(next.Sets) == 0 {
+		return v, false
+	}
+	for i, set := range v.Sets {
+		next.Sets = append(next.Sets, set)
+		next.ToleratedBySet = append(next.ToleratedBySet, v.toleratedBy(i))
+	}
+	return next, true
+}
+
 // MarkPresent returns the view after a suspected member has removed itself, and whether the view changed.
 func MarkPresent(v View, key string) (View, bool) {
 	if !slices.Contains(v.Suspects, key) {
--- a/core/replica/repair_test.go
+++ b/core/replica/repair_test.go
@@ -15,7 +15,6 @@
 	modelRankDelay      = 1200 * time.Millisecond
 	modelRegistrationIn = 300 * time.Millisecond  // From the start of a VM to its registration.
 	modelSuccessorWait  = 2 * time.Second         // Wait of a VM that is to be evacuated for a successor.
-	modelRecent         = 15 * time.Second        // Time for which a registration counts as recent.
 	modelCatchUp        = 4800 * time.Millisecond // Time after which a VM that is back must no longer be needed for the next loss.
 	modelContact        = 4 * time.Second         // Further time before a loss after a VM has failed for good.
 )
@@ -47,6 +46,12 @@
 
 func (m *modelVM) fail(now time.Duration) { m.up, m.downAt, m.downKey = false, now, m.member().Key() }
 
+// start starts the process of a VM, which knows nothing of before.
+func (m *modelVM) start(now time.Duration) {
+	m.up, m.startedAt, m.dueSince, m.evacuableSince, m.copyEpoch, m.lastResponse = true, now, -1, -1, 0, map[string]time.Duration{}
+	m.suspects, m.returned, m.suspectedSince, m.returnedSince = nil, nil, now, now
+}
+
 // modelEvent changes a VM at a time.
 type modelEvent struct {
 	at   time.Duration
@@ -54,7 +59,7 @@
 	do   func(r *repairModel)
 }
 
-// repairModel runs the decisions of all replicas of a group against simulated time, with a store that always responds.
+// repairModel runs the decisions of all replicas of a group against simulated time.
 type repairModel struct {
 	now       time.Duration
 	view      View
@@ -62,6 +67,8 @@
 	events    []modelEvent
 	copyTime  time.Duration
 	tolerated int
+	storeAway bool
+	isCut     func(a, b string) bool // Reports whether two VMs are cut off from each other; may be nil.
 	log       []string
 	fault     string
 }
@@ -112,11 +119,16 @@
 func (r *repairModel) wipe(at time.Duration, name string, after time.Duration) {
 	r.at(at, name+" loses its disk", func(r *repairModel) { r.vm(name).fail(r.now); r.vm(name).disk++ })
 	r.at(at+after, name+" is back", func(r *repairModel) {
-		vm := r.vm(name)
-		vm.up, vm.startedAt, vm.dueSince, vm.copyEpoch, vm.lastResponse = true, r.now, -1, 0, map[string]time.Duration{}
+		r.vm(name).start(r.now)
 	})
 }
 
+// restart takes a VM down for a time. It keeps its disk.
+func (r *repairModel) restart(at time.Duration, name string, after time.Duration) {
+	r.at(at, name+" goes down", func(r *repairModel) { r.vm(name).fail(r.now) })
+	r.at(at+after, name+" is back with its disk", func(r *repairModel) { r.vm(name).start(r.now) })
+}
+
 func (r *repairModel) live() map[string]bool {
 	keys := map[string]bool{}
 	for _, vm := range r.vms {
@@ -145,7 +157,7 @@
 	for _, vm := range r.vms {
 		if vm.registered != "" {
 			f.Registered = append(f.Registered, newMember(vm.name, vm.registered))
-			f.RecentlyRegistered[vm.name] = vm.registeredAt > self.startedAt && r.now-vm.registeredAt < modelRecent
+			f.RecentlyRegistered[vm.name] = r.now-vm.registeredAt < RecentRegistration
 		}
 		if vm.retireAt >= 0 {
 			f.Evacuating[vm.name], f.EvacuateWithoutSuccessor[vm.name] = true, r.now-vm.retireAt > modelSuccessorWait
@@ -168,7 +180,7 @@
 // step lets a VM do what the daemon does in one interval.
 func (r *repairModel) step(self *modelVM) {
 	if self.registered != self.member().Disk {
-		if r.now-self.startedAt < modelRegistrationIn {
+		if r.storeAway || r.now-self.startedAt < modelRegistrationIn {
 			return
 		}
 		if self.registered == "" {
@@ -176,11 +188,11 @@
 		}
 		self.registered = self.member().Disk
 	}
-	if next, ok := MarkPresent(r.view, self.member().Key()); ok {
+	if next, ok := MarkPresent(r.view, self.member().Key()); ok && !r.storeAway {
 		r.view = next
 		r.note("%s is present", self.name)
 	}
-	if !slices.Equal(self.suspects, r.view.Suspects) {
+	if r.storeAway || !slices.Equal(self.suspects, r.view.Suspects) {
 		self.suspects, self.suspectedSince = r.view.Suspects, r.now
 	}
 	if !slices.Equal(self.returned, r.view.Returned) {
@@ -188,7 +200,7 @@
 	}
 	r.copy(self)
 	for _, vm := range r.vms {
-		if vm != self && vm.up && !vm.cutOff && !self.cutOff && vm.registered == vm.member().Disk {
+		if vm != self && r.reaches(self, vm) && vm.registered == vm.member().Disk {
 			self.lastResponse[vm.name] = r.now
 		}
 	}
@@ -201,13 +213,17 @@
 	case self.dueSince < 0:
 		self.dueSince = r.now
 	}
-	if self.dueSince >= 0 && r.now-self.dueSince >= time.Duration(rank)*modelRankDelay {
+	if !r.storeAway && self.dueSince >= 0 && r.now-self.dueSince >= time.Duration(rank)*modelRankDelay {
 		r.view = next
 		r.note("%s proposes %s, suspects %v", self.name, r.viewString(), r.view.Suspects)
 	}
 	r.evacuate(self, f)
 }
 
+func (r *repairModel) reaches(a, b *modelVM) bool {
+	return b.up && !a.cutOff && !b.cutOff && (r.isCut == nil || !r.isCut(a.name, b.name))
+}
+
 // copy runs a copy of the earlier sets. It needs a read quorum of them all the time.
 func (r *repairModel) copy(self *modelVM) {
 	v := r.view
@@ -216,7 +232,13 @@
 	}
 	earlier := v
 	earlier.Sets = v.Sets[:len(v.Sets)-1]
-	if !earlier.HasReadQuorum(r.live()) {
+	reached := map[string]bool{}
+	for _, vm := range r.vms {
+		if vm == self || r.reaches(self, vm) {
+			reached[vm.member().Key()] = true
+		}
+	}
+	if r.storeAway || !earlier.HasReadQuorum(reached) {
 		self.copyEpoch = 0
 		return
 	}
@@ -256,7 +278,7 @@
 		self.evacuableSince = -1
 	case self.evacuableSince < 0:
 		self.evacuableSince = r.now
-	case r.now-self.evacuableSince >= EvacuationConfirmTime:
+	case !r.storeAway && r.now-self.evacuableSince >= EvacuationConfirmTime:
 		r.view = next
 	}
 }
@@ -340,6 +362,9 @@
 	if fault == "" {
 		fault = r.lostService(r.live())
 	}
+	if fault == "" && !r.view.LostAt.IsZero() {
+		fault = "members were given up"
+	}
 	if fault == "" {
 		return ""
 	}
@@ -418,3 +443,101 @@
 		}
 	}
 }
+
+// Guards against a permanent failure that is repaired late since the other members have restarted and do not know that the successor
+// is new, so that the next tolerated loss ends service. The restarts come from 1 s before the failure to 10 s after it.
+func TestGroupIsRepairedBesideRestarts(t *testing.T) {
+	for _, names := range [][]string{{"a", "b", "c"}, {"a", "b", "c", "d"}} {
+		for _, restarted := range []string{"a", "b", "ab", "abs", "abd"} {
+			if strings.Contains(restarted, "d") && len(names) < 4 {
+				continue
+			}
+			for at := 9 * time.Second; at <= 20*time.Second; at += modelTick {
+				r := newRepairModel(names, time.Second)
+				r.replace(10*time.Second, "c", "s", time.Second)
+				for _, name := range strings.Split(restarted, "") {
+					if name != "s" || at > 11500*time.Millisecond {
+						r.restart(at, name, 600*time.Millisecond)
+					}
+				}
+				fault := r.run(max(at+600*time.Millisecond+modelCatchUp, 10*time.Second+modelContact+modelCatchUp))
+				if fault == "" {
+					fault = r.toleratesLoss()
+				}
+				if fault != "" {
+					t.Fatalf("%v, %s restart at %v: %s\n  %s", names, restarted, at, fault, strings.Join(r.log, "\n  "))
+				}
+			}
+		}
+	}
+}
+
+// Guards against giving up a member that is cut off from the others and reaches the store whenever any VM does, since the store is
+// away while the member is suspected.
+func TestStoreAwayDoesNotGiveUpMembers(t *testing.T) {
+	for away := 500 * time.Millisecond; away <= 12*time.Second; away += 500 * time.Millisecond {
+		for begin := 11 * time.Second; begin <= 20*time.Second; begin += 500 * time.Millisecond {
+			r := newRepairModel([]string{"a", "b", "c"}, time.Second)
+			r.at(10*time.Second, "c is cut off", func(r *repairModel) { r.vm("c").cutOff = true })
+			r.wipe(10500*time.Millisecond, "b", 1500*time.Millisecond)
+			r.at(begin, "the store is away", func(r *repairModel) { r.storeAway = true })
+			r.at(begin+away, "the store is back", func(r *repairModel) { r.storeAway = false })
+			r.run(begin + away + 12*time.Second)
+			if !r.view.LostAt.IsZero() {
+				t.Fatalf("store away from %v for %v\n  %s", begin, away, strings.Join(r.log, "\n  "))
+			}
+		}
+	}
+}
+
+// Guards against views that are written in a loop, each at a price, while two members cannot reach each other.
+func TestViewsAreNotWrittenInALoop(t *testing.T) {
+	for _, pair := range []string{"ab", "ac", "bc"} {
+		for _, wiped := range []string{"", "a", "b", "c"} {
+			r := newRepairModel([]string{"a", "b", "c"}, time.Second)
+			r.at(10*time.Second, pair+" are cut off from each other", func(r *repairModel) {
+				r.isCut = func(x, y string) bool { return strings.Contains(pair, x) && strings.Contains(pair, y) }
+			})
+			if wiped != "" {
+				r.wipe(10500*time.Millisecond, wiped, 1500*time.Millisecond)
+			}
+			r.run(18 * time.Second) // The users' cuts last up to 8 s.
+			if r.view.Version > 10 {
+				t.Errorf("cut %s, %s loses its disk: the view was written %d times\n  %s", pair, wiped, r.view.Version, strings.Join(r.log, "\n  "))
+			}
+		}
+	}
+}
+
+// Guards against a group that never serves again because what is left includes a VM that is to be evacuated.
+func TestGroupGoesOnWithVMToBeEvacuated(t *testing.T) {
+	for _, retired := range []string{"a", "b"} {
+		r := newRepairModel([]string{"a", "b", "c"}, time.Second)
+		r.retire(10*time.Second, retired)
+		r.at(10500*time.Millisecond, "c fails for good", func(r *repairModel) { r.vm("c").fail(r.now) })
+		r.wipe(10600*time.Millisecond, "b", 1500*time.Millisecond)
+		r.run(40 * time.Second)
+		if lost := r.lostService(r.live()); lost != "" {
+			t.Errorf("%s is to be evacuated: %s\n  %s", retired, lost, strings.Join(r.log, "\n  "))
+		}
+	}
+}
+
+// Guards against writes of a member that was given up and returns with its disk: they must be read again.
+func TestGivenUpMemberIsReadWhenItReturns(t *testing.T) {
+	r := newRepairModel([]string{"a", "b", "c"}, time.Second)
+	r.restart(10*time.Second, "c", 15*time.Second)
+	r.wipe(10500*time.Millisecond, "b", 1500*time.Millisecond)
+	r.run(24 * time.Second)
+	if r.view.LostAt.IsZero() || len(r.view.GivenUp) != 1 {
+		t.Fatalf("given up %v\n  %s", r.view.GivenUp, strings.Join(r.log, "\n  "))
+	}
+	isRead := false
+	for end := 40 * time.Second; r.now < end; {
+		r.run(r.now)
+		isRead = isRead || !r.view.IsSettled() && Contains(r.view.Sets[0], "c/0")
+	}
+	if lost := r.lostService(r.live()); lost != "" || !isRead || len(r.view.GivenUp) > 0 || !r.view.IsSettled() {
+		t.Fatalf("%s; c is read: %v; given up: %v\n  %s", lost, isRead, r.view.GivenUp, strings.Join(r.log, "\n  "))
+	}
+}
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -41,6 +41,9 @@
 	Suspects []string `json:"suspects,omitempty"`
 	Returned []string `json:"returned,omitempty"` // Members that have removed themselves from the suspects.
 
+	// Members that were given up with their disks. One that returns with its disk is read again.
+	GivenUp []Member `json:"given_up,omitempty"`
+
 	// Time of day at which members were given up without a read quorum of their set. Completed writes may be missing since.
 	LostAt time.Time `json:"lost_at,omitzero"`
 }
@@ -157,6 +160,12 @@
 	return v.isWriteQuorum(keys)
 }
 
+// hadMember reports whether an earlier set includes the member with the key. A registration of such a disk, in place of the one in the last
+// set, is older than the view: registrations and views are read separately.
+func (v View) hadMember(key string) bool {
+	return !v.IsSettled() && Contains(Union(v.Sets[:len(v.Sets)-1]), key)
+}
+
 func countMembers(set []Member, keys map[string]bool) int {
 	n := 0
 	for _, m := range set {
@@ -181,7 +190,7 @@
 	IsResponsive             func(vm string) bool          // Reports whether the VM has responded within MaxResponseAge.
 	Evacuating               map[string]bool               // VMs to be evacuated.
 	EvacuateWithoutSuccessor map[string]bool               // VMs to be evacuated that no longer wait for a successor.
-	RecentlyRegistered       map[string]bool               // VMs that registered recently. One of them may be the successor of a VM that has failed permanently.
+	RecentlyRegistered       map[string]bool               // VMs that registered within RecentRegistration. One of them may be the successor of a VM that has failed permanently.
 	SuspectedFor             time.Duration                 // Time since this replica has observed the suspects of the view, unchanged.
 	ReturnedFor              time.Duration                 // The same of the members that have removed themselves from the suspects.
 	Now                      time.Time                     // Time of day.
@@ -202,6 +211,10 @@
 // MaxResponseAge is the maximum age of the last response of a VM that may be added to a set.
 const MaxResponseAge = 1500 * time.Millisecond
 
+// RecentRegistration is the time after its first registration for which a VM may be the successor of a failed one. Every VM counts
+// it from the time in the registration, so that a restart changes nothing.
+const RecentRegistration = 15 * time.Second
+
 // ReplaceBySuccessorAfter is how long a member must be unresponsive before a recently registered VM replaces it. It is
 // longer than a process restart, and shorter than the time within which a successor must have caught up.
 const ReplaceBySuccessorAfter = 2500 * time.Millisecond
@@ -239,13 +252,14 @@
 	ReasonSuspect       Reason = "suspect"         // Such members are to be entered as suspects.
 	ReasonSuspectsWait  Reason = "suspects_wait"   // The suspects may still remove themselves.
 	ReasonSuspectsBack  Reason = "suspects_back"   // The suspects respond again, or are not needed.
+	ReasonGivenUpBack   Reason = "given_up_back"   // A member that was given up has returned with its disk, and is read again.
 	ReasonGiveUp        Reason = "give_up"         // The suspects count as gone; the view goes on with what the others have.
 	ReasonTooFewMembers Reason = "too_few_members" // Fewer VMs respond than a set needs.
 )
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	return []Reason{ReasonFirstView, ReasonChangeDue, ReasonNoChange, ReasonNoReadQuorum, ReasonSuspect, ReasonSuspectsWait, ReasonSuspectsBack, ReasonGiveUp,
+	return []Reason{ReasonFirstView, ReasonChangeDue, ReasonNoChange, ReasonNoReadQuorum, ReasonSuspect, ReasonSuspectsWait, ReasonSuspectsBack, ReasonGivenUpBack, ReasonGiveUp,
 		ReasonTooFewMembers}
 }
 
@@ -270,11 +284,15 @@
 	if !v.HasReadQuorum(f.Responsive()) {
 		return proposeWithoutReadQuorum(v, f, toleratedFailures)
 	}
+	if next, due = readReturned(v, f); due {
+		return next, due, ReasonGivenUpBack
+	}
 	if next, due = nextView(v, f, v.CurrentSet(), toleratedFailures); due {
 		return next, due, ReasonChangeDue
 	}
-	if len(v.Suspects)+len(v.Returned) > 0 {
-		next.Version, next.Suspects, next.Returned = v.Version+1, nil, nil
+	if len(v.Suspects) > 0 {
+		// They are not suspected again soon: the proposer may be cut off from a member that this VM reaches.
+		next.Version, next.Suspects, next.Returned = v.Version+1, nil, append(slices.Clone(v.Returned), v.Suspects...)
 		return next, true, ReasonSuspectsBack
 	}
 	return next, due, ReasonNoChange
@@ -326,7 +344,7 @@
 			delay = ReplaceWhileCopyingAfter
 		}
 		switch {
-		case found && latest.Disk != m.Disk:
+		case found && latest.Disk != m.Disk && !v.hadMember(latest.Key()):
 			next = append(next, latest)
 			changed = true
 		case f.UnresponsiveFor(m.VM) > delay:
@@ -388,7 +406,7 @@
 		return updateAddresses(v, registered)
 	}
 	sort.Slice(next, func(i, j int) bool { return next[i].VM < next[j].VM })
-	proposed := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated, LostAt: v.LostAt}
+	proposed := View{Version: v.Version + 1, Epoch: v.Epoch + 1, ToleratedFailures: toleratedFailures, Evacuated: v.Evacuated, GivenUp: v.GivenUp, LostAt: v.LostAt}
 	for i, set := range v.Sets {
 		proposed.Sets = append(proposed.Sets, set)
 		proposed.ToleratedBySet = append(proposed.ToleratedBySet, v.toleratedBy(i))
--- a/daemon/replica/join.go
+++ b/daemon/replica/join.go
@@ -21,12 +21,16 @@
 		return
 	}
 	var version uint64
+	own := registration{Member: m.Self, RegisteredAt: time.Now()}
 	o, err := m.Store.Get(ctx, RegistrationKind, m.Self.VM)
 	switch {
 	case err == nil:
 		version = o.Version
-		var stored replica.Member
-		if json.Unmarshal(o.Value, &stored) == nil && stored == m.Self {
+		var stored registration
+		if json.Unmarshal(o.Value, &stored) == nil {
+			own.RegisteredAt = stored.RegisteredAt
+		}
+		if stored.Member == m.Self {
 			m.mu.Lock()
 			m.registered[m.Self.VM] = m.Self
 			m.mu.Unlock()
@@ -37,12 +41,16 @@
 		clock.Sleep(ctx, membershipInterval)
 		return
 	}
-	if _, err := m.Store.Put(ctx, RegistrationKind, m.Self.VM, version, m.Self); err != nil {
+	if _, err := m.Store.Put(ctx, RegistrationKind, m.Self.VM, version, own); err != nil {
 		m.Log.Warn("cannot register replica", "error", err)
 		return
 	}
 	m.mu.Lock()
 	m.registered[m.Self.VM] = m.Self
+	if m.registeredAtByVM == nil {
+		m.registeredAtByVM = map[string]time.Time{}
+	}
+	m.registeredAtByVM[m.Self.VM] = own.RegisteredAt
 	m.mu.Unlock()
 	m.Log.Info("replica registered", "disk", m.Self.Disk, "address", m.Self.Address)
 }
--- a/daemon/replica/membership.go
+++ b/daemon/replica/membership.go
@@ -26,21 +26,22 @@
 
 // Intervals and timeouts of the membership.
 const (
-	membershipInterval         = 500 * time.Millisecond
-	probeTimeout               = 400 * time.Millisecond  // Several times a round trip between regions.
-	maxProbeWait               = 100 * time.Millisecond  // Max wait of one step for responses; above a round trip between regions.
-	firstViewDelay             = 1500 * time.Millisecond // VMs that start together for the first time register within this time.
-	copyTimeout                = 10 * time.Second        // Allows for an inventory of megabytes over a busy link between regions.
-	copyStallTimeout           = 1500 * time.Millisecond // Time without a received byte; above a slow sync.
-	extraInventoryWait         = 500 * time.Millisecond  // Wait for further inventories after a read quorum has been read.
-	watchDelay                 = 100 * time.Millisecond  // Changes in the store within this time are read by one watch.
-	recentRegistrationDuration = 15 * time.Second        // Time after its registration for which a VM may be the successor of another one.
-	maxSuccessorWait           = 2 * time.Second         // Time for which a VM that is to be evacuated waits for a successor.
-	proposerRankDelay          = 1200 * time.Millisecond // Additional delay for each proposer rank; above a slow write to the store.
-	registrationQuietTime      = 500 * time.Millisecond  // Time without a new registration after which VMs that start together count as registered.
-	firstViewLogInterval       = 5 * time.Second         // Interval of the log lines about a first view that cannot be formed.
-	maxSettingsAge             = time.Minute             // Time within which a change of the settings reaches all VMs.
-	groupObservationTime       = time.Second             // Time for which a VM without a group probes the others before it chooses one.
+	membershipInterval    = 500 * time.Millisecond
+	probeTimeout          = 400 * time.Millisecond  // Several times a round trip between regions.
+	maxProbeWait          = 100 * time.Millisecond  // Max wait of one step for responses; above a round trip between regions.
+	firstViewDelay        = 1500 * time.Millisecond // VMs that start together for the first time register within this time.
+	copyTimeout           = 10 * time.Second        // Allows for an inventory of megabytes over a busy link between regions.
+	copyStallTimeout      = 1500 * time.Millisecond // Time without a received byte; above a slow sync.
+	extraInventoryWait    = 500 * time.Millisecond  // Wait for further inventories after a read quorum has been read.
+	watchDelay            = 100 * time.Millisecond  // Changes in the store within this time are read by one watch.
+	startTogetherTime     = 5 * time.Second         // VMs that register within this time of the first one have started together; none is the successor of another.
+	maxStoreSilence       = 2 * time.Second         // Time without a response about the store's objects after which the store counts as away.
+	maxSuccessorWait      = 2 * time.Second         // Time for which a VM that is to be evacuated waits for a successor.
+	proposerRankDelay     = 1200 * time.Millisecond // Additional delay for each proposer rank; above a slow write to the store.
+	registrationQuietTime = 500 * time.Millisecond  // Time without a new registration after which VMs that start together count as registered.
+	firstViewLogInterval  = 5 * time.Second         // Interval of the log lines about a first view that cannot be formed.
+	maxSettingsAge        = time.Minute             // Time within which a change of the settings reaches all VMs.
+	groupObservationTime  = time.Second             // Time for which a VM without a group probes the others before it chooses one.
 )
 
 // Retirement is the operator's request to evacuate a VM.
@@ -78,29 +79,28 @@
 	evacuableSince time.Time               // Time since when this VM could be reported as evacuated; zero if it could not. Used only by Run.
 	loggedReason   replica.Reason          // Last logged reason for a change of the view, or for none. Used only by Run.
 
-	mu                     sync.Mutex
-	registered             map[string]replica.Member // By VM.
-	retirements            map[string]Retirement     // By VM.
-	lastResponse           map[string]time.Time      // Last probe response by VM.
-	probesInFlight         map[string]bool           // VMs with a probe in flight.
-	registrationObservedAt map[string]time.Time      // By VM; only VMs that registered after the first read of the registrations.
-	retirementObservedAt   map[string]time.Time      // Time at which the retirement was first observed, by VM.
-	registrationsListed    bool                      // The registrations have been read at least once.
-	registrationsReadAt    time.Time                 // Time of the last read of the registrations, initially the start.
-	registeredAt           time.Time                 // Time of the last change of the registrations.
-	viewsListed            bool                      // The layout and the views have been read at least once.
-	layout                 replica.Layout            // Has no groups before it is known.
-	layoutRevision         uint64                    // Store revision of the layout; zero if the store has none.
-	view                   replica.View              // View of the own group.
-	viewRevision           uint64                    // Store revision of the view; zero before the view has been read.
-	layoutDueSince         time.Time                 // Time since when the first layout is due; zero if it is not.
-	changeDueSince         time.Time                 // Time since when a change of the view is due; zero if none is due.
-	firstViewLoggedAt      time.Time                 // Time of the last log line about a first view that cannot be formed. Used only by Run.
-	lowerToleranceSince    time.Time                 // Time since when the settings tolerate fewer failures than the view; zero if they do not.
-	copiedEpoch            uint64                    // Epoch for which the earlier sets were copied last.
-	suspects, returned     observedKeys              // Of the newest view.
-	startTime              time.Time
-	wakeups                chan struct{} // Wakes Run.
+	mu                   sync.Mutex
+	registered           map[string]replica.Member // By VM.
+	retirements          map[string]Retirement     // By VM.
+	lastResponse         map[string]time.Time      // Last probe response by VM.
+	probesInFlight       map[string]bool           // VMs with a probe in flight.
+	registeredAtByVM     map[string]time.Time      // Time of day of the first registration, by VM; zero if unknown.
+	retirementObservedAt map[string]time.Time      // Time at which the retirement was first observed, by VM.
+	registrationsReadAt  time.Time                 // Time of the last read of the registrations, initially the start.
+	registeredAt         time.Time                 // Time of the last change of the registrations.
+	viewsListed          bool                      // The layout and the views have been read at least once.
+	layout               replica.Layout            // Has no groups before it is known.
+	layoutRevision       uint64                    // Store revision of the layout; zero if the store has none.
+	view                 replica.View              // View of the own group.
+	viewRevision         uint64                    // Store revision of the view; zero before the view has been read.
+	layoutDueSince       time.Time                 // Time since when the first layout is due; zero if it is not.
+	changeDueSince       time.Time                 // Time since when a change of the view is due; zero if none is due.
+	firstViewLoggedAt    time.Time                 // Time of the last log line about a first view that cannot be formed. Used only by Run.
+	lowerToleranceSince  time.Time                 // Time since when the settings tolerate fewer failures than the view; zero if they do not.
+	copiedEpoch          uint64                    // Epoch for which the earlier sets were copied last.
+	suspects, returned   observedKeys              // Of the newest view.
+	startTime            time.Time
+	wakeups              chan struct{} // Wakes Run.
 }
 
 // Init initializes the internal state of a Membership. It must be called once before Run and RunWatchers.
@@ -109,7 +109,6 @@
 	m.retirements = map[string]Retirement{}
 	m.lastResponse = map[string]time.Time{}
 	m.probesInFlight = map[string]bool{}
-	m.registrationObservedAt = map[string]time.Time{}
 	m.retirementObservedAt = map[string]time.Time{}
 	m.loggedStatuses = map[string]memberStatus{}
 	m.view = m.Server.View()
@@ -155,24 +154,25 @@
 	return candidates
 }
 
-// onRegistrations updates the registered replicas. A VM that is new since the previous read counts as newly registered.
+// registration is the object of a replica in the platform's store.
+type registration struct {
+	replica.Member
+	RegisteredAt time.Time `json:"registered_at"` // Time of day of the VM's first registration.
+}
+
+// onRegistrations updates the registered replicas.
 func (m *Membership) onRegistrations(objects map[string]platform.Object) {
-	next := map[string]replica.Member{}
+	next, registeredAt := map[string]replica.Member{}, map[string]time.Time{}
 	for name, o := range objects {
-		var r replica.Member
+		var r registration
 		if err := json.Unmarshal(o.Value, &r); err != nil || r.VM != name {
 			m.Log.Warn("cannot decode replica registration", "name", name, "error", err)
 			continue
 		}
-		next[name] = r
+		next[name], registeredAt[name] = r.Member, r.RegisteredAt
 	}
 	m.mu.Lock()
-	for vm := range next {
-		if _, found := m.registered[vm]; !found && m.registrationsListed {
-			m.registrationObservedAt[vm] = time.Now()
-		}
-	}
-	m.registrationsListed = true
+	m.registeredAtByVM = registeredAt
 	if len(next) != len(m.registered) {
 		m.registeredAt = time.Now()
 	}
@@ -412,13 +412,12 @@
 	defer m.mu.Unlock()
 	now := time.Now()
 	f := replica.Fleet{Evacuating: map[string]bool{}, Now: now}
-	f.SuspectedFor = m.suspects.observe(now, m.view.Suspects)
-	f.ReturnedFor = m.returned.observe(now, m.view.Returned)
+	// A suspect cannot remove itself while the store is away.
+	storeAway := now.Sub(m.registrationsReadAt) > maxStoreSilence
+	f.SuspectedFor = m.suspects.observe(now, m.view.Suspects, storeAway)
+	f.ReturnedFor = m.returned.observe(now, m.view.Returned, false)
 	f.Registered = m.peersLocked()
-	f.RecentlyRegistered = map[string]bool{}
-	for vm, at := range m.registrationObservedAt {
-		f.RecentlyRegistered[vm] = time.Since(at) < recentRegistrationDuration
-	}
+	f.RecentlyRegistered = recentRegistrations(m.registeredAtByVM, now)
 	f.EvacuateWithoutSuccessor = map[string]bool{}
 	for vm := range m.retirements {
 		f.Evacuating[vm] = true
@@ -442,15 +441,30 @@
 	return f
 }
 
+// recentRegistrations returns the VMs that registered lately, without those that started together with the first one.
+func recentRegistrations(registeredAt map[string]time.Time, now time.Time) map[string]bool {
+	var first time.Time
+	for _, at := range registeredAt {
+		if !at.IsZero() && (first.IsZero() || at.Before(first)) {
+			first = at
+		}
+	}
+	recent := map[string]bool{}
+	for vm, at := range registeredAt {
+		recent[vm] = at.Sub(first) > startTogetherTime && now.Sub(at) < replica.RecentRegistration
+	}
+	return recent
+}
+
 // observedKeys is a list of keys of a view with the time since when it is unchanged.
 type observedKeys struct {
 	keys  []string
 	since time.Time
 }
 
-// observe returns the time since when the keys are unchanged.
-func (o *observedKeys) observe(now time.Time, keys []string) time.Duration {
-	if o.since.IsZero() || !slices.Equal(o.keys, keys) {
+// observe returns the time since when the keys are unchanged. A reset begins it anew.
+func (o *observedKeys) observe(now time.Time, keys []string, reset bool) time.Duration {
+	if reset || o.since.IsZero() || !slices.Equal(o.keys, keys) {
 		o.keys, o.since = keys, now
 	}
 	return now.Sub(o.since)
