--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -569,7 +569,7 @@
 func (d *Deployment) CurrentMembers() []*VM {
 	var members []*VM
 	if sets := d.viewSets(); len(sets) > 0 {
-		for _, vm := range d.Replicas {
+		for _, vm := range d.ReplicaVMs() {
 			if slices.ContainsFunc(sets[len(sets)-1], func(m viewMember) bool { return m.VM == vm.Name }) {
 				members = append(members, vm)
 			}
@@ -579,4 +579,11 @@
 }
 
 // allVMs returns all gateways and replicas.
+// ReplicaVMs returns the VMs with the replica role.
+func (d *Deployment) ReplicaVMs() []*VM {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.Replicas)
+}
+
 func (d *Deployment) allVMs() []*VM { return append(append([]*VM{}, d.Gateways...), d.Replicas...) }
--- a/testbed/soak/losses.go
+++ b/testbed/soak/losses.go
@@ -60,12 +60,13 @@
 	}
 }
 
-// injectLosses injects a series of losses of one replica VM or disk each. Some losses happen while the store is stable, others
+// injectLosses injects a series of losses of one replica VM or disk each, some beside an evacuation or before restarts of other members. Some losses happen while the store is stable, others
 // just before or during a store outage. With some losses, the store also drops the responses to writes, which take effect
 // immediately or 1.5 s later.
 func (s *soakRun) injectLosses(r *rand.Rand) {
 	fullCount := len(s.d.Replicas)
 	recoveredAt := time.Now().Add(-minLossInterval) // There has been no loss yet.
+	beside := rand.New(rand.NewPCG(s.cfg.Seed, 1))  // Draws of its own, so that those of earlier seeds stay as they are.
 	for range s.cfg.Losses {
 		time.Sleep(time.Until(recoveredAt.Add(minLossInterval)) + randomDuration(r, 0, maxExtraDelay))
 		outageEnd := time.Time{}
@@ -93,7 +94,10 @@
 			s.recordFault("drop write responses of the store")
 			s.d.Store.DropWriteResponses(1+r.IntN(3), time.Duration(r.IntN(2))*1500*time.Millisecond)
 		}
+		waitForEvacuation := s.startEvacuation(beside)
 		s.injectLossesAtOnce(r, fullCount)
+		waitForEvacuation()
+		s.restartMembers(beside)
 		<-outageStarted
 		s.d.Store.DropWriteResponses(0, 0)
 		time.Sleep(time.Until(outageEnd))
@@ -101,12 +105,44 @@
 	}
 }
 
+// startEvacuation evacuates a replica VM close to the next loss, in a quarter of the cases. The returned function waits until that has ended.
+func (s *soakRun) startEvacuation(r *rand.Rand) (wait func()) {
+	var group sync.WaitGroup
+	vms, delay := s.d.CurrentMembers(), randomDuration(r, 0, maxDowntime)
+	if len(vms) > minReplicas && r.IntN(4) == 0 {
+		vm := vms[r.IntN(len(vms))]
+		group.Go(func() {
+			time.Sleep(delay)
+			s.evacuate(vm)
+		})
+	}
+	return group.Wait
+}
+
+// restartMembers restarts two members of the current set at the same time, in a quarter of the cases. They keep their disks.
+func (s *soakRun) restartMembers(r *rand.Rand) {
+	vms, delay := s.d.CurrentMembers(), randomDuration(r, 0, maxDowntime)
+	if len(vms) < 2 || r.IntN(4) != 0 {
+		return
+	}
+	time.Sleep(delay)
+	restarted := r.Perm(len(vms))[:2]
+	for _, i := range restarted {
+		s.recordFault("restart %s", vms[i].Name)
+		s.d.KillVM(vms[i])
+	}
+	for _, i := range restarted {
+		s.startVM(vms[i])
+	}
+}
+
 // injectLossesAtOnce causes up to as many losses as tolerated at the same time. It returns when all VMs that failed, or their
 // replacements, have been started.
 func (s *soakRun) injectLossesAtOnce(r *rand.Rand, fullCount int) {
 	vms := s.d.CurrentMembers()
 	if s.cfg.Tolerated == 1 || len(vms) < s.cfg.Tolerated {
-		s.injectLoss(r, s.d.Replicas[r.IntN(len(s.d.Replicas))], fullCount)
+		replicas := s.d.ReplicaVMs()
+		s.injectLoss(r, replicas[r.IntN(len(replicas))], fullCount)
 		return
 	}
 	var losses sync.WaitGroup
@@ -120,11 +156,11 @@
 // injectLoss causes the loss of a replica VM or its disk. It returns when the VM, or its replacement, has been started.
 func (s *soakRun) injectLoss(r *rand.Rand, vm *deployment.VM, fullCount int) {
 	downtime := randomDuration(r, 200*time.Millisecond, maxDowntime)
-	kind := r.IntN(8)
+	kind, replicas := r.IntN(8), len(s.d.ReplicaVMs())
 	switch {
-	case kind <= 1 && len(s.d.Replicas) > minReplicas:
+	case kind <= 1 && replicas > minReplicas:
 		s.evacuate(vm)
-	case kind <= 1 && len(s.d.Replicas) < fullCount:
+	case kind <= 1 && replicas < fullCount:
 		s.recordFault("add a replica VM in %s", vm.Zone)
 		s.addReplica(vm.Zone)
 	case kind <= 4:
