Bound what endless responses of the store hold together

Callers: reported by users of a similar system. A machine that had called a faulty server kept its endless bytes, ran out of memory, and the requests of its other clients ended with it.

Cause: each response of the store was limited to 16 MB, but a daemon has calls for several kinds of objects in flight, and a body above the limit was joined before it was dropped.

--- a/daemon/platform/platform.go
+++ b/daemon/platform/platform.go
@@ -95,6 +95,10 @@
 	Codec           Codec         // Nil selects the codec of the project's own object API.
 }
 
+// maxLargeResponses is the number of responses above transport.SmallBodyBytes that are read at the same time. A daemon has calls for
+// several kinds of objects in flight, and the smallest VM has 112 MB.
+const maxLargeResponses = 1
+
 // Stats counts the calls to the platform and the bytes transferred.
 type Stats struct {
 	Writes, Reads, Watches, BytesOut, BytesIn atomic.Int64
@@ -105,6 +109,7 @@
 	cfg    Config
 	codec  Codec
 	http   *http.Client
+	bodies *transport.BodyReader
 	writes *rate.Limiter
 	reads  *rate.Limiter
 	Stats  Stats
@@ -122,6 +127,7 @@
 		cfg:    cfg,
 		codec:  codec,
 		http:   transport.NewClient(cfg.Transport),
+		bodies: transport.NewBodyReader(maxLargeResponses),
 		writes: rate.NewLimiter(rate.Limit(cfg.WritesPerSecond), int(cfg.WritesPerSecond)+1),
 		reads:  rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), int(cfg.ReadsPerSecond)+1),
 	}
@@ -151,7 +157,7 @@
 		return response{}, markTransportError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := transport.ReadAll(resp.Body, transport.MaxResponseBytes)
+	data, err := c.bodies.Read(ctx, resp, transport.MaxResponseBytes)
 	c.Stats.BytesOut.Add(int64(len(body) + len(path)))
 	c.Stats.BytesIn.Add(int64(len(data)))
 	if err != nil {
--- a/daemon/transport/transport.go
+++ b/daemon/transport/transport.go
@@ -83,37 +83,3 @@
 func NonRewindableBody(body []byte) io.Reader {
 	return struct{ io.Reader }{bytes.NewReader(body)}
 }
-
-// MaxResponseBytes is the maximum size of a response body that is read into memory.
-const MaxResponseBytes = 16 << 20
-
-// ErrTooLarge is returned for a response body above the limit.
-var ErrTooLarge = errors.New("response is too large")
-
-// ReadBody reads the body of a response into memory that is allocated once if its length is known. ReadAll would need more than
-// twice the length for a moment. It returns ErrTooLarge if the body has more than limit bytes.
-func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.ContentLength <= 0 { // Zero also if a response was built without a length.
-		return ReadAll(resp.Body, limit)
-	}
-	if resp.ContentLength > limit {
-		return nil, ErrTooLarge
-	}
-	body := make([]byte, resp.ContentLength)
-	if _, err := io.ReadFull(resp.Body, body); err != nil {
-		return nil, err
-	}
-	return body, nil
-}
-
-// ReadAll reads a response body. It returns ErrTooLarge if the body has more than limit bytes.
-func ReadAll(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, ErrTooLarge
-	}
-	return body, nil
-}
