Bound what endless responses of replicas hold at a gateway together

Callers: reported by users of a similar system. A machine that had called a faulty server kept its endless bytes and ran out of memory.

Cause: a response of a replica was limited to 32 MB, but a gateway has three requests to each replica in flight. A stated length was allocated before its bytes had arrived.

The test has one more form, a response of the longest legal length.

--- a/daemon/quorum/client.go
+++ b/daemon/quorum/client.go
@@ -16,6 +16,7 @@
 
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/platform"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // ErrNoQuorum means that no quorum of replicas responded. Some of them may have stored a write.
@@ -46,6 +47,8 @@
 	Client     *http.Client
 	Log        *slog.Logger
 	Metrics    *metrics.Set
+
+	bodies *transport.BodyReader // Set by New.
 }
 
 // Client sends operations to the replicas of one group. It is safe for concurrent use.
--- a/daemon/quorum/endless_test.go
+++ b/daemon/quorum/endless_test.go
@@ -4,15 +4,12 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"os"
-	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/shoenig/test"
-	"github.com/shoenig/test/must"
 
 	"jackdawbay.dev/api/httpcheck/endlesstest"
 	core "jackdawbay.dev/core/replica"
@@ -70,9 +67,9 @@
 // Guards against responses of replicas that exceed the memory of a gateway together. Three replicas send without an end at the
 // same time, and a gateway has several requests to each (issue 49).
 func TestEndlessBatchesAtOnce(t *testing.T) {
-	skipIfKnownRed(t)
 	for _, f := range []endlesstest.Form{
 		{Name: "without a length", Start: endlesstest.Body, Repeated: "x"},
+		{Name: "of the longest length", Start: fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", maxResponseBytes), Repeated: "x"},
 		{Name: "chunks", Start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", Repeated: "10\r\n                \r\n"},
 	} {
 		t.Run(f.Name, func(t *testing.T) {
@@ -96,15 +93,3 @@
 		})
 	}
 }
-
-// skipIfKnownRed skips a test that is listed in KNOWN-RED.txt, unless the environment asks for these tests.
-func skipIfKnownRed(t *testing.T) {
-	t.Helper()
-	raw, err := os.ReadFile("../../KNOWN-RED.txt")
-	must.NoError(t, err)
-	for line := range strings.SplitSeq(string(raw), "\n") {
-		if name, _, _ := strings.Cut(line, ":"); t.Name() == name && os.Getenv("JACKDAWBAY_KNOWN_RED") == "" {
-			t.Skip("known to fail: ", line)
-		}
-	}
-}
--- a/daemon/quorum/groups.go
+++ b/daemon/quorum/groups.go
@@ -11,6 +11,7 @@
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/platform"
 	"jackdawbay.dev/daemon/replica"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // Groups is the client of all replica groups. A program's charges and turns are stored by the group to which the program
@@ -27,6 +28,7 @@
 
 // New returns a client of all groups. Its senders run until the context ends.
 func New(ctx context.Context, cfg Config) *Groups {
+	cfg.bodies = transport.NewBodyReader(maxLargeResponses)
 	g := &Groups{cfg: cfg, ctx: ctx, layout: core.SingleGroup(), clients: []*Client{newClient(ctx, cfg, 0)}}
 	g.registerMetrics()
 	return g
--- a/daemon/quorum/queue.go
+++ b/daemon/quorum/queue.go
@@ -13,7 +13,6 @@
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/clock"
 	"jackdawbay.dev/daemon/replica"
-	"jackdawbay.dev/daemon/transport"
 )
 
 // errDiskReplaced means that the member's address now serves a different disk. The identity of a disk is generated when the
@@ -27,6 +26,10 @@
 // eight turns of 19 KB, has 10 MB. These are the longest chains that the deployments describe.
 const maxResponseBytes = 32 << 20
 
+// maxLargeResponses is the number of responses above transport.SmallBodyBytes that all clients of a process read at the same time. The
+// smallest VM has 112 MB.
+const maxLargeResponses = 1
+
 // memberQueue queues the operations for one replica and sends them in batches. It is closed when the view no longer contains
 // the member, or when the member's disk was replaced.
 type memberQueue struct {
@@ -311,7 +314,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return replica.BatchResponse{}, errors.Newf("unexpected status %d", resp.StatusCode)
 	}
-	body, err := transport.ReadBody(resp, maxResponseBytes)
+	body, err := q.client.cfg.bodies.Read(ctx, resp, maxResponseBytes)
 	if err != nil {
 		return replica.BatchResponse{}, errors.Wrap(err, "read response")
 	}
--- a/daemon/transport/body.go
+++ b/daemon/transport/body.go
@@ -136,19 +136,3 @@
 	}
 	return piece, nil
 }
-
-// ReadBody reads the body of a response into memory that is allocated once if its length is known. ReadAll would need more than
-// twice the length for a moment. It returns ErrTooLarge if the body has more than limit bytes.
-func ReadBody(resp *http.Response, limit int64) ([]byte, error) {
-	if resp.ContentLength <= 0 { // Zero also if a response was built without a length.
-		return ReadAll(resp.Body, limit)
-	}
-	if resp.ContentLength > limit {
-		return nil, ErrTooLarge
-	}
-	body := make([]byte, resp.ContentLength)
-	if _, err := io.ReadFull(resp.Body, body); err != nil {
-		return nil, err
-	}
-	return body, nil
-}
