Bound what endless inventories hold at a replica together

A machine that had called a faulty server kept its endless bytes and ran out of memory.

Cause: a copy reads the inventories of all members at the same time. Each was limited to 32 MB, and the decoder kept the whole body in a buffer that doubles.

Fix: two inventories above 1 MB are read at a time.

--- a/daemon/replica/copy.go
+++ b/daemon/replica/copy.go
@@ -235,44 +235,52 @@
 // second; the turns and ledgers of a minute and a half at that rate have 10 MB.
 const maxInventoryBytes = 32 << 20
 
+// maxLargeInventories is the number of inventories above transport.SmallBodyBytes that are read at the same time. A VM with the
+// replica role has 144 MB. With two, a slow replica does not keep a copy from the others.
+const maxLargeInventories = 2
+
 // maxCopiedEntriesPerWrite is the maximum number of ledger entries that a copy passes to the writer at once.
 const maxCopiedEntriesPerWrite = 500
 
-// postAndDecode posts a copy request and decodes up to maxInventoryBytes of the JSON response into the value into.
+// postAndDecode posts a copy request and decodes the JSON response, which has less than maxInventoryBytes, into the value into.
 func (m *Membership) postAndDecode(ctx context.Context, address, path string, body, into any) error {
 	resp, err := m.postWithStallTimeout(ctx, address, path, body)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	var reader io.Reader = resp.Body
+	requestCtx, received := resp.Body.(*stallTimerBody).ctx, resp.Body
+	defer func() { _ = received.Close() }()
 	if resp.Header.Get("Content-Encoding") == "gzip" {
 		z, err := gzip.NewReader(resp.Body)
 		if err != nil {
 			return errors.Wrap(err, "decompress response")
 		}
-		reader = z
+		resp.Body, resp.ContentLength = z, -1
+	}
+	raw, err := m.Server.inventories.Read(requestCtx, resp, maxInventoryBytes-1)
+	if err != nil {
+		return errors.Wrap(err, "read response")
 	}
-	return errors.Wrapf(json.NewDecoder(io.LimitReader(reader, maxInventoryBytes)).Decode(into), "decode the first %d bytes of the response", maxInventoryBytes)
+	return errors.Wrap(json.Unmarshal(raw, into), "decode response")
 }
 
 // errStalled is the cancellation cause of a request whose response has stalled.
 var errStalled = errors.Newf("no data received for %s", copyStallTimeout)
 
-// stallTimerBody is the body of a response to a copy request. Each read that returns data resets the stall timer.
+// stallTimerBody is the body of a response to a copy request. The stall timer runs during reads only, so that a response that waits
+// for others is not stalled.
 type stallTimerBody struct {
 	io.ReadCloser
+	ctx    context.Context // Context of the request.
 	stall  *time.Timer
 	cancel context.CancelFunc
 }
 
 // Read implements io.Reader.
 func (b *stallTimerBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if n > 0 {
-		b.stall.Reset(copyStallTimeout)
-	}
-	return n, err
+	b.stall.Reset(copyStallTimeout)
+	defer b.stall.Stop()
+	return b.ReadCloser.Read(p)
 }
 
 // Close implements io.Closer.
@@ -294,7 +302,8 @@
 		cancel()
 		return nil, err
 	}
-	resp.Body = &stallTimerBody{ReadCloser: resp.Body, stall: stall, cancel: cancel}
+	stall.Stop() // If it has fired, the context has ended and reads fail.
+	resp.Body = &stallTimerBody{ReadCloser: resp.Body, ctx: ctx, stall: stall, cancel: cancel}
 	return resp, nil
 }
 
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -22,6 +22,7 @@
 	"jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/intake"
 	"jackdawbay.dev/daemon/logging"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // Limits of a replica.
@@ -46,7 +47,8 @@
 	copies chan *writeJob // Copied records, which are written behind the batches in writes.
 
 	copyReads     *readPacer
-	copyResponses chan struct{} // Limits the responses with turns that are in memory at the same time.
+	copyResponses chan struct{}         // Limits the responses with turns that are in memory at the same time.
+	inventories   *transport.BodyReader // Of other replicas.
 
 	adoptMu sync.Mutex // Held while a view is being adopted.
 
@@ -91,6 +93,7 @@
 		copies:        make(chan *writeJob),
 		copyReads:     newReadPacer(),
 		copyResponses: make(chan struct{}, maxCopyResponses),
+		inventories:   transport.NewBodyReader(maxLargeInventories),
 		batches:       set.NewCounter("jackdawbay_replica_batches_total"),
 		metricSet:     set,
 		writeErrors:   set.NewCounter("jackdawbay_replica_write_errors_total"),
