Limit the compressed bytes of an inventory

Callers: none; an endless inventory of empty compressed blocks was read for 10 s, the timeout of the copy.

Cause: the limit counted decompressed bytes only.

Evidence: TestEndlessResponse/fast/compressed_body, 77 MB read in one run, 75 MB allowed.

Fix: at most 32 MB are received, as of one that is not compressed.

--- a/daemon/replica/copy.go
+++ b/daemon/replica/copy.go
@@ -251,7 +251,7 @@
 	requestCtx, received := resp.Body.(*stallTimerBody).ctx, resp.Body
 	defer func() { _ = received.Close() }()
 	if resp.Header.Get("Content-Encoding") == "gzip" {
-		z, err := gzip.NewReader(resp.Body)
+		z, err := gzip.NewReader(io.LimitReader(resp.Body, maxInventoryBytes)) // Blocks without data may have no end.
 		if err != nil {
 			return errors.Wrap(err, "decompress response")
 		}
