Bound what endless turns hold at a replica together

Callers: reported by users of a similar system. A machine that had called a faulty server kept its endless bytes and ran out of memory.

Cause: a copy requests turns of 1 MB in six requests at the same time, but took up to 32 MB for each of 200 turns of a response, and allocated the stated length of a turn before its bytes had arrived.

Fix: a response fails at the first turn beyond the requested bytes.

--- a/api/httpcheck/endlesstest/endlesstest.go
+++ b/api/httpcheck/endlesstest/endlesstest.go
@@ -67,6 +67,26 @@
 // Paces returns a server that sends as fast as it can, and one whose connections are never idle for long.
 func Paces() []Pace { return []Pace{{"fast", 64 << 10, 0}, {"slow", 1, 5 * time.Millisecond}} }
 
+// Run calls check for every form and pace. The forms of a slow pace run at the same time, as each takes as long as a timeout of the
+// client.
+func Run(t *testing.T, check func(t *testing.T, f Form, p Pace)) {
+	for _, p := range Paces() {
+		if p.Interval == 0 {
+			for _, f := range Forms() {
+				t.Run(p.Name+"/"+f.Name, func(t *testing.T) { check(t, f, p) })
+			}
+			continue
+		}
+		t.Run(p.Name, func(t *testing.T) {
+			var wg sync.WaitGroup
+			for _, f := range Forms() {
+				wg.Go(func() { check(t, f, p) })
+			}
+			wg.Wait()
+		})
+	}
+}
+
 // maxSentBytes is the size after which a connection stays open without further bytes, so that a client without a limit does not
 // exhaust the memory of the test.
 const maxSentBytes = 160 << 20
--- a/daemon/replica/copy_source.go
+++ b/daemon/replica/copy_source.go
@@ -305,10 +305,12 @@
 	return nil
 }
 
-// readCopiedTurns reads the turns of one response to a copy request. It fails if there are more than maxTurnsPerResponse.
-func readCopiedTurns(r io.Reader) ([]record, error) {
+// readCopiedTurns reads the turns of one response to a copy request. It fails if there are more than maxTurnsPerResponse. It calls
+// reserve before it reads a turn, with the bytes of the response up to its end.
+func readCopiedTurns(r io.Reader, reserve func(bytes int) error) ([]record, error) {
 	in := bufio.NewReader(r)
 	var records []record
+	bytes := 0
 	for {
 		var length [payloadLengthBytes]byte
 		if _, err := io.ReadFull(in, length[:]); errors.Is(err, io.EOF) {
@@ -323,6 +325,10 @@
 		if n > maxFrameBytes {
 			return nil, errors.Newf("turn of %d bytes is too large", n)
 		}
+		bytes += payloadLengthBytes + int(n)
+		if err := reserve(bytes); err != nil {
+			return nil, err
+		}
 		payload := make([]byte, n)
 		if _, err := io.ReadFull(in, payload); err != nil {
 			return nil, errors.Wrap(err, "read turn")
--- a/daemon/replica/copy_turns.go
+++ b/daemon/replica/copy_turns.go
@@ -14,6 +14,7 @@
 
 	"jackdawbay.dev/core/replica"
 	"jackdawbay.dev/daemon/clock"
+	"jackdawbay.dev/daemon/transport"
 )
 
 // Limits of the turns in flight of one copy. A VM with the replica role has 144 MB.
@@ -342,14 +343,54 @@
 	if p.neededBytes, err = numberIn(resp.Header, headerNeededBytes, 0, maxPieceBytes); err != nil {
 		return fetchedPiece{}, err
 	}
+	limit := &pieceLimit{ctx: resp.Body.(*stallTimerBody).ctx, maxBytes: maxBytes, earlierPieces: m.Server.earlierPieces}
+	limit.isEarlierVersion = resp.Header.Get(headerIDsDone) == ""
+	defer limit.end()
 	body := &countingReader{Reader: resp.Body}
-	if p.records, err = readCopiedTurns(body); err != nil {
+	if p.records, err = readCopiedTurns(body, limit.reserve); err != nil {
 		return fetchedPiece{}, err
 	}
 	p.bytes = body.bytes
 	return p, nil
 }
 
+// maxEarlierPieceBytes limits the turns of a replica of an earlier version, which sends all requested ones. They are requested by
+// their mean size, for 1 MB, and one has up to 32 MB.
+const maxEarlierPieceBytes = 64 << 20
+
+// maxLargeEarlierPieces is the number of such responses above the requested size that are read at the same time. A VM with the replica
+// role has 144 MB.
+const maxLargeEarlierPieces = 1
+
+// pieceLimit bounds the turns of one response.
+type pieceLimit struct {
+	ctx              context.Context // Context of the request.
+	maxBytes         int             // Of the request.
+	isEarlierVersion bool            // The source ignores maxBytes.
+	earlierPieces    *transport.BodyReader
+	release          func() // Set while a response above maxBytes is read.
+}
+
+// reserve fails if a response may not have that many bytes. It waits while another large response is read.
+func (l *pieceLimit) reserve(bytes int) (err error) {
+	switch {
+	case bytes <= l.maxBytes || l.release != nil && bytes <= maxEarlierPieceBytes:
+		return nil
+	case !l.isEarlierVersion:
+		return errors.Newf("turns have %d bytes, requested up to %d", bytes, l.maxBytes)
+	case bytes > maxEarlierPieceBytes:
+		return errors.Newf("turns have %d bytes, limit %d", bytes, maxEarlierPieceBytes)
+	}
+	l.release, err = l.earlierPieces.Acquire(l.ctx)
+	return err
+}
+
+func (l *pieceLimit) end() {
+	if l.release != nil {
+		l.release()
+	}
+}
+
 // numberIn returns the number in a header, or fallback if there is none. It fails if the number is not between 0 and limit.
 func numberIn(h http.Header, name string, fallback, limit int) (int, error) {
 	raw := h.Get(name)
--- a/daemon/replica/server.go
+++ b/daemon/replica/server.go
@@ -49,6 +49,7 @@
 	copyReads     *readPacer
 	copyResponses chan struct{}         // Limits the responses with turns that are in memory at the same time.
 	inventories   *transport.BodyReader // Of other replicas.
+	earlierPieces *transport.BodyReader // Turns from replicas of earlier versions.
 
 	adoptMu sync.Mutex // Held while a view is being adopted.
 
@@ -94,6 +95,7 @@
 		copyReads:     newReadPacer(),
 		copyResponses: make(chan struct{}, maxCopyResponses),
 		inventories:   transport.NewBodyReader(maxLargeInventories),
+		earlierPieces: transport.NewBodyReader(maxLargeEarlierPieces),
 		batches:       set.NewCounter("jackdawbay_replica_batches_total"),
 		metricSet:     set,
 		writeErrors:   set.NewCounter("jackdawbay_replica_write_errors_total"),
