--- a/daemon/upstream/crowd_test.go
+++ b/daemon/upstream/crowd_test.go
@@ -33,7 +33,10 @@
 	services := NewServiceClient("key", transport.Options{DialTimeout: time.Second})
 	const ordinaryBodyBytes = 256 << 10
 	ordinaryBody := `"` + strings.Repeat("a", ordinaryBodyBytes) + `"`
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, ordinaryBody) }))
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // A server that closes with unread bytes resets the connection.
+		_, _ = io.WriteString(w, ordinaryBody)
+	}))
 	defer server.Close()
 	ordinary := strings.TrimPrefix(server.URL, "http://")
 	for _, c := range []struct {
