Send one request at a time to sources of a copy in other regions

Cause: a copy had three requests of 1 MB in flight to a source in another region. Their responses queue at the link between regions (30 Mbit/s), and each request of a caller that crosses it waits behind them, up to 0.8 s. The limit on the rate of copies is half of the link of larger sites, but all of that of the smaller ones.

Evidence: TestCopyLeavesLinkBetweenRegionsToCallers fails on the code before with a queue of 0.81 s (one source) and 1.65 s (two); one piece takes 0.28 s.

Fix: one request at a time to other regions, whatever the number of sources. Turns are stored while the next piece is on its way, so that an idle link is still used for more than five sixths. A source that has failed gets no further request, so that a stalled one costs one stall timeout and not one for each worker (TestCopySkipsStalledSourceInOtherRegion: 6.1 s without that rule).

--- a/daemon/replica/copy_turns.go
+++ b/daemon/replica/copy_turns.go
@@ -21,7 +21,7 @@
 	requestsPerSource     = 3         // Concurrent requests to one source.
 	maxCopyRequests       = 6         // Concurrent requests to all sources, each with copyPieceBytes and until its turns are stored.
 	initialTurnsPerPiece  = 40        // Turns in a request before their mean size is known.
-	regionLinkBytesPerSec = 3_750_000 // Half of the link between regions, which all traffic shares.
+	regionLinkBytesPerSec = 3_750_000 // 30 Mbit/s: half of the link between regions of larger deployments, all of that of smaller ones.
 	copyLogInterval       = time.Second
 	sourceBusyDelay       = 100 * time.Millisecond // Delay after a source has refused a request because it has too many.
 )
@@ -47,12 +47,13 @@
 
 // turnCopy is one pass over the turns that a copy has to fetch. Turns that become needed in a pass are fetched by the next one.
 type turnCopy struct {
-	m          *Membership
-	view       replica.View
-	regionLink *rate.Limiter
-	slots      chan struct{} // One for each request, until its turns are stored.
-	oversized  chan struct{} // Has room for one request for a turn that is larger than copyPieceBytes, until it is stored.
-	cancel     context.CancelFunc
+	m             *Membership
+	view          replica.View
+	regionLink    *rate.Limiter
+	regionRequest chan struct{} // Has room for one request to another region. Requests of callers wait at the link behind its response.
+	slots         chan struct{} // One for each request, until its turns are stored.
+	oversized     chan struct{} // Has room for one request for a turn that is larger than copyPieceBytes, until it is stored.
+	cancel        context.CancelFunc
 
 	mu        sync.Mutex
 	progress  *copyProgress
@@ -73,7 +74,10 @@
 
 // newTurnCopy returns a pass over the turns that are to be fetched at this time.
 func (m *Membership) newTurnCopy(v replica.View, progress *copyProgress) *turnCopy {
-	c := &turnCopy{m: m, view: v, slots: make(chan struct{}, maxCopyRequests), oversized: make(chan struct{}, 1), progress: progress, requested: map[string]bool{}}
+	c := &turnCopy{
+		m: m, view: v, regionRequest: make(chan struct{}, 1), slots: make(chan struct{}, maxCopyRequests), oversized: make(chan struct{}, 1),
+		progress: progress, requested: map[string]bool{},
+	}
 	isPending := func(id string) bool {
 		sources := progress.turnSources[id]
 		return len(sources) > 0 && !m.Server.state.hasTurn(id) && (progress.needed[id] || !v.IsStoredByQuorum(sources))
@@ -149,7 +153,7 @@
 	if err == nil && p.idsDone == 0 {
 		c.oversized <- struct{}{}
 		defer func() { <-c.oversized }()
-		p, err = c.m.fetchPiece(ctx, q.source, c.view, ids[:1], p.neededBytes)
+		p, err = c.fetchPiece(ctx, q, ids[:1], p.neededBytes)
 	}
 	if err == nil && p.idsDone == 0 {
 		err = errors.Newf("replica %s returns no turn of %d bytes", q.source.VM, p.neededBytes)
@@ -173,13 +177,39 @@
 // fetchWhenReady fetches a piece. While the source has too many such requests, it waits, for copyTimeout at most.
 func (c *turnCopy) fetchWhenReady(ctx context.Context, q *sourceQueue, ids []string) (fetchedPiece, error) {
 	for start := time.Now(); ; {
-		p, err := c.m.fetchPiece(ctx, q.source, c.view, ids, copyPieceBytes)
+		p, err := c.fetchPiece(ctx, q, ids, copyPieceBytes)
 		if !errors.Is(err, errSourceBusy) || time.Since(start) > copyTimeout || !clock.Sleep(ctx, sourceBusyDelay) {
 			return p, err
 		}
 	}
 }
 
+// errSourceFailed means that a request to a source is not sent because an earlier one has failed.
+var errSourceFailed = errors.New("an earlier request to the source failed")
+
+// fetchPiece fetches a piece. It sends one request at a time to other regions, and none if the source fails meanwhile.
+func (c *turnCopy) fetchPiece(ctx context.Context, q *sourceQueue, ids []string, maxBytes int) (fetchedPiece, error) {
+	if c.m.distance(q.source) == distanceOtherRegion {
+		select {
+		case c.regionRequest <- struct{}{}:
+			defer func() { <-c.regionRequest }()
+		case <-ctx.Done():
+			return fetchedPiece{}, ctx.Err()
+		}
+		c.mu.Lock()
+		removed := q.removed
+		c.mu.Unlock()
+		if removed {
+			return fetchedPiece{}, errSourceFailed
+		}
+	}
+	p, err := c.m.fetchPiece(ctx, q.source, c.view, ids, maxBytes)
+	if err != nil && !errors.Is(err, errSourceBusy) {
+		c.onSourceFailure(ctx, q, err) // Before another worker may send the next request to the source.
+	}
+	return p, err
+}
+
 // takeTurns removes the turns of the next request from the queue of a source.
 func (c *turnCopy) takeTurns(q *sourceQueue) []string {
 	c.mu.Lock()
