--- a/testbed/deployment/deployment.go
+++ b/testbed/deployment/deployment.go
@@ -51,6 +51,7 @@
 	Zones               []string // Data centres; the first two are in the same region.
 	ToleratedVMFailures int
 	EventsPerStream     int           // Number of events in an engine's stream.
+	EngineVersion       string        // Version of the engines that are added, which their events state; no version in events if empty.
 	ResponseDelay       time.Duration // Delay before each event of a stream and before a plain response.
 	GraceS              float64
 	RetainS             float64
@@ -197,7 +198,7 @@
 func (d *Deployment) AddUpstream(service, id string) (*backend.Upstream, error) {
 	u := &backend.Upstream{ID: id, Slots: 8, ResponseDelay: d.Options.ResponseDelay}
 	if service == EngineService {
-		u.EventsPerStream = d.Options.EventsPerStream
+		u.EventsPerStream, u.Version = d.Options.EventsPerStream, d.Options.EngineVersion
 	}
 	if err := u.Start("127.0.0.1:0"); err != nil {
 		return nil, errors.Wrap(err, "start an upstream")
@@ -225,8 +226,12 @@
 
 // RegisterUpstream writes the server entry of an upstream to the store.
 func (d *Deployment) RegisterUpstream(service string, u *backend.Upstream, zone, state string) {
+	version := u.Version
+	if version == "" {
+		version = "v1"
+	}
 	d.Store.Put("servers", u.ID, map[string]any{
-		"service": service, "addr": d.upstreamAddress(u), "zone": zone, "version": "v1", "slots": u.Slots, "state": state, "coldLeftMs": 0,
+		"service": service, "addr": d.upstreamAddress(u), "zone": zone, "version": version, "slots": u.Slots, "state": state, "coldLeftMs": 0,
 		"born": time.Now().UnixMilli(), "seq": 1,
 	})
 }
--- a/testbed/standin/backend/backend.go
+++ b/testbed/standin/backend/backend.go
@@ -55,6 +55,7 @@
 type Upstream struct {
 	ID              string
 	Slots           int
+	Version         string        // Version of the software, which its events state; empty for events without a version.
 	EventsPerStream int           // Number of events in a stream; zero for a plain service.
 	ResponseDelay   time.Duration // Delay before each event of a stream and before a plain response.
 
@@ -328,6 +329,22 @@
 // EventText returns the n-th event of the stream of a request.
 func EventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s-%d\n\n", n, id, n) }
 
+// versionSeparator separates the version from the rest of the data of an event.
+const versionSeparator = "@"
+
+func (u *Upstream) eventText(id string, n int) string {
+	if u.Version == "" {
+		return EventText(id, n)
+	}
+	return fmt.Sprintf("id: %d\ndata: %s-%d%s%s\n\n", n, id, n, versionSeparator, u.Version)
+}
+
+// EventVersion returns the version that the data of an event states, or an empty string.
+func EventVersion(data string) string {
+	_, version, _ := strings.Cut(data, versionSeparator)
+	return version
+}
+
 // StreamText returns the output of a turn: the data of its events, each followed by a line feed.
 func StreamText(id string, events int) string {
 	var b strings.Builder
@@ -347,7 +364,7 @@
 		return false
 	}
 	for n := lastEventID + 1; n <= u.EventsPerStream; n++ {
-		text := EventText(id, n)
+		text := u.eventText(id, n)
 		if f == TruncateBody && n == u.EventsPerStream/2+1 {
 			_, _ = io.WriteString(c, fmt.Sprintf("%x\r\n%s", len(text), text[:len(text)/2])) // The connection ends in any case.
 			return false
