Keep a stream at the version that began it

What callers saw: streams whose first events were of one version of the engines and the others of another one, after a break that the gateway or the caller resumed.

Cause: a stream went on at any engine. The version in the entry of an engine was decoded and used by nothing, and a gateway knew nothing of streams that it had not served itself.

Why it works: the version is kept with the charge of the turn, which a quorum of replicas has before the first event, and the begin of a turn returns it to whichever gateway gets the take-up. From its first event on, an answer uses only upstreams of its version. A record that names another version is replaced before an event is forwarded. If nobody knows the version, or none of it serves, the caller is told so at once with one of two new error kinds.

--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -87,6 +87,8 @@
 	RouteTimeout           Kind = "route_timeout"
 	OrganisationLimit      Kind = "organisation_limit"
 	QuotaUnavailable       Kind = "quota_unavailable"
+	StreamVersionGone      Kind = "stream_version_gone"
+	StreamVersionUnknown   Kind = "stream_version_unknown"
 	Internal               Kind = "internal"
 )
 
@@ -154,6 +156,8 @@
 	RouteTimeout:           {http.StatusGatewayTimeout, NotRunUnknown, RetrySame, "The upstream did not answer within the time of the route."},
 	OrganisationLimit:      {http.StatusTooManyRequests, NotRunTrue, RetrySame, "The organisation has reached its limit of requests per second."},
 	QuotaUnavailable:       {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "No issuer of the organisation's limit can be reached now."},
+	StreamVersionGone:      {http.StatusServiceUnavailable, NotRunTrue, RetryNever, "No upstream of the version that began the stream serves now; start the stream anew."},
+	StreamVersionUnknown:   {http.StatusServiceUnavailable, NotRunTrue, RetryNever, "It is not known which version began the stream; start the stream anew."},
 	Internal:               {http.StatusInternalServerError, NotRunUnknown, RetrySame, "The daemon has a fault."},
 }
 
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -298,7 +298,7 @@
 			} else {
 				u = b.remote[k-len(b.list)]
 			}
-			if u.info.Draining || g.isLeaving(u.info.ID) || r.Excluded[u.info.ID] || pass == 0 && now.Before(u.ejectedUntil) {
+			if u.info.Draining || g.isLeaving(u.info.ID) || !r.allows(u) || pass == 0 && now.Before(u.ejectedUntil) {
 				continue
 			}
 			b.candidates = append(b.candidates, candidate{u: u})
@@ -340,7 +340,7 @@
 	if u.info.Draining || now.Before(u.ejectedUntil) || g.balance.suspicion && now.Before(u.suspectedUntil) {
 		return false
 	}
-	return (len(g.leaving) == 0 || !g.isLeaving(u.info.ID)) && (len(r.Excluded) == 0 || !r.Excluded[u.info.ID])
+	return (len(g.leaving) == 0 || !g.isLeaving(u.info.ID)) && r.allows(u)
 }
 
 func (g *Group) addCandidate(now time.Time, r Request, u *upstreamState) {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -5,6 +5,8 @@
 import (
 	"math"
 	"time"
+
+	"jackdawbay.dev/core/streamversion"
 )
 
 // Weights are the parameters of the cost estimate. The defaults suit engines of unknown speed.
@@ -33,6 +35,7 @@
 type Upstream struct {
 	ID              string
 	Address         string
+	Version         string // Software version; empty if it states none.
 	Slots           int
 	RoundTrip       time.Duration // Network round trip to the upstream.
 	OtherRegion     bool          // The upstream is in another region than this daemon.
@@ -55,9 +58,15 @@
 	Counted bool
 	// UseFailing allows upstreams that fail many of their requests if all others are full.
 	UseFailing bool
+	Version    streamversion.Restriction
 	TieBreak   float64 // Value from 0 to 1 that spreads requests of several daemons over upstreams of equal cost.
 }
 
+// allows reports whether the request may be sent to an upstream as far as its own properties decide that.
+func (r Request) allows(u *upstreamState) bool {
+	return (len(r.Excluded) == 0 || !r.Excluded[u.info.ID]) && r.Version.Allows(u.info.Version)
+}
+
 // Load is the load that an upstream reported.
 type Load struct {
 	Running, Waiting, Slots int
@@ -180,7 +189,17 @@
 // that it leaves.
 func (g *Group) AcceptsRepeat(u Upstream) bool {
 	current, ok := g.upstreams[u.ID]
-	return ok && current.info.processKey() == u.processKey() && !current.info.Draining && !g.isLeaving(u.ID)
+	return ok && current.info.processKey() == u.processKey() && current.info.Version == u.Version && !current.info.Draining && !g.isLeaving(u.ID)
+}
+
+// Versions returns the version of each upstream and whether it accepts requests, in the order of the list.
+func (g *Group) Versions() []streamversion.Upstream {
+	versions := make([]streamversion.Upstream, 0, len(g.ids))
+	for _, id := range g.ids {
+		u := g.upstreams[id].info
+		versions = append(versions, streamversion.Upstream{Version: u.Version, Accepts: !u.Draining && !g.isLeaving(id)})
+	}
+	return versions
 }
 
 // Choose returns the upstream with the lowest estimated cost, or false if no upstream is eligible. Ejected upstreams are
@@ -197,7 +216,7 @@
 	for pass := 0; pass < 2 && !found; pass++ {
 		for i, id := range g.ids {
 			u := g.upstreams[id]
-			if u.info.Draining || g.isLeaving(id) || r.Excluded[id] || pass == 0 && now.Before(u.ejectedUntil) {
+			if u.info.Draining || g.isLeaving(id) || !r.allows(u) || pass == 0 && now.Before(u.ejectedUntil) {
 				continue
 			}
 			if pass == 0 && honoursSuspicions && now.Before(u.suspectedUntil) {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/core/streamversion"
 )
 
 var startTime = time.Unix(1_000_000, 0)
@@ -42,6 +44,52 @@
 	}
 }
 
+// Guards against an upstream of another version than the one that a stream needs, and against no choice while one of it serves,
+// however few they are and however much they have failed.
+func TestChoiceIsRestrictedToVersion(t *testing.T) {
+	for _, balanced := range []bool{false, true} {
+		g := NewGroup(DefaultWeights())
+		g.SetBalanced(balanced)
+		var list []Upstream
+		for i := range 40 {
+			u := Upstream{ID: fmt.Sprint("u", i), Address: fmt.Sprint("10.0.0.", i), Slots: 8, Version: "v2", OtherRegion: i%2 == 0}
+			if i == 7 || i == 8 {
+				u.Version = "v1"
+			}
+			list = append(list, u)
+		}
+		g.Update(list)
+		parts := []PromptPart{{"system", 1000}, {"session", 10}}
+		for i := range 200 {
+			now := startTime.Add(time.Duration(i) * time.Millisecond)
+			g.RecordStart(now, mustChoose(t, g, now, Request{Parts: parts}).Upstream.ID, parts)
+			c := mustChoose(t, g, now, Request{Parts: parts, Version: streamversion.To("v1")})
+			must.EqOp(t, "v1", c.Upstream.Version)
+			g.RecordStart(now, c.Upstream.ID, parts)
+			if i%10 == 0 {
+				g.RecordUnreachable(now, c.Upstream.ID)
+			}
+			_, ok := g.Choose(now, Request{Parts: parts, Version: streamversion.To("")})
+			must.False(t, ok)
+		}
+		g.RecordLeaving(list[7])
+		c := mustChoose(t, g, startTime, Request{Version: streamversion.To("v1")})
+		test.EqOp(t, "u8", c.Upstream.ID)
+		_, ok := g.Choose(startTime, Request{Version: streamversion.To("v1"), Excluded: map[string]bool{"u8": true}})
+		test.False(t, ok)
+		accepting := 0
+		for _, v := range g.Versions() {
+			if v.Version == "v1" && v.Accepts {
+				accepting++
+			}
+		}
+		test.EqOp(t, 1, accepting)
+		test.True(t, g.AcceptsRepeat(list[8]))
+		list[8].Version = "v2"
+		test.False(t, g.AcceptsRepeat(list[8]), test.Sprint("another version under the same ID"))
+	}
+}
+
 // Guards against requests to an upstream that other daemons have filled while another one has free slots, and against a
 // reported load that never expires.
 func TestReportedLoadDecays(t *testing.T) {
--- a/core/replica/ledger.go
+++ b/core/replica/ledger.go
@@ -11,21 +11,26 @@
 	Turn    string `json:"turn"`
 	Tokens  int64  `json:"tokens"`
 	Settled bool   `json:"settled,omitempty"` // The turn has ended, and Tokens is the number that was delivered to the caller.
+
+	// Version is the version of the upstream that began the stream of the turn; empty if it is unknown. The one with the highest
+	// Attempt is right, since a turn may get to several upstreams before its first event.
+	Version string `json:"version,omitempty"`
+	Attempt int    `json:"attempt,omitempty"`
 }
 
 // Merge combines two reports of the same charge. A settled charge takes precedence over an open one. Otherwise the larger
-// charge takes precedence. The result does not depend on the order in which reports arrive.
+// charge takes precedence. The version is that of the highest attempt in either report, also if the other one is settled. The
+// result does not depend on the order in which reports arrive.
 func (c Charge) Merge(other Charge) Charge {
-	switch {
-	case c.Settled != other.Settled && other.Settled:
-		return other
-	case c.Settled != other.Settled:
-		return c
-	case other.Tokens > c.Tokens:
-		return other
-	default:
-		return c
+	merged, versioned := c, c
+	if other.Settled != c.Settled && other.Settled || other.Settled == c.Settled && other.Tokens > c.Tokens {
+		merged = other
+	}
+	if other.Attempt > c.Attempt || other.Attempt == c.Attempt && other.Version > c.Version {
+		versioned = other
 	}
+	merged.Version, merged.Attempt = versioned.Version, versioned.Attempt
+	return merged
 }
 
 // Ledger maps the turns of one program to their charges.
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -340,6 +340,8 @@
 				Turn:    rapid.SampledFrom([]string{"t1", "t2", "t3"}).Draw(rt, "turn"),
 				Tokens:  rapid.Int64Range(0, 5).Draw(rt, "tokens"),
 				Settled: rapid.Bool().Draw(rt, "settled"),
+				Version: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(rt, "version"),
+				Attempt: rapid.IntRange(0, 2).Draw(rt, "attempt"),
 			}
 		})
 		charges := rapid.SliceOfN(charge, 0, 12).Draw(rt, "charges")
@@ -356,6 +358,18 @@
 	})
 }
 
+// Guards against the loss of the version of a stream when its charge is settled, and against that of an earlier attempt.
+func TestChargeKeepsVersion(t *testing.T) {
+	open := Charge{Turn: "a", Tokens: 100, Version: "v1"}
+	corrected := Charge{Turn: "a", Tokens: 100, Version: "v2", Attempt: 1}
+	settled := Charge{Turn: "a", Tokens: 32, Settled: true}
+	test.Eq(t, Charge{Turn: "a", Tokens: 32, Settled: true, Version: "v1"}, open.Merge(settled))
+	want := Charge{Turn: "a", Tokens: 32, Settled: true, Version: "v2", Attempt: 1}
+	test.Eq(t, want, settled.Merge(corrected).Merge(open))
+	test.Eq(t, want, open.Merge(corrected.Merge(settled)))
+	test.EqOp(t, "", corrected.Merge(Charge{Turn: "a", Attempt: 2}).Version, test.Sprint("an upstream without a version began it"))
+}
+
 // Guards against rejecting a turn that fits in the budget, and against admitting a turn beyond it.
 func TestLedgerCanAdmit(t *testing.T) {
 	l := Ledger{}
--- a/daemon/gateway/admission.go
+++ b/daemon/gateway/admission.go
@@ -98,6 +98,10 @@
 	if !c.g.managesOverload() || len(c.mayHaveRun) > 0 {
 		return c.g.upstreams.choose(c.service, r) // A request that may have run has been admitted before.
 	}
+	if r.Version.Applies && c.g.upstreams.hasSeveralVersions(c.service) {
+		// The stream has been admitted before, and a waiter that few upstreams may get would hold up all behind it.
+		return c.g.upstreams.choose(c.service, r)
+	}
 	p, result := c.enqueue(r)
 	if p != nil {
 		c.g.stats.waiting.Inc()
--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -14,15 +14,16 @@
 func (c *call) beginTurn() bool {
 	hasBudget := c.route.Kind == route.Stream && c.meta.TokenBudget >= 0 && c.meta.Program != ""
 	continuesTurn := c.route.StoreTurns && c.meta.PreviousTurn != ""
+	c.beginVersion()
 	if !hasBudget && !continuesTurn {
-		return true
+		return c.resolveTakeUp(nil)
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, beginTimeout)
 	defer cancel()
 	var charge *core.Charge
 	if hasBudget {
-		charge = &core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: c.meta.MaxTokens}
-		c.charged = true
+		first := c.charge(c.meta.MaxTokens)
+		charge, c.charged = &first, true
 	}
 	previousTurn := ""
 	if continuesTurn {
@@ -47,6 +48,9 @@
 		c.respondError(errkind.ProgramBudgetExhausted, "", 0)
 		return false
 	}
+	if !c.resolveTakeUp(result.Ledger) {
+		return false
+	}
 	if result.MissingTurn != "" {
 		c.respondError(errkind.TurnNotFound, "", 0)
 		return false
@@ -72,7 +76,7 @@
 		return
 	}
 	c.charged = false
-	c.storeCharges(core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true})
+	c.storeCharges(c.settledCharge())
 }
 
 // storeCharges stores charges of the call's program in the background.
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -66,6 +66,7 @@
 	retryRefused   bool // The retry budget did not allow another send.
 	bufferExceeded bool // The last response exceeded the buffer limits. The request is not sent to its upstream again.
 	stream         streamState
+	version        versionState
 	headWritten    bool
 	status         int
 	outcome        string
@@ -150,6 +151,7 @@
 	c.buffer.release()
 	c.memory.Close()
 	c.settleCharge()
+	c.countTakeUp()
 	duration := time.Since(c.arrivedAt)
 	c.g.stats.observeRequest(c.route, c.outcome, duration)
 	if c.organisation != nil {
--- a/daemon/gateway/choose.go
+++ b/daemon/gateway/choose.go
@@ -47,7 +47,7 @@
 		converted := make([]placement.Upstream, 0, len(upstreams))
 		for _, up := range upstreams {
 			converted = append(converted, placement.Upstream{
-				ID: up.ID, Address: up.Address, Slots: up.Slots, RoundTrip: g.roundTrip(up.DataCentre),
+				ID: up.ID, Address: up.Address, Version: up.Version, Slots: up.Slots, RoundTrip: g.roundTrip(up.DataCentre),
 				OtherRegion: g.cfg.RegionOf(up.DataCentre) != g.cfg.Region,
 				StartMillis: up.StartMillis, Draining: up.Draining, WarmUpRemaining: up.WarmUpRemaining,
 			})
--- a/daemon/gateway/gateway.go
+++ b/daemon/gateway/gateway.go
@@ -35,6 +35,10 @@
 	AffinityKey   string // Identifies the object that the request concerns; empty if not stated.
 	PreviousTurn  string // Turn that this turn continues; empty at the start of a chain.
 	LastEventID   string // The caller wants the events after this one.
+
+	// ResumedRequest is the ID of the request that brought the first event of the stream of which the caller wants the rest; empty
+	// if not stated.
+	ResumedRequest string
 }
 
 // UpstreamRequestMeta holds the values that the gateway adds to the headers of a request for an upstream.
@@ -100,23 +104,24 @@
 
 // Gateway is the HTTP handler for callers. It is safe for concurrent use.
 type Gateway struct {
-	cfg           Config
-	stopDeadline  atomic.Pointer[time.Time] // Time by which every request must have its response. Set by Stop.
-	stopped       context.Context           // Ends at the stop deadline.
-	endRequests   context.CancelFunc        // Ends stopped.
-	stopping      chan struct{}             // Closed by Stop.
-	closeStopping sync.Once
-	lastQuorumAt  atomic.Int64 // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
-	inFlight      atomic.Int64
-	lastActivity  atomic.Int64 // Start or end of the last request in Unix nanoseconds.
-	upstreams     *upstreamGroups
-	turnCache     *turnCache
-	bufferBudget  bufferBudget
-	settlements   chan settlement
-	stats         *stats
-	rejectedTurns *rejectedTurnLog
-	seconds       *secondAttempts
-	retries       retryBudget
+	cfg            Config
+	stopDeadline   atomic.Pointer[time.Time] // Time by which every request must have its response. Set by Stop.
+	stopped        context.Context           // Ends at the stop deadline.
+	endRequests    context.CancelFunc        // Ends stopped.
+	stopping       chan struct{}             // Closed by Stop.
+	closeStopping  sync.Once
+	lastQuorumAt   atomic.Int64 // Last time at which a quorum of replicas was responsive, in Unix nanoseconds.
+	inFlight       atomic.Int64
+	lastActivity   atomic.Int64 // Start or end of the last request in Unix nanoseconds.
+	upstreams      *upstreamGroups
+	turnCache      *turnCache
+	streamVersions streamVersions
+	bufferBudget   bufferBudget
+	settlements    chan settlement
+	stats          *stats
+	rejectedTurns  *rejectedTurnLog
+	seconds        *secondAttempts
+	retries        retryBudget
 }
 
 // New returns a gateway. Run must be called for its background work.
--- a/daemon/gateway/reject.go
+++ b/daemon/gateway/reject.go
@@ -44,7 +44,7 @@
 		"upstream", c.choice.Upstream.ID, "running", int(c.choice.EstimatedRunning), "report_age", c.choice.ReportAge.Round(time.Millisecond),
 		"missing", c.choice.MissingTokens, "sends", c.sendCount, "events", c.stream.events, "status", c.status, "outcome", c.outcome,
 		"begin", c.beginDuration.Round(time.Millisecond), "keep", c.storeDuration.Round(time.Millisecond), "first", c.timeToFirstByte.Round(time.Millisecond), "took", duration.Round(time.Millisecond)}
-	c.g.cfg.Log.Info("request", append(append(attrs, c.admission.logAttrs()...), c.organisationLogAttrs()...)...)
+	c.g.cfg.Log.Info("request", append(append(append(attrs, c.admission.logAttrs()...), c.organisationLogAttrs()...), c.logVersionAttrs()...)...)
 }
 
 // Limits of the log lines of rejected turns.
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -62,13 +62,15 @@
 	organisations      *organisationStats
 	waiting            *metrics.Gauge // Requests in the queues for upstreams.
 	slowReaders        *metrics.Counter
+	versionsNotStored  *metrics.Counter // Streams that began before their version was stored, or did not begin for that reason.
 }
 
 func newStats(set *metrics.Set) *stats {
 	return &stats{
 		set: set, settlementsDropped: set.NewCounter("jackdawbay_settlements_dropped_total"), organisations: newOrganisationStats(set),
-		waiting:     set.GetOrCreateGauge("jackdawbay_admission_waiting", nil),
-		slowReaders: set.NewCounter("jackdawbay_slow_readers_total"),
+		waiting:           set.GetOrCreateGauge("jackdawbay_admission_waiting", nil),
+		slowReaders:       set.NewCounter("jackdawbay_slow_readers_total"),
+		versionsNotStored: set.NewCounter("jackdawbay_stream_versions_not_stored_total"),
 	}
 }
 
@@ -77,6 +79,11 @@
 	s.set.GetOrCreateCounter(`jackdawbay_turns_refused_total{cause="` + cause + `"}`).Inc()
 }
 
+// countTakeUp counts a request for the rest of a stream.
+func (s *stats) countTakeUp(result string) {
+	s.set.GetOrCreateCounter(`jackdawbay_stream_take_ups_total{result="` + result + `"}`).Inc()
+}
+
 // countRetry counts a retry that was made or that the retry budget refused.
 func (s *stats) countRetry(result string) {
 	s.set.GetOrCreateCounter(`jackdawbay_upstream_retries_total{result="` + result + `"}`).Inc()
--- a/daemon/gateway/second_attempt.go
+++ b/daemon/gateway/second_attempt.go
@@ -11,6 +11,7 @@
 	"jackdawbay.dev/core/hedge"
 	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/core/streamversion"
 )
 
 // secondAttempts decides for all calls of a gateway when a late response is requested from a second upstream. It is safe for
@@ -166,7 +167,11 @@
 	for id := range c.mayHaveRun {
 		excluded[id] = true
 	}
-	choice, ok := c.g.upstreams.choose(c.service, c.placementRequest(excluded))
+	request := c.placementRequest(excluded)
+	if c.keepsVersion() {
+		request.Version = streamversion.To(first.Upstream.Version) // The version that is stored for the stream.
+	}
+	choice, ok := c.g.upstreams.choose(c.service, request)
 	if !c.g.seconds.start(ok && !choice.SlotsBusy) {
 		if ok {
 			c.g.upstreams.recordEnd(c.service, choice.Upstream.ID, false, 0)
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -40,6 +40,7 @@
 		if !c.renewUnit(upstream) {
 			return
 		}
+		c.recordVersion(upstream)
 		outcome := c.send(upstream)
 		next := c.limitRetries(outcome, route.NextAction(c.route, outcome, c.canSendAgain()))
 		c.logSend(upstream, outcome, next)
@@ -82,7 +83,7 @@
 }
 
 func (c *call) placementRequest(excluded map[string]bool) placement.Request {
-	return placement.Request{Parts: c.meta.Prompt, Excluded: excluded, TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024}
+	return placement.Request{Parts: c.meta.Prompt, Excluded: excluded, Version: c.version.restriction, TieBreak: float64(xxhash.Sum64String(c.meta.RequestID)%1024) / 1024}
 }
 
 // attempt is one exchange with an upstream, up to the head of the response.
@@ -260,6 +261,9 @@
 		c.respondResponseLost()
 		return
 	}
+	if c.rejectVersionLeft() {
+		return
+	}
 	c.respondError(errkind.NoReadyUpstream, "", retryAfterNoUpstream)
 }
 
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -154,7 +154,7 @@
 	br := bufio.NewReaderSize(resp.Body, streamBufferBytes)
 	flusher := http.NewResponseController(c.w)
 	var comments []byte
-	bytesSinceEvent := 0
+	bytesSinceEvent, hasEvent := 0, false
 	resumedAfter, eventsBefore := c.stream.lastEventID, c.stream.events
 	for {
 		e, err := readEvent(br)
@@ -183,7 +183,14 @@
 			return c.failStream(err)
 		}
 		if !e.isComment() {
-			bytesSinceEvent = 0
+			if !hasEvent {
+				if err := c.acceptVersion(c.choice.Upstream); err != nil {
+					resp.Close(false)
+					c.logRejectedResponse(err)
+					return c.failStream(err)
+				}
+			}
+			bytesSinceEvent, hasEvent = 0, true
 		} else if !c.headWritten {
 			comments = append(comments, e.raw...)
 			continue
@@ -270,7 +277,8 @@
 	}
 	var charge *core.Charge
 	if c.charged {
-		charge = &core.Charge{Turn: t.ID, Tokens: int64(c.stream.events) * c.tokensPerEvent, Settled: true}
+		settled := c.settledCharge()
+		charge = &settled
 	}
 	startedAt := time.Now()
 	defer func() { c.storeDuration = time.Since(startedAt) }()
