End an event stream without a result at 32 MB in the API client

Callers: a program without a deadline would read an endless stream of comments, unknown events or empty deltas for ever.

Cause: one event was limited, not the stream.

Fix: a stream has 32 MB at most, 16 MB of text and a result of 16 MB.

--- a/api/client/events.go
+++ b/api/client/events.go
@@ -15,6 +15,9 @@
 // maxEventBytes bounds one server-sent event. The result event contains the whole turn.
 const maxEventBytes = 16 << 20
 
+// maxStreamBytes bounds a streamed response. Its text and its result have up to 16 MB each.
+const maxStreamBytes = 32 << 20
+
 // readEventStream reads a streamed response until its result or error event. It returns an error if the deltas of the
 // stream are not contiguous.
 func readEventStream(resp *http.Response, onText func(caller.Delta)) (caller.Result, error) {
@@ -28,7 +31,7 @@
 		return result, errkind.Parse(data)
 	}
 	nextOffset := -1
-	for event, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	for event, err := range sse.Read(io.LimitReader(resp.Body, maxStreamBytes), &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			return result, errors.Mark(err, ErrNoResponse)
 		}
@@ -50,5 +53,5 @@
 			return result, errkind.Parse([]byte(event.Data))
 		}
 	}
-	return result, errors.Wrap(ErrNoResponse, "stream ended without a result")
+	return result, errors.Wrapf(ErrNoResponse, "stream ended or exceeded %d bytes without a result", maxStreamBytes)
 }
