Withdraw the version of a stream that its upstream turns out not to have

Found by the review of the streams that stay at their version.

Cause: the version was checked before the first event of a response only; the service was selected by the ID of each attempt.

Fix: before a stream is resumed and when its charge is settled, an upstream that is listed with another version withdraws the stored one, and the stream does not go on. The service of a take-up is that of the request that began the stream.

Evidence: TestStreamOfUpstreamThatWasListedLateDoesNotGoOn and TestTakeUpStaysAtItsService, after the review's traces on; both pass.

--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -127,7 +127,7 @@
 	defer cancel()
 	defer context.AfterFunc(c.g.stopped, cancel)()
 	c.ctx = ctx
-	c.service = c.route.SelectService(c.meta.RequestID)
+	c.service = c.route.SelectService(c.serviceKey())
 	c.tokensPerEvent = max(table.Config.Services[c.service].TokensPerEvent, 1)
 	c.stream.maxEvents = maxEvents(c.meta.MaxTokens, c.tokensPerEvent)
 	c.excluded, c.mayHaveRun = map[string]bool{}, map[string]bool{}
--- a/daemon/gateway/send.go
+++ b/daemon/gateway/send.go
@@ -48,6 +48,10 @@
 		case route.DeliverResponse:
 			return
 		case route.ResendRequest, route.ResumeStream:
+			if next == route.ResumeStream && c.forgetWrongVersion() {
+				c.respondResponseLost()
+				return
+			}
 			continue
 		case route.RejectRequest:
 			c.respondNoUpstream()
--- a/daemon/gateway/stream_version.go
+++ b/daemon/gateway/stream_version.go
@@ -57,6 +57,15 @@
 // takesUp reports whether the request is for the rest of a stream that has broken off.
 func (c *call) takesUp() bool { return c.keepsVersion() && c.meta.LastEventID != "" }
 
+// serviceKey returns the key by which the service of a route with several is selected: that of the request that began the stream if the
+// call takes one up.
+func (c *call) serviceKey() string {
+	if c.takesUp() && c.meta.ResumedRequest != "" {
+		return c.meta.ResumedRequest
+	}
+	return c.meta.RequestID
+}
+
 // beginVersion sets the version that is stored with the begin of a stream.
 func (c *call) beginVersion() {
 	if c.keepsVersion() && !c.takesUp() {
@@ -134,6 +143,7 @@
 
 // settledCharge returns the charge of a turn that has ended.
 func (c *call) settledCharge() core.Charge {
+	c.forgetWrongVersion()
 	charge := c.charge(int64(c.stream.events) * c.tokensPerEvent)
 	charge.Settled = true
 	return charge
@@ -164,6 +174,19 @@
 	return nil
 }
 
+// forgetWrongVersion withdraws the version of a stream whose upstream is listed with another one by now: it was started again under its ID
+// before its events came. It reports whether that is so; the stream must then not go on.
+func (c *call) forgetWrongVersion() bool {
+	v := &c.version
+	if !v.hasBegun || c.takesUp() || !c.g.upstreams.hasOtherVersion(c.choice.Upstream) {
+		return false
+	}
+	v.record = streamversion.Record{Attempt: v.record.Attempt + 1, Corrects: true}
+	v.restriction = streamversion.Restriction{}
+	c.g.streamVersions.put(c.storedID(c.meta.RequestID), "")
+	return true
+}
+
 // awaitRecord waits until the version of the stream is stored. A stream whose version cannot be stored begins all the same, and
 // cannot be taken up, unless an earlier record names another version.
 func (c *call) awaitRecord(u placement.Upstream) error {
--- a/daemon/gateway/stream_version_test.go
+++ b/daemon/gateway/stream_version_test.go
@@ -14,6 +14,7 @@
 	"github.com/shoenig/test/must"
 
 	"jackdawbay.dev/core/placement"
+	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/core/streamversion"
 	"jackdawbay.dev/daemon/catalog"
@@ -102,6 +103,67 @@
 	test.EqOp(t, 2, call.sendCount)
 }
 
+// eventHook calls a function after the first write of a response.
+type eventHook struct {
+	*httptest.ResponseRecorder
+	afterFirst func()
+}
+
+func (h *eventHook) Write(b []byte) (int, error) {
+	n, err := h.ResponseRecorder.Write(b)
+	if h.afterFirst != nil {
+		h.afterFirst()
+		h.afterFirst = nil
+	}
+	return n, err
+}
+
+// Guards against a stream that goes on at the version that the list stated for its upstream, although the upstream had been started again
+// with another one before the list showed it.
+func TestStreamOfUpstreamThatWasListedLateDoesNotGoOn(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nStamp: x\r\nId: r\r\nContent-Type: text/event-stream\r\n\r\n"
+	var resumed atomic.Int64
+	addresses := []string{
+		startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) { return head + "id: 1\ndata: v2\n\nid: 2\n", true }),
+		startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) {
+			resumed.Add(1)
+			return head + "id: 2\ndata: v1\n\n", true
+		}),
+	}
+	g := newFaultGateway()
+	g.upstreams.update(versionedList(addresses[:1], "v1"))
+	w := &eventHook{httptest.NewRecorder(), func() { g.upstreams.update(versionedList(addresses, "v2", "v1")) }}
+	c := g.newCall(w, httptest.NewRequest(http.MethodPost, "/", nil), time.Now())
+	c.meta, c.ctx, c.route, c.service = RequestMeta{RequestID: "r"}, t.Context(), &route.Route{Kind: route.Stream, Resumable: true, MaxUpstreams: 2}, "s"
+	c.excluded, c.mayHaveRun, c.deadline = map[string]bool{}, map[string]bool{}, time.Now().Add(5*time.Second)
+	func() {
+		defer func() { test.NotNil(t, recover(), test.Sprint("the response is aborted")) }()
+		c.dispatch()
+	}()
+	test.EqOp(t, "id: 1\ndata: v2\n\n", w.Body.String())
+	test.EqOp(t, 0, resumed.Load())
+	test.EqOp(t, "", g.streamVersions.get("r"), test.Sprint("a take-up is rejected"))
+	settled := c.settledCharge()
+	test.EqOp(t, "", settled.Version)
+	stored := core.Charge{Turn: settled.Turn, Tokens: 1, Version: "v1"}
+	test.EqOp(t, "", stored.Merge(settled).Version)
+}
+
+// Guards against a take-up that another service of the route gets, whose upstreams did not begin the stream.
+func TestTakeUpStaysAtItsService(t *testing.T) {
+	r := &route.Route{Kind: route.Stream, Resumable: true, Backends: []route.Backend{{Service: "s", Weight: 1}, {Service: "s2", Weight: 1}}}
+	moved := 0
+	for i := range 40 {
+		begun := &call{route: r, meta: RequestMeta{RequestID: fmt.Sprint("begun", i)}}
+		next := &call{route: r, meta: RequestMeta{RequestID: fmt.Sprint("next", i), ResumedRequest: begun.meta.RequestID, LastEventID: "1"}}
+		test.EqOp(t, r.SelectService(begun.serviceKey()), r.SelectService(next.serviceKey()))
+		if r.SelectService(begun.meta.RequestID) != r.SelectService(next.meta.RequestID) {
+			moved++
+		}
+	}
+	test.Positive(t, moved, test.Sprint("the own IDs of some take-ups select another service"))
+}
+
 // Guards against a stream that cannot begin because the first upstream was of another version.
 func TestAnotherVersionBeginsBeforeTheFirstEvent(t *testing.T) {
 	fails := startScriptedUpstream(t, func(int, bool, *http.Request) (string, bool) { return "", true })
