--- a/daemon/gateway/organisation_test.go
+++ b/daemon/gateway/organisation_test.go
@@ -363,6 +363,7 @@
 			check(gateway, "south", "u4"+name, "p1", "missing", "x", 404, "")
 			check(gateway, "north", "t2"+name, "p5"+name, "t1", "north 2;", 200, "north 1;answer to north 1;\nnorth 2;")
 		}
+		time.Sleep(time.Second) // The charges of the rejected turns of p1 are settled in the background.
 		// The same IDs of a program and of a turn in two organisations and without one. The budget of 100 tokens allows one
 		// turn of 60 for each.
 		check(g, "south", "t1", "p1", "", "south 1;", 200, "south 1;")
