--- a/review/src-3/case_plain.go
+++ b/review/src-3/case_plain.go
@@ -11,7 +11,7 @@
 // takeUpPlainStreams resets the client connections of one gateway by its kill while streams that belong to no program are under way.
 // The clients take them up at another gateway.
 func takeUpPlainStreams(d *Deployment, trouble bool) int {
-	if _, err := startEngines(d, 4, 100*time.Millisecond); err != nil {
+	if _, err := startEngines(d, 4, 200*time.Millisecond); err != nil {
 		return d.Fail(err)
 	}
 	d.Configure(3, routes(), services())
@@ -46,7 +46,7 @@
 		})
 	}
 	if trouble {
-		time.Sleep(400 * time.Millisecond)
+		time.Sleep(900 * time.Millisecond)
 		d.Recordf("kill %s", first.Name)
 		first.Kill()
 	}
