--- a/review/src-3/case_index.go
+++ b/review/src-3/case_index.go
@@ -37,8 +37,8 @@
 				if time.Now().After(stop) || endedOnce(w, d.Replicas) >= 2 {
 					return
 				}
-				r := Request{Path: pathChat + "1", ID: strings.Repeat("x", idBytes) + NewID(), Header: turnHeader("program-"+NewID(), "", 100_000), Body: "one"}
-				a := d.sendQuietly(d.Gateways[i%len(d.Gateways)], r)
+				r := Request{Path: pathChat + "1", ID: NewID() + strings.Repeat("x", idBytes), Header: turnHeader("program-"+NewID(), "", 100_000), Body: "one"}
+				a := d.Send(d.Gateways[i%len(d.Gateways)], r)
 				mu.Lock()
 				statuses[a.Status]++
 				mu.Unlock()
--- a/review/src-3/case_ledger.go
+++ b/review/src-3/case_ledger.go
@@ -35,8 +35,8 @@
 				if !trouble {
 					program = "program-" + NewID()
 				}
-				r := Request{Path: pathChat + "1", ID: strings.Repeat("x", idBytes) + NewID(), Header: turnHeader(program, "", 0), Body: "one"}
-				a := d.sendQuietly(d.Gateways[i%len(d.Gateways)], r)
+				r := Request{Path: pathChat + "1", ID: NewID() + strings.Repeat("x", idBytes), Header: turnHeader(program, "", 0), Body: "one"}
+				a := d.Send(d.Gateways[i%len(d.Gateways)], r)
 				mu.Lock()
 				statuses[a.Status]++
 				mu.Unlock()
--- a/review/src-3/client.go
+++ b/review/src-3/client.go
@@ -48,13 +48,21 @@
 
 // Send sends an attempt over a new connection and reads the answer.
 func (d *Deployment) Send(g *VM, r Request) Answer {
-	d.Recordf("client sends %s (%s) to %s", r.ID, r.Path, g.Name)
-	a := d.sendQuietly(g, r)
+	d.Recordf("client sends %s (%s) to %s, headers %v, body of %d bytes", shortID(r.ID), r.Path, g.Name, r.Header, len(r.Body))
+	a := d.exchange(g, r)
 	a.At = time.Now()
-	d.Recordf("client gets for %s from %s: status %d, whole: %v, events %d, error %v%s", r.ID, g.Name, a.Status, a.Whole, len(a.Events), a.Err, textOf(a))
+	d.Recordf("client gets for %s from %s: status %d, whole: %v, events %d, error %v%s", shortID(r.ID), g.Name, a.Status, a.Whole, len(a.Events), a.Err, textOf(a))
 	return a
 }
 
+// shortID returns an ID for the record; of a long one the first 16 characters, which differ, and the length.
+func shortID(id string) string {
+	if len(id) <= 24 {
+		return id
+	}
+	return fmt.Sprintf("%.16s... (%d characters)", id, len(id))
+}
+
 func textOf(a Answer) string {
 	if a.Status == http.StatusOK || a.Body == "" {
 		return ""
@@ -62,8 +70,8 @@
 	return ", body " + a.Body
 }
 
-// sendQuietly is like Send without lines in the record.
-func (d *Deployment) sendQuietly(g *VM, r Request) Answer {
+// exchange is like Send without lines in the record.
+func (d *Deployment) exchange(g *VM, r Request) Answer {
 	if r.Deadline == 0 {
 		r.Deadline = 3 * time.Second
 	}
--- a/review/src-3/server.go
+++ b/review/src-3/server.go
@@ -110,9 +110,9 @@
 		s.running--
 		s.runs[index].Broken = !whole
 		s.mu.Unlock()
-		s.d.Recordf("%s has ended its work on %.24s, whole: %v", s.ID, id, whole)
+		s.d.Recordf("%s has ended its work on %s, whole: %v", s.ID, shortID(id), whole)
 	}()
-	s.d.Recordf("%s (%s) runs %.24s, last event %q, previous turn %q, body of %d bytes", s.ID, s.stateText(), id, run.LastEventID, run.PreviousTurn, len(body))
+	s.d.Recordf("%s (%s) runs %s, last event %q, previous turn %q, body of %d bytes", s.ID, s.stateText(), shortID(id), run.LastEventID, run.PreviousTurn, len(body))
 	h.Set("X-Jackdawbay-Server-Stamp", s.ID+"."+id)
 	if s.Events == 0 {
 		if !s.pause(r) {
