Wait for the hanging upstream in a test of planned stops

TestStopAnswersEveryForwardedRequest refused a landing at its last check, test.Positive(t, ended): it sends its requests right after it adds the hanging upstream, and a gateway that does not list it yet sends none of them there. The test now waits until the gateway has logged the upstream. All checks stay.

--- a/testbed/deployment/forward_test.go
+++ b/testbed/deployment/forward_test.go
@@ -349,6 +349,9 @@
 	hanging, err := d.AddUpstream(PlainService, "hanging")
 	must.NoError(t, err)
 	hanging.SetFault(backend.Hang)
+	eventually(t, "the gateway lists the hanging upstream", 5*time.Second, func() bool {
+		return strings.Contains(d.ReadLog(g), " upstream="+hanging.ID+" service=")
+	})
 
 	// Requests in flight at SIGTERM. Some of them wait at the hanging upstream.
 	const inFlight, callers = 24, 12
