--- a/api/errkind/errkind.go
+++ b/api/errkind/errkind.go
@@ -89,6 +89,7 @@
 	QuotaUnavailable       Kind = "quota_unavailable"
 	StreamVersionGone      Kind = "stream_version_gone"
 	StreamVersionUnknown   Kind = "stream_version_unknown"
+	StreamEventsUnknown    Kind = "stream_events_unknown"
 	Internal               Kind = "internal"
 )
 
@@ -158,6 +159,7 @@
 	QuotaUnavailable:       {http.StatusServiceUnavailable, NotRunTrue, RetrySame, "No issuer of the organisation's limit can be reached now."},
 	StreamVersionGone:      {http.StatusServiceUnavailable, NotRunTrue, RetryNever, "No upstream of the version that began the stream serves now; start the stream anew."},
 	StreamVersionUnknown:   {http.StatusServiceUnavailable, NotRunTrue, RetryNever, "It is not known which version began the stream; start the stream anew."},
+	StreamEventsUnknown:    {http.StatusServiceUnavailable, NotRunTrue, RetryNever, "The earlier events of the turn are not known; start the stream anew."},
 	Internal:               {http.StatusInternalServerError, NotRunUnknown, RetrySame, "The daemon has a fault."},
 }
 
--- a/core/replica/ledger.go
+++ b/core/replica/ledger.go
@@ -16,11 +16,15 @@
 	// Attempt is right, since a turn may get to several upstreams before its first event.
 	Version string `json:"version,omitempty"`
 	Attempt int    `json:"attempt,omitempty"`
+
+	// A turn that takes up a stream states the turn that began it, and the number of the last event before its own.
+	Resumes string `json:"resumes,omitempty"`
+	After   uint64 `json:"after,omitempty"`
 }
 
 // Merge combines two reports of the same charge. A settled charge takes precedence over an open one. Otherwise the larger
-// charge takes precedence. The version is that of the highest attempt in either report, also if the other one is settled. The
-// result does not depend on the order in which reports arrive.
+// charge takes precedence. The version is that of the highest attempt in either report, also if the other one is settled, and
+// the stream that the turn takes up is that of either report. The result does not depend on the order in which reports arrive.
 func (c Charge) Merge(other Charge) Charge {
 	merged, versioned := c, c
 	if other.Settled != c.Settled && other.Settled || other.Settled == c.Settled && other.Tokens > c.Tokens {
@@ -30,6 +34,11 @@
 		versioned = other
 	}
 	merged.Version, merged.Attempt = versioned.Version, versioned.Attempt
+	resumed := c
+	if other.Resumes > c.Resumes || other.Resumes == c.Resumes && other.After > c.After {
+		resumed = other
+	}
+	merged.Resumes, merged.After = resumed.Resumes, resumed.After
 	return merged
 }
 
@@ -48,6 +57,23 @@
 	return merged != old
 }
 
+// EventSource returns the turn from which a caller has an event of a stream, by the number of the event: of the turns that
+// took the stream up before this event, the one that did so last. It reports false if two turns took it up after the same
+// event, since nothing shows which of them the caller has read.
+func (l Ledger) EventSource(begun string, event uint64) (source string, ok bool) {
+	source, ok = begun, true
+	after := uint64(0)
+	for id, c := range l {
+		hasNoEvents := c.Settled && c.Tokens == 0
+		if c.Resumes != begun || c.After >= event || c.After < after || hasNoEvents {
+			continue
+		}
+		ok = c.After > after
+		source, after = id, c.After
+	}
+	return source, ok
+}
+
 // Charges returns all charges in unspecified order.
 func (l Ledger) Charges() []Charge { return slices.Collect(maps.Values(l)) }
 
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -342,6 +342,8 @@
 				Settled: rapid.Bool().Draw(rt, "settled"),
 				Version: rapid.SampledFrom([]string{"", "v1", "v2"}).Draw(rt, "version"),
 				Attempt: rapid.IntRange(0, 2).Draw(rt, "attempt"),
+				Resumes: rapid.SampledFrom([]string{"", "t1"}).Draw(rt, "resumes"),
+				After:   rapid.Uint64Range(0, 2).Draw(rt, "after"),
 			}
 		})
 		charges := rapid.SliceOfN(charge, 0, 12).Draw(rt, "charges")
@@ -370,6 +372,46 @@
 	test.EqOp(t, "", corrected.Merge(Charge{Turn: "a", Attempt: 2}).Version, test.Sprint("an upstream without a version began it"))
 }
 
+// Guards against a history with the events of an attempt that the caller has not read.
+func TestEventSource(t *testing.T) {
+	const begun = "begun"
+	takeUp := func(id string, after uint64) Charge {
+		return Charge{Turn: id, Tokens: 50, Resumes: begun, After: after}
+	}
+	without := takeUp("rejected", 2)
+	without.Settled, without.Tokens = true, 0
+	for name, c := range map[string]struct {
+		charges []Charge
+		event   uint64
+		source  string // Empty if it is unknown.
+	}{
+		"never taken up":                    {nil, 3, begun},
+		"before the take-up":                {[]Charge{takeUp("second", 3)}, 3, begun},
+		"after the take-up":                 {[]Charge{takeUp("second", 3)}, 4, "second"},
+		"before the second take-up":         {[]Charge{takeUp("second", 2), takeUp("third", 4)}, 4, "second"},
+		"after the second take-up":          {[]Charge{takeUp("second", 2), takeUp("third", 4)}, 5, "third"},
+		"two take-ups after one event":      {[]Charge{takeUp("second", 2), takeUp("third", 2)}, 5, ""},
+		"one of two take-ups has no events": {[]Charge{takeUp("second", 2), without}, 5, "second"},
+		"two take-ups before another one":   {[]Charge{takeUp("second", 2), takeUp("third", 2), takeUp("fourth", 4)}, 5, "fourth"},
+		"another stream":                    {[]Charge{{Turn: "other", Tokens: 50, Resumes: "else", After: 1}}, 5, begun},
+		"two take-ups from the start":       {[]Charge{takeUp("second", 0)}, 1, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := Ledger{}
+			for _, charge := range c.charges {
+				l.Add(charge)
+			}
+			for range 10 { // The order of a map varies.
+				source, ok := l.EventSource(begun, c.event)
+				test.EqOp(t, c.source != "", ok)
+				if ok {
+					test.EqOp(t, c.source, source)
+				}
+			}
+		})
+	}
+}
+
 // Guards against rejecting a turn that fits in the budget, and against admitting a turn beyond it.
 func TestLedgerCanAdmit(t *testing.T) {
 	l := Ledger{}
--- a/core/streamversion/streamversion.go
+++ b/core/streamversion/streamversion.go
@@ -31,6 +31,7 @@
 	VersionGone    Result = "version_gone"    // No upstream of the version that began the stream accepts requests.
 	VersionUnknown Result = "version_unknown" // Nothing shows which version began the stream.
 	NoUpstream     Result = "no_upstream"     // No upstream of the service is known, of any version.
+	EventsUnknown  Result = "events_unknown"  // The events before the take-up belong to a turn that is to be stored, and are not known.
 )
 
 // Resume decides where a stream that a caller takes up may go on. The argument recorded is the version that began it, or an
--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -15,15 +15,16 @@
 	hasBudget := c.route.Kind == route.Stream && c.meta.TokenBudget >= 0 && c.meta.Program != ""
 	continuesTurn := c.route.StoreTurns && c.meta.PreviousTurn != ""
 	c.beginVersion()
-	if !hasBudget && !continuesTurn {
-		return c.resolveTakeUp(nil)
-	}
 	ctx, cancel := context.WithTimeout(c.ctx, beginTimeout)
 	defer cancel()
+	if !hasBudget && !continuesTurn {
+		return c.resolveTakeUp(nil) && c.restoreOutput(ctx, nil)
+	}
 	var charge *core.Charge
 	if hasBudget {
+		c.charged = true
 		first := c.charge(c.meta.MaxTokens)
-		charge, c.charged = &first, true
+		charge = &first
 	}
 	previousTurn := ""
 	if continuesTurn {
@@ -48,7 +49,7 @@
 		c.respondError(errkind.ProgramBudgetExhausted, "", 0)
 		return false
 	}
-	if !c.resolveTakeUp(result.Ledger) {
+	if !c.resolveTakeUp(result.Ledger) || !c.restoreOutput(ctx, result.Ledger) {
 		return false
 	}
 	if result.MissingTurn != "" {
--- a/daemon/gateway/call.go
+++ b/daemon/gateway/call.go
@@ -66,6 +66,7 @@
 	retryRefused   bool // The retry budget did not allow another send.
 	bufferExceeded bool // The last response exceeded the buffer limits. The request is not sent to its upstream again.
 	stream         streamState
+	events         *eventLog // Nil if events are not stored while they are delivered.
 	version        versionState
 	headWritten    bool
 	status         int
--- a/daemon/gateway/response.go
+++ b/daemon/gateway/response.go
@@ -63,6 +63,7 @@
 	waiting            *metrics.Gauge // Requests in the queues for upstreams.
 	slowReaders        *metrics.Counter
 	versionsNotStored  *metrics.Counter // Streams that began before their version was stored, or did not begin for that reason.
+	eventsNotStored    *metrics.Counter // Streams whose turn cannot be taken up, since their events were not stored.
 }
 
 func newStats(set *metrics.Set) *stats {
@@ -71,6 +72,7 @@
 		waiting:           set.GetOrCreateGauge("jackdawbay_admission_waiting", nil),
 		slowReaders:       set.NewCounter("jackdawbay_slow_readers_total"),
 		versionsNotStored: set.NewCounter("jackdawbay_stream_versions_not_stored_total"),
+		eventsNotStored:   set.NewCounter("jackdawbay_stream_events_not_stored_total"),
 	}
 }
 
--- a/daemon/gateway/stream.go
+++ b/daemon/gateway/stream.go
@@ -36,7 +36,7 @@
 type streamState struct {
 	events      int
 	lastEventID string
-	output      []byte // Data of the events, each followed by a line feed. Only set for turns that are stored.
+	output      []byte // Data of the events, each followed by a line feed, also of those before a take-up. Only set for turns that are stored.
 
 	bytes         int64
 	maxEvents     int64 // Zero if the caller states no maximum number of tokens.
@@ -224,13 +224,21 @@
 		return errResponseTooLarge
 	case !e.isComment() && s.maxEvents > 0 && int64(s.events) >= s.maxEvents:
 		return errTooManyEvents
-	case c.route.StoreTurns && e.hasData && !c.buffer.reserve(int64(len(e.data))+1):
+	case c.route.StoreTurns && e.hasData && !c.buffer.reserve(c.copiesOfEvent()*(int64(len(e.data))+1)):
 		return errBufferBudgetExhausted
 	}
 	s.limitExceeded = false
 	return nil
 }
 
+// copiesOfEvent returns how often the data of an event is held: in the output of the turn, and until the event is stored.
+func (c *call) copiesOfEvent() int64 {
+	if c.events != nil {
+		return 2
+	}
+	return 1
+}
+
 func (c *call) recordEvent(e event) {
 	if e.isComment() {
 		return
@@ -242,6 +250,9 @@
 	if c.route.StoreTurns && e.hasData {
 		c.stream.output = append(append(c.stream.output, e.data...), '\n')
 	}
+	if c.events != nil {
+		c.events.add(e)
+	}
 }
 
 func (c *call) failStream(err error) route.Outcome {
@@ -261,6 +272,9 @@
 		return route.ResponseInvalid
 	}
 	if c.route.StoreTurns {
+		if c.events != nil {
+			c.events.end()
+		}
 		if err := c.storeTurn(); err != nil {
 			c.g.cfg.Log.Warn("turn was not stored", "request", c.meta.RequestID, "program", c.meta.Program, "error", err)
 			c.abort("turn_not_kept")
--- /dev/null
+++ b/daemon/gateway/stream_events_test.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test"
+	"github.com/shoenig/test/must"
+
+	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/core/streamversion"
+)
+
+// takenUpTurn is an attempt at a turn on a route that stores turns and resumes streams.
+type takenUpTurn struct {
+	*call
+	response *httptest.ResponseRecorder
+}
+
+// newTakenUpTurn returns an attempt that takes up the stream of another one after an event, or begins a stream if resumes is empty.
+func newTakenUpTurn(ctx context.Context, g *Gateway, id, resumes, after string) takenUpTurn {
+	w := httptest.NewRecorder()
+	c := g.newCall(w, httptest.NewRequest(http.MethodPost, "/", nil), time.Now())
+	c.ctx, c.tokensPerEvent, c.service, c.deadline = ctx, 1, "s", time.Now().Add(5*time.Second)
+	c.meta = RequestMeta{RequestID: id, Program: "p", TokenBudget: 1000, MaxTokens: 20, ResumedRequest: resumes, LastEventID: after}
+	c.route = &route.Route{Kind: route.Stream, Resumable: true, StoreTurns: true, Retention: time.Minute}
+	return takenUpTurn{c, w}
+}
+
+// deliver records events with the numbers first to last, as if they had been forwarded.
+func (c takenUpTurn) deliver(first, last int) {
+	for n := first; n <= last; n++ {
+		c.recordEvent(event{id: fmt.Append(nil, n), data: fmt.Appendf(nil, "%s-%d", c.meta.RequestID, n), hasData: true})
+	}
+}
+
+// Guards against a history that lacks the events before a take-up, or that has events which the caller has not read (review/14).
+func TestTakenUpTurnHasAllEvents(t *testing.T) {
+	type attempt struct {
+		id, resumes, after string
+		first, last        int // Events that the attempt delivers.
+	}
+	begun := attempt{"begun", "", "", 1, 4}
+	for name, c := range map[string]struct {
+		attempts  []attempt
+		silent    bool // No replica responds while events are delivered.
+		takeUp    attempt
+		output    string // Of the stored turn before the events of the take-up.
+		isUnknown bool
+	}{
+		"all events":                      {[]attempt{begun}, false, attempt{"next", "begun", "4", 5, 8}, "begun-1\nbegun-2\nbegun-3\nbegun-4\n", false},
+		"events that were not read":       {[]attempt{begun}, false, attempt{"next", "begun", "2", 3, 8}, "begun-1\nbegun-2\n", false},
+		"second take-up":                  {[]attempt{begun, {"second", "begun", "2", 3, 5}}, false, attempt{"next", "begun", "4", 5, 8}, "begun-1\nbegun-2\nsecond-3\nsecond-4\n", false},
+		"events of both after the first":  {[]attempt{begun, {"second", "begun", "2", 3, 5}}, false, attempt{"next", "begun", "2", 3, 8}, "begun-1\nbegun-2\n", false},
+		"more events than are stored":     {[]attempt{begun}, false, attempt{"next", "begun", "5", 6, 8}, "", true},
+		"nothing is stored":               {[]attempt{begun}, true, attempt{"next", "begun", "4", 5, 8}, "", true},
+		"two take-ups after one event":    {[]attempt{begun, {"second", "begun", "2", 3, 5}, {"third", "begun", "2", 3, 5}}, false, attempt{"next", "begun", "4", 5, 8}, "", true},
+		"stream is not stated":            {[]attempt{begun}, false, attempt{"next", "", "4", 5, 8}, "", true},
+		"event is not a number":           {[]attempt{begun}, false, attempt{"next", "begun", "four", 5, 8}, "", true},
+		"event numbers that do not rise":  {[]attempt{begun, {"second", "begun", "4", 3, 6}}, false, attempt{"next", "begun", "6", 7, 8}, "", true},
+		"stream that nobody has begun":    {nil, false, attempt{"next", "begun", "4", 5, 8}, "", true},
+		"stream of a turn that was taken": {[]attempt{begun, {"second", "begun", "4", 5, 6}}, false, attempt{"next", "second", "6", 7, 8}, "begun-1\nbegun-2\nbegun-3\nbegun-4\nsecond-5\nsecond-6\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				network, g := startReplicas(t, ctx, "a", "b", "c")
+				g.upstreams.cfg.RegionOf = func(string) string { return "" }
+				g.upstreams.update(upstreamList("x:1"))
+				for _, a := range c.attempts {
+					earlier := newTakenUpTurn(ctx, g, a.id, a.resumes, a.after)
+					must.True(t, earlier.beginTurn(), must.Sprint(earlier.response.Body))
+					for _, address := range []string{"a", "b", "c"} {
+						network.silent[address].Store(c.silent)
+					}
+					startedAt := time.Now()
+					earlier.deliver(a.first, a.last)
+					test.EqOp(t, 0, time.Since(startedAt), test.Sprint("events wait for no write"))
+					time.Sleep(3 * time.Second)
+					for _, address := range []string{"a", "b", "c"} {
+						network.silent[address].Store(false)
+					}
+					time.Sleep(2 * time.Second)
+				}
+				next := newTakenUpTurn(ctx, g, c.takeUp.id, c.takeUp.resumes, c.takeUp.after)
+				accepted := next.beginTurn()
+				must.EqOp(t, !c.isUnknown, accepted, must.Sprint(next.response.Body))
+				if c.isUnknown {
+					test.EqOp(t, http.StatusServiceUnavailable, next.response.Code)
+					test.EqOp(t, streamversion.EventsUnknown, next.version.result)
+					return
+				}
+				test.EqOp(t, c.output, string(next.stream.output))
+			})
+		})
+	}
+}
--- a/daemon/gateway/stream_version.go
+++ b/daemon/gateway/stream_version.go
@@ -95,6 +95,8 @@
 		c.respondError(errkind.StreamVersionGone, "", 0)
 	case streamversion.VersionUnknown:
 		c.respondError(errkind.StreamVersionUnknown, "", 0)
+	case streamversion.EventsUnknown:
+		c.respondError(errkind.StreamEventsUnknown, "", 0)
 	case streamversion.NoUpstream:
 		c.respondError(errkind.NoReadyUpstream, "", retryAfterNoUpstream)
 	default:
@@ -138,7 +140,11 @@
 
 // charge returns the open charge of the call's turn with the version of its stream.
 func (c *call) charge(tokens int64) core.Charge {
-	return core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: tokens, Version: c.version.record.Version, Attempt: c.version.record.Attempt}
+	charge := core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: tokens, Version: c.version.record.Version, Attempt: c.version.record.Attempt}
+	if after, ok := c.resumedAfter(); ok {
+		charge.Resumes, charge.After = c.storedID(c.meta.ResumedRequest), after
+	}
+	return charge
 }
 
 // settledCharge returns the charge of a turn that has ended.
--- a/daemon/quorum/groups.go
+++ b/daemon/quorum/groups.go
@@ -122,6 +122,11 @@
 	return g.client(program).StoreCharges(ctx, program, charges, retention)
 }
 
+// StoreEvents stores events of a stream that is under way, as Client.StoreEvents does.
+func (g *Groups) StoreEvents(ctx context.Context, program string, events []replica.Turn, retention time.Duration) error {
+	return g.client(program).StoreEvents(ctx, program, events, retention)
+}
+
 // BeginTurn charges the upper bound of a turn and reads its chain, as Client.BeginTurn does. A program may continue a turn of
 // another program, which another group may store. A turn is missing only if no group has it, and none may have lost it.
 func (g *Groups) BeginTurn(ctx context.Context, program string, charge *core.Charge, previousTurn string, retention time.Duration, cached func(id string) (replica.Turn, bool)) (BeginResult, error) {
--- a/daemon/quorum/turn.go
+++ b/daemon/quorum/turn.go
@@ -208,6 +208,28 @@
 	for _, charge := range charges {
 		ops = append(ops, replica.Op{Kind: replica.OpStore, Program: program, Charge: charge, RetainMS: retention.Milliseconds()})
 	}
+	return c.storeAll(ctx, program, ops)
+}
+
+// StoreEvents stores events of a stream that is under way, each as a turn that continues the event before it. It returns nil
+// when a write quorum has them on disk. A member may lack earlier events: a reader finds these at other members. It retries like
+// StoreTurn.
+func (c *Client) StoreEvents(ctx context.Context, program string, events []replica.Turn, retention time.Duration) error {
+	for part := range slices.Chunk(events, maxBatchOps) {
+		ops := make([]replica.Op, len(part))
+		for i := range part {
+			part[i].SetSizes()
+			ops[i] = replica.Op{Kind: replica.OpStore, Turn: &part[i], RetainMS: retention.Milliseconds()}
+		}
+		if err := c.storeAll(ctx, program, ops); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// storeAll returns nil when a write quorum has executed the operations. It retries until the context ends.
+func (c *Client) storeAll(ctx context.Context, program string, ops []replica.Op) error {
 	r := quorumRequest{key: program, ops: ops, otherOps: ops, isDone: func(v core.View, responses map[string][]replica.Result) bool {
 		stored := map[string]bool{}
 		for key, results := range responses {
--- a/testbed/deployment/version_test.go
+++ b/testbed/deployment/version_test.go
@@ -67,10 +67,13 @@
 // takeUp sends the request for the rest of a stream and returns its call and the response.
 func takeUp(g *VM, begun Call, events []string) (Call, Response) {
 	c := Call{Path: begun.Path, ID: NewID(), Program: begun.Program, Budget: begun.Budget, MaxTokens: begun.MaxTokens,
-		LastEventID: strconv.Itoa(len(events)), Header: map[string]string{"Resumes": begun.ID}}
+		LastEventID: lastEvent(events), Header: map[string]string{"Resumes": begun.ID}}
 	return c, Send(g, c)
 }
 
+// lastEvent returns the ID of the last of the first events of a stream.
+func lastEvent(events []string) string { return strconv.Itoa(len(events)) }
+
 // restartGateways kills all gateways and starts them again.
 func (d *Deployment) restartGateways(t *testing.T) {
 	t.Helper()
