--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -12,13 +12,17 @@
 // beginTurn charges the turn to its program and prepends the history to the new input. It reports whether the turn may be
 // sent. If not, the caller has received an error response.
 func (c *call) beginTurn() bool {
-	hasBudget := c.route.Kind == route.Stream && c.meta.TokenBudget >= 0 && c.meta.Program != ""
+	hasBudget := c.hasBudget()
 	continuesTurn := c.route.StoreTurns && c.meta.PreviousTurn != ""
 	c.beginVersion()
 	ctx, cancel := context.WithTimeout(c.ctx, beginTimeout)
 	defer cancel()
+	ledger, ok := c.readStreamRecord(ctx)
+	if !ok {
+		return false
+	}
 	if !hasBudget && !continuesTurn {
-		return c.resolveTakeUp(nil) && c.restoreOutput(ctx, nil)
+		return c.resolveTakeUp(ledger) && c.restoreOutput(ctx, ledger)
 	}
 	var charge *core.Charge
 	if hasBudget {
@@ -34,10 +38,7 @@
 	result, err := c.g.cfg.Replicas.BeginTurn(ctx, c.storedID(c.meta.Program), charge, previousTurn, c.route.Retention, c.g.turnCache.get)
 	c.beginDuration = time.Since(startedAt)
 	if err != nil {
-		if c.r.Context().Err() != nil {
-			c.abort("caller_gone")
-		}
-		c.rejectTurn(err)
+		c.rejectWithoutQuorum(err)
 		return false
 	}
 	if lacking := result.ChargesToSpread(); len(lacking) > 0 {
@@ -49,7 +50,10 @@
 		c.respondError(errkind.ProgramBudgetExhausted, "", 0)
 		return false
 	}
-	if !c.resolveTakeUp(result.Ledger) || !c.restoreOutput(ctx, result.Ledger) {
+	if hasBudget {
+		ledger = result.Ledger
+	}
+	if !c.resolveTakeUp(ledger) || !c.restoreOutput(ctx, ledger) {
 		return false
 	}
 	if result.MissingTurn != "" {
@@ -71,16 +75,30 @@
 	return true
 }
 
+// hasBudget reports whether the request is a turn whose tokens are charged to its program.
+func (c *call) hasBudget() bool {
+	return c.route.Kind == route.Stream && c.meta.TokenBudget >= 0 && c.meta.Program != ""
+}
+
+// rejectWithoutQuorum sends the error response for a request whose state the replicas did not return, unless its caller has left.
+func (c *call) rejectWithoutQuorum(err error) {
+	if c.r.Context().Err() != nil {
+		c.abort("caller_gone")
+	}
+	c.rejectTurn(err)
+}
+
 // settleCharge lowers the charge of a turn to the tokens that reached the caller. This is zero for a turn that was not sent.
 func (c *call) settleCharge() {
 	if !c.charged {
+		c.withdrawWrongVersion()
 		return
 	}
 	c.charged = false
 	c.storeCharges(c.settledCharge())
 }
 
-// storeCharges stores charges of the call's program in the background.
+// storeCharges stores charges in the call's program, or in the record of its stream, in the background.
 func (c *call) storeCharges(charges ...core.Charge) {
-	c.g.enqueueSettlement(settlement{program: c.storedID(c.meta.Program), request: c.meta.RequestID, charges: charges, retention: c.route.Retention})
+	c.g.enqueueSettlement(settlement{program: c.recordID(), request: c.meta.RequestID, charges: charges, retention: c.recordRetention()})
 }
--- a/daemon/gateway/stream_events.go
+++ b/daemon/gateway/stream_events.go
@@ -4,19 +4,15 @@
 	"context"
 	"strconv"
 	"sync"
-	"time"
 
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/core/streamversion"
 	"jackdawbay.dev/daemon/replica"
 )
 
-// eventSeparator separates the ID of a turn from the number of one of its events. IDs of callers have no control characters.
-const eventSeparator = "\x1e"
-
 // eventID returns the ID under which the replicas store an event of a turn.
 func eventID(turn string, number uint64) string {
-	return turn + eventSeparator + strconv.FormatUint(number, 10)
+	return turn + streamSeparator + strconv.FormatUint(number, 10)
 }
 
 // eventLog stores the events of a stream while they are delivered, so that another gateway can store the whole turn after the
@@ -86,11 +82,7 @@
 }
 
 // keepsEvents reports whether the events of the response are stored while they are delivered.
-func (c *call) keepsEvents() bool { return c.route.StoreTurns && c.keepsVersion() && c.charged }
-
-// streamRetention is the time for which what is stored of a stream that is under way is needed: a caller takes a stream up
-// within the deadline of its request. Replicas retain it somewhat longer.
-func (c *call) streamRetention() time.Duration { return max(time.Until(c.deadline), 0) }
+func (c *call) keepsEvents() bool { return c.route.StoreTurns && c.keepsVersion() }
 
 // beginEvents prepares the storing of the stream's events. The argument source is the turn from which the caller has the event before
 // them.
@@ -98,11 +90,11 @@
 	if !c.keepsEvents() {
 		return
 	}
-	program, retention := c.storedID(c.meta.Program), c.streamRetention()
+	record, retention := c.recordID(), c.streamRetention()
 	c.events = &eventLog{
 		turn: c.storedID(c.meta.RequestID),
 		store: func(ctx context.Context, events []replica.Turn) error {
-			err := c.g.cfg.Replicas.StoreEvents(ctx, program, events, retention)
+			err := c.g.cfg.Replicas.StoreEvents(ctx, record, events, retention)
 			if err != nil {
 				c.g.stats.eventsNotStored.Inc()
 				c.g.cfg.Log.Info("events of a stream were not stored", "request", c.meta.RequestID, "program", c.meta.Program, "events", len(events), "error", err)
@@ -130,19 +122,15 @@
 	}
 	after, ok := c.resumedAfter()
 	source := ""
-	if ok && c.charged && c.meta.ResumedRequest != "" {
+	if ok && c.meta.ResumedRequest != "" {
 		source, ok = ledger.EventSource(c.storedID(c.meta.ResumedRequest), after)
 	}
 	if !ok || source == "" {
 		return !c.respondNotResumed(streamversion.EventsUnknown)
 	}
-	noneCached := func(string) (replica.Turn, bool) { return replica.Turn{}, false }
-	result, err := c.g.cfg.Replicas.BeginTurn(ctx, c.storedID(c.meta.Program), nil, eventID(source, after), 0, noneCached)
+	result, err := c.g.cfg.Replicas.BeginTurn(ctx, c.recordID(), nil, eventID(source, after), 0, noneCached)
 	if err != nil {
-		if c.r.Context().Err() != nil {
-			c.abort("caller_gone")
-		}
-		c.rejectTurn(err)
+		c.rejectWithoutQuorum(err)
 		return false
 	}
 	if result.MissingTurn != "" {
--- a/daemon/gateway/stream_events_test.go
+++ b/daemon/gateway/stream_events_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
+	"jackdawbay.dev/core/placement"
 	"jackdawbay.dev/core/route"
 	"jackdawbay.dev/core/streamversion"
 )
@@ -65,6 +66,73 @@
 		"event numbers that do not rise":  {[]attempt{begun, {"second", "begun", "4", 3, 6}}, false, attempt{"next", "begun", "6", 7, 8}, "", true},
 		"stream that nobody has begun":    {nil, false, attempt{"next", "begun", "4", 5, 8}, "", true},
 		"stream of a turn that was taken": {[]attempt{begun, {"second", "begun", "4", 5, 6}}, false, attempt{"next", "second", "6", 7, 8}, "begun-1\nbegun-2\nbegun-3\nbegun-4\nsecond-5\nsecond-6\n", false},
+	} {
+		for _, program := range []string{"p", ""} { // A turn without a program has no charge.
+			t.Run(name+" "+program, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer synctest.Wait()
+					defer cancel()
+					network, g := startReplicas(t, ctx, "a", "b", "c")
+					g.upstreams.cfg.RegionOf = func(string) string { return "" }
+					g.upstreams.update(upstreamList("x:1"))
+					for _, a := range c.attempts {
+						earlier := newTakenUpTurn(ctx, g, a.id, a.resumes, a.after)
+						earlier.meta.Program = program
+						must.True(t, earlier.beginTurn(), must.Sprint(earlier.response.Body))
+						for _, address := range []string{"a", "b", "c"} {
+							network.silent[address].Store(c.silent)
+						}
+						startedAt := time.Now()
+						earlier.deliver(a.first, a.last)
+						test.EqOp(t, 0, time.Since(startedAt), test.Sprint("events wait for no write"))
+						time.Sleep(3 * time.Second)
+						for _, address := range []string{"a", "b", "c"} {
+							network.silent[address].Store(false)
+						}
+						time.Sleep(2 * time.Second)
+					}
+					next := newTakenUpTurn(ctx, g, c.takeUp.id, c.takeUp.resumes, c.takeUp.after)
+					next.meta.Program = program
+					accepted := next.beginTurn()
+					must.EqOp(t, !c.isUnknown, accepted, must.Sprint(next.response.Body))
+					if c.isUnknown {
+						test.EqOp(t, http.StatusServiceUnavailable, next.response.Code)
+						test.EqOp(t, streamversion.EventsUnknown, next.version.result)
+						return
+					}
+					test.EqOp(t, c.output, string(next.stream.output))
+				})
+			})
+		}
+	}
+}
+
+// Guards against streams without a charge that no other gateway can take up, since only the memory of the gateway that began them has
+// their version (review/15).
+func TestVersionOfStreamWithoutCharge(t *testing.T) {
+	served := func(g *Gateway, versions ...string) {
+		g.upstreams.update(versionedList([]string{"x:1", "x:2"}, versions...))
+	}
+	for name, c := range map[string]struct {
+		stored      bool   // The replicas respond while the stream begins.
+		begunAt     string // Version of the upstream that sends the first event.
+		restarted   bool   // The upstream is listed with another version before the stream ends.
+		listed      []string
+		sameGateway bool
+		readable    bool // The replicas respond to the take-up.
+		result      streamversion.Result
+	}{
+		"its version serves":          {true, "v1", false, []string{"v1", "v2"}, false, true, streamversion.GoesOn},
+		"the only version serves":     {true, "v1", false, []string{"v1", "v1"}, false, true, streamversion.GoesOn},
+		"its version has left":        {true, "v1", false, []string{"v2", "v2"}, false, true, streamversion.VersionGone},
+		"nothing is stored":           {false, "v1", false, []string{"v1", "v1"}, false, true, streamversion.VersionUnknown},
+		"its upstream was restarted":  {true, "v1", true, []string{"v1", "v2"}, false, true, streamversion.VersionUnknown},
+		"no versions":                 {true, "", false, []string{"", ""}, false, true, streamversion.GoesOn},
+		"versions are listed later":   {true, "", false, []string{"v1", "v1"}, false, true, streamversion.VersionUnknown},
+		"versions are not listed yet": {true, "v1", false, []string{"", ""}, false, true, streamversion.VersionGone},
+		"replicas are silent":         {true, "v1", false, []string{"v1", "v1"}, false, false, ""},
+		"known without replicas":      {false, "v1", false, []string{"v1", "v2"}, true, false, streamversion.GoesOn},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -72,32 +140,48 @@
 				defer synctest.Wait()
 				defer cancel()
 				network, g := startReplicas(t, ctx, "a", "b", "c")
-				g.upstreams.cfg.RegionOf = func(string) string { return "" }
-				g.upstreams.update(upstreamList("x:1"))
-				for _, a := range c.attempts {
-					earlier := newTakenUpTurn(ctx, g, a.id, a.resumes, a.after)
-					must.True(t, earlier.beginTurn(), must.Sprint(earlier.response.Body))
+				respond := func(responds bool) {
 					for _, address := range []string{"a", "b", "c"} {
-						network.silent[address].Store(c.silent)
+						network.silent[address].Store(!responds)
 					}
-					startedAt := time.Now()
-					earlier.deliver(a.first, a.last)
-					test.EqOp(t, 0, time.Since(startedAt), test.Sprint("events wait for no write"))
-					time.Sleep(3 * time.Second)
-					for _, address := range []string{"a", "b", "c"} {
-						network.silent[address].Store(false)
-					}
-					time.Sleep(2 * time.Second)
 				}
-				next := newTakenUpTurn(ctx, g, c.takeUp.id, c.takeUp.resumes, c.takeUp.after)
-				accepted := next.beginTurn()
-				must.EqOp(t, !c.isUnknown, accepted, must.Sprint(next.response.Body))
-				if c.isUnknown {
+				newStream := func(id, resumes, after string) takenUpTurn {
+					turn := newTakenUpTurn(ctx, g, id, resumes, after)
+					turn.meta.Program, turn.meta.TokenBudget, turn.route.StoreTurns = "", -1, false
+					return turn
+				}
+				g.upstreams.cfg.RegionOf = func(string) string { return "" }
+				served(g, c.begunAt, "v2")
+				begun := newStream("begun", "", "")
+				must.True(t, begun.beginTurn())
+				respond(c.stored)
+				startedAt := time.Now()
+				begun.choice.Upstream = placement.Upstream{ID: "a", Version: c.begunAt}
+				must.NoError(t, begun.acceptVersion(begun.choice.Upstream))
+				test.EqOp(t, 0, time.Since(startedAt), test.Sprint("the first event waits for no write"))
+				begun.deliver(1, 2)
+				time.Sleep(100 * time.Millisecond)
+				if c.restarted {
+					served(g, "v2", "v2")
+				}
+				begun.finish()
+				time.Sleep(12 * time.Second) // Writes without a quorum were given up.
+				respond(c.readable)
+				time.Sleep(2 * time.Second)
+				served(g, c.listed...)
+				if !c.sameGateway {
+					g.streamVersions = streamVersions{}
+				}
+				next := newStream("next", "begun", "2")
+				resumed := next.beginTurn()
+				test.EqOp(t, c.result == streamversion.GoesOn, resumed)
+				test.EqOp(t, c.result, next.version.result)
+				if !resumed {
 					test.EqOp(t, http.StatusServiceUnavailable, next.response.Code)
-					test.EqOp(t, streamversion.EventsUnknown, next.version.result)
-					return
 				}
-				test.EqOp(t, c.output, string(next.stream.output))
+				if resumed && c.begunAt != "" {
+					test.EqOp(t, streamversion.To(c.begunAt), next.version.restriction)
+				}
 			})
 		})
 	}
--- a/testbed/deployment/take_up_test.go
+++ b/testbed/deployment/take_up_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -85,3 +86,36 @@
 		test.EqOp(t, 0, d.countRuns(c.ID), test.Sprint(name))
 	}
 }
+
+// Guards against streams without a program that no other gateway takes up after the kill of the one that began them, and against those
+// that go on at engines of another version (review/15).
+func TestStreamWithoutProgramGoesOnElsewhere(t *testing.T) {
+	d := startVersionedDeployment(t, 2)
+	d.addEngines(t, "v1.1", 2)
+	first, second := d.Gateways[0], d.Gateways[1]
+	time.Sleep(500 * time.Millisecond) // All gateways list the new engines.
+	const streams = 12
+	begun, broken := make([]Call, streams), make([]Response, streams)
+	var wg sync.WaitGroup
+	for i := range begun {
+		begun[i] = Call{Path: PathResumable, ID: NewID()}
+		wg.Go(func() { broken[i] = Send(first, begun[i]) })
+	}
+	time.Sleep(550 * time.Millisecond)
+	d.KillVM(first)
+	wg.Wait()
+	for i, c := range begun {
+		events := broken[i].EventData()
+		must.SliceNotEmpty(t, events)
+		rest := Call{Path: c.Path, ID: NewID(), LastEventID: lastEvent(events), Header: map[string]string{"Resumes": c.ID}}
+		wg.Go(func() {
+			resp := Send(second, rest)
+			test.NoError(t, resp.Err)
+			test.EqOp(t, http.StatusOK, resp.Status, test.Sprint(resp.Body))
+			whole := append(events, resp.EventData()...)
+			test.Len(t, d.Options.EventsPerStream, whole)
+			test.Len(t, 1, versionsOf(whole), test.Sprint(whole))
+		})
+	}
+	wg.Wait()
+}
