Let a VM to be evacuated serve again beside the loss of a member

What callers saw: after the loss of one replica, which is tolerated, all turns were rejected for 4 to 9 s (members_silent), if another VM with a disk had just left the set for an evacuation without a spare.

Cause: a set of two that tolerates one loss writes to both members. The VM to be evacuated, still there with its disk, became a member again only when the silent member counted as failed, after 7 s.

Fix: if the present members are no write quorum, VMs that are to be evacuated are members again after 1.5 s, beside the silent ones. Nothing is removed, so no write loses a copy; they leave again when the others are back.

One check of the model changed: a VM may be reported as evacuated while another member has failed less than 1.5 s before.

--- a/core/replica/repair_test.go
+++ b/core/replica/repair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"testing"
@@ -263,7 +264,7 @@
 		// The other VMs cannot know yet that one has just failed.
 		known := r.live()
 		for _, vm := range r.vms {
-			if vm != self && !vm.up && r.now-vm.downAt < MaxResponseAge {
+			if vm != self && vm.downKey != "" && r.now-vm.downAt < MaxResponseAge {
 				known[vm.downKey] = true
 			}
 		}
@@ -523,6 +524,91 @@
 	}
 }
 
+// Guards against turns that are rejected until a lost member of a set of two is back, although the VM that is to be evacuated has
+// left the set only just and is still there with its disk, and against a set that shrinks beside a loss. The bound is the time
+// after a disturbance within which the users allow rejected turns.
+func TestSetThatShrankServesBesideLoss(t *testing.T) {
+	for _, retired := range []string{"a", "b", "c"} {
+		for _, lost := range []string{"a", "b", "c"} {
+			for offset := -2 * time.Second; offset <= 8*time.Second && lost != retired; offset += modelTick {
+				for _, wiped := range []bool{true, false} {
+					r := newRepairModel([]string{"a", "b", "c"}, 300*time.Millisecond)
+					const start, away = 10 * time.Second, 9 * time.Second
+					r.retire(start, retired)
+					if wiped {
+						r.wipe(start+offset, lost, away)
+					} else {
+						r.restart(start+offset, lost, away)
+					}
+					fault := r.run(start + offset + modelContact)
+					if fault == "" && !slices.Contains(r.view.Evacuated, retired) {
+						fault = r.lostService(r.live())
+					}
+					if fault != "" {
+						t.Errorf("%s is to be evacuated, %s is lost %v later: %s\n  %s", retired, lost, offset, fault, strings.Join(r.log, "\n  "))
+					}
+				}
+			}
+		}
+	}
+}
+
+// Guards against an order of events that ends service for good: a retirement, losses one after the other, restarts of other members,
+// and times without the store, drawn at random. A loss comes when the users' deployments allow it after the one before.
+func TestServiceReturnsAfterDrawnEvents(t *testing.T) {
+	const seeds = 1500
+	for seed := range uint64(seeds) {
+		rnd := rand.New(rand.NewPCG(seed, 55))
+		between := func(least, most int) time.Duration { return time.Duration(least+rnd.IntN(most-least)) * modelTick }
+		names := []string{"a", "b", "c", "d"}[:3+rnd.IntN(2)]
+		r := newRepairModel(names, between(3, 16))
+		at := 10 * time.Second
+		if rnd.IntN(3) > 0 {
+			r.retire(at+between(0, 120), names[rnd.IntN(len(names))])
+		}
+		for i := range 1 + rnd.IntN(3) {
+			away := time.Duration(0)
+			if rnd.IntN(2) == 0 {
+				from, length := at+between(0, 30)-1500*time.Millisecond, between(5, 70)
+				r.at(from, "the store is away", func(r *repairModel) { r.storeAway = true })
+				r.at(from+length, "the store is back", func(r *repairModel) { r.storeAway = false })
+				away = from + length - at
+			}
+			returns := between(3, 30)
+			// The VM is chosen when the event comes, since an earlier one may have been removed.
+			index, successor, kind := rnd.IntN(8), fmt.Sprintf("s%d", i), rnd.IntN(3)
+			r.at(at, "a loss", func(r *repairModel) {
+				var up []*modelVM
+				for _, vm := range r.vms {
+					if vm.up {
+						up = append(up, vm)
+					}
+				}
+				name := up[index%len(up)].name
+				switch kind {
+				case 0:
+					r.replace(r.now+modelTick, name, successor, returns)
+				case 1:
+					r.wipe(r.now+modelTick, name, returns)
+				default:
+					r.restart(r.now+modelTick, name, returns)
+				}
+			})
+			at += max(returns, away) + modelContact + modelCatchUp + modelTick + between(1, 30)
+		}
+		fault := r.run(at + 12*time.Second)
+		if fault == "" {
+			fault = r.lostService(r.live())
+		}
+		if fault == "" && !r.view.LostAt.IsZero() {
+			fault = "members were given up"
+		}
+		if fault != "" {
+			t.Errorf("seed %d: %s\n  %s", seed, fault, strings.Join(r.log, "\n  "))
+		}
+	}
+}
+
 // Guards against writes of a member that was given up and returns with its disk: they must be read again.
 func TestGivenUpMemberIsReadWhenItReturns(t *testing.T) {
 	r := newRepairModel([]string{"a", "b", "c"}, time.Second)
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -388,6 +388,11 @@
 		}
 		next = append(next, m)
 	}
+	if !isServing {
+		var readmitted bool
+		next, readmitted = readmitEvacuating(v, f, next, toleratedFailures)
+		changed = changed || readmitted
+	}
 	for len(next) < TargetSetSize(toleratedFailures) && v.IsSettled() {
 		s, ok := takeSpare(&spares, next, "")
 		if !ok {
@@ -441,6 +446,21 @@
 	return Member{}, false
 }
 
+// readmitEvacuating adds VMs that are to be evacuated to a set that lacks a write quorum of responsive members, and reports whether
+// they complete it. Without them, turns are rejected until a silent member is back or replaced. The silent members stay in the set.
+func readmitEvacuating(v View, f Fleet, set []Member, toleratedFailures int) ([]Member, bool) {
+	responsive := f.Responsive()
+	extended := slices.Clone(set)
+	for countMembers(extended, responsive) < WriteQuorum(extended, toleratedFailures) {
+		m, ok := takeEvacuating(v, f, extended)
+		if !ok {
+			return set, false
+		}
+		extended = append(extended, m)
+	}
+	return extended, len(extended) > len(set)
+}
+
 // updateAddresses sets the new address of members whose address has changed. They remain the same members, so no set is
 // added and nothing is copied.
 func updateAddresses(v View, registered map[string]Member) (View, bool) {
--- a/testbed/deployment/repair_test.go
+++ b/testbed/deployment/repair_test.go
@@ -80,6 +80,24 @@
 	test.EqOp(t, expectedHistory(calls, 4), d.receivedBody(calls[3].ID), test.Sprint("successor ", successor.Name))
 }
 
+// Guards against turns that are rejected until a lost member of a set of two is back, although the VM that is to be evacuated and has
+// just left the set is still there with its disk.
+func TestVMToBeEvacuatedServesBesideLoss(t *testing.T) {
+	d := startDeployment(t, defaultOptions())
+	calls := d.sendChain(t, NewID(), "", 2)
+	d.evacuate(d.Replicas[0])
+	eventually(t, "the set has two members", recoveryTimeout, func() bool { return len(d.CurrentMembers()) == 2 })
+	d.KillVM(d.Replicas[2])
+	const bound = 6 * time.Second // A member that is away with its disk is replaced after 7 s.
+	next := newTurnCall(calls[0].Program, calls[1].ID, "next;")
+	eventually(t, "a turn is served without the lost member", bound, func() bool {
+		next.ID = NewID()
+		return Send(d.Gateways[0], next).Status == http.StatusOK
+	})
+	test.False(t, d.isEvacuated(d.Replicas[0]))
+	test.EqOp(t, expectedHistory(append(calls, next), 4), d.receivedBody(next.ID))
+}
+
 // Guards against a service that ends for good with all VMs up, as in the incident inc1: a read quorum is lost for good, since one
 // member fails permanently and another one loses its disk before anything was copied. What the third member has must be served
 // again, new programs too, and a turn that may have been lost must not be reported as one that does not exist.
