Shrink a set of replicas only on fresh answers

What callers saw: all turns rejected (members_silent) after a set had become smaller for an evacuation and one of the members that it kept had just failed. The larger set would have served them.

Cause: the members of the smaller set counted as present with answers of up to 1.5 s, the bound for a member that is added.

The two new cases of TestPropose failed before.

Fix: a set becomes smaller only on answers that are at most 0.5 s old, which is about the time between two probes. A slower answer delays the change by a step.

Measured: core/replica passes, with all its models.

--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -101,6 +101,8 @@
 		"restart causes no change":                                 {settled, newFleet(newSet("a", "b", "c", "d"), map[string]time.Duration{"c": time.Second}), ""},
 		"lost disk":                                                {settled, newFleet([]Member{newMember("a", "new"), newMember("b", "d"), newMember("c", "d")}, nil), "anew bd cd "},
 		"evacuation without a spare":                               {settled, newFleet(newSet("a", "b", "c"), nil, "b"), "ad cd "},
+		"evacuation beside a member that may have failed":          {settled, newFleet(newSet("a", "b", "c"), map[string]time.Duration{"c": MaxShrinkResponseAge + 1}, "b"), ""},
+		"silent member beside another one that may have failed":    {settled, newFleet(newSet("a", "b", "c"), map[string]time.Duration{"b": MaxShrinkResponseAge + 1, "c": sparePeriod}), ""},
 		"VM to be evacuated returns to a set of two beside a loss": {View{Version: 6, ToleratedFailures: 1, Sets: [][]Member{newSet("b", "c")}}, newFleet(newSet("a", "b", "c"), map[string]time.Duration{"c": MaxResponseAge}, "a"), "ad bd cd "},
 		"it does not return if it has been reported as evacuated": {View{Version: 6, ToleratedFailures: 1, Sets: [][]Member{newSet("b", "c")}, Evacuated: []string{"a"}},
 			newFleet(newSet("a", "b", "c"), map[string]time.Duration{"c": MaxResponseAge}, "a"), ""},
--- a/core/replica/view.go
+++ b/core/replica/view.go
@@ -211,6 +211,22 @@
 // MaxResponseAge is the maximum age of the last response of a VM that may be added to a set.
 const MaxResponseAge = 1500 * time.Millisecond
 
+// MaxShrinkResponseAge is the maximum age of the last response of a member that a smaller set relies on. It is about the time
+// between two probes: a member that has just failed ends service in the smaller set, while the larger one would bear its loss.
+const MaxShrinkResponseAge = 500 * time.Millisecond
+
+// canShrinkTo reports whether a set that becomes smaller leaves members that can serve and bear a loss.
+func (f Fleet) canShrinkTo(members []Member, toleratedFailures int) bool {
+	responsive := f.Responsive()
+	n := 0
+	for _, m := range members {
+		if responsive[m.Key()] && f.UnresponsiveFor(m.VM) <= MaxShrinkResponseAge {
+			n++
+		}
+	}
+	return n > toleratedFailures
+}
+
 // RecentRegistration is the time after its first registration for which a VM may be the successor of a failed one. Every VM counts
 // it from the time in the registration, so that a restart changes nothing.
 const RecentRegistration = 15 * time.Second
@@ -364,7 +380,7 @@
 		}
 		// Removing a failed member makes the set tolerate the next loss. The remaining members must be able to serve
 		// without it.
-		if countMembers(next, responsive)+countMembers(leaving, responsive) > toleratedFailures && (v.IsSettled() || v.isCopyPending(m)) {
+		if f.canShrinkTo(slices.Concat(next, leaving), toleratedFailures) && (v.IsSettled() || v.isCopyPending(m)) {
 			changed = true
 			continue
 		}
@@ -382,7 +398,7 @@
 			changed = true
 			continue
 		}
-		if countMembers(next, responsive) > toleratedFailures && f.EvacuateWithoutSuccessor[m.VM] {
+		if f.EvacuateWithoutSuccessor[m.VM] && f.canShrinkTo(next, toleratedFailures) {
 			changed = true
 			continue
 		}
