Test the versions of streams at a gateway that has stood still

An operator reports streams that went on at engines of another version at a machine that was out of step while engines of a new version joined. This could not be shown here. Two tests freeze a gateway while engines of a new version join, under IDs of their own or under that of an engine that they follow; take-ups and new streams wait at it meanwhile and are served right after it is thawed.

What is left, by reading: an upstream that is started again under its ID with another version while the store is away for all.

--- a/testbed/deployment/version_test.go
+++ b/testbed/deployment/version_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -158,3 +159,110 @@
 	test.EqOp(t, http.StatusServiceUnavailable, resp.Status, test.Sprint(resp.Body))
 	test.EqOp(t, 0, d.countRuns(c.ID))
 }
+
+// restartEngine starts an engine again under its ID and at its address, with another version.
+func (d *Deployment) restartEngine(t *testing.T, i int, version string) {
+	t.Helper()
+	old := d.Engines[i]
+	address := old.Addr()
+	old.Stop()
+	u := &backend.Upstream{ID: old.ID, Slots: old.Slots, Version: version, EventsPerStream: old.EventsPerStream, ResponseDelay: old.ResponseDelay}
+	must.NoError(t, u.Start(address))
+	d.Engines[i] = u
+	d.RegisterUpstream(EngineService, u, d.Options.Zones[0], "ready")
+}
+
+// sendWhileFrozen sends calls to a gateway that stands still, and returns their responses after it has been thawed.
+func (d *Deployment) sendWhileFrozen(t *testing.T, g *VM, calls []Call, meanwhile func()) []Response {
+	t.Helper()
+	must.NoError(t, d.FreezeVM(g))
+	meanwhile()
+	time.Sleep(2 * time.Second)
+	responses := make([]Response, len(calls))
+	var wg sync.WaitGroup
+	for i, c := range calls {
+		wg.Go(func() { responses[i] = Send(g, c) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, d.ThawVM(g))
+	wg.Wait()
+	return responses
+}
+
+// Guards against streams that go on at engines of another version at a gateway that has stood still while engines of a new version
+// joined: its list of engines is behind. New engines have IDs of their own, or that of an engine which they follow.
+func TestFrozenGatewayKeepsVersions(t *testing.T) {
+	for _, sameID := range []bool{false, true} {
+		t.Run(fmt.Sprintf("same ID %t", sameID), func(t *testing.T) {
+			skipIfKnownRed(t)
+			d := startVersionedDeployment(t, 2)
+			frozen, other := d.Gateways[0], d.Gateways[1]
+			type stream struct {
+				call   Call
+				events []string
+			}
+			var streams []stream
+			begin := func() {
+				for range 6 {
+					c, events := d.beginStream(t, other)
+					streams = append(streams, stream{c, events})
+				}
+			}
+			begin()
+			join := func() { d.addEngines(t, "v1.1", 2) }
+			if sameID {
+				join = func() { d.restartEngine(t, 0, "v1.1") }
+			}
+			if !sameID { // Streams of the new version begin while the gateway stands still.
+				must.NoError(t, d.FreezeVM(frozen))
+				join()
+				time.Sleep(500 * time.Millisecond)
+				begin()
+				join = func() {}
+			}
+			calls := make([]Call, len(streams))
+			for i, s := range streams {
+				calls[i] = Call{Path: s.call.Path, ID: NewID(), Program: s.call.Program, Budget: s.call.Budget, MaxTokens: s.call.MaxTokens,
+					LastEventID: lastEvent(s.events), Header: map[string]string{"Resumes": s.call.ID}}
+			}
+			for i, resp := range d.sendWhileFrozen(t, frozen, calls, join) {
+				if resp.Status != http.StatusOK {
+					test.EqOp(t, http.StatusServiceUnavailable, resp.Status, test.Sprint(resp.Err))
+					test.EqOp(t, 0, d.countRuns(calls[i].ID))
+					continue
+				}
+				whole := append(streams[i].events, resp.EventData()...)
+				test.Len(t, 1, versionsOf(whole), test.Sprint(whole))
+			}
+		})
+	}
+}
+
+// Guards against a stream that a gateway has begun just after it stood still, at an engine that was started again with another version
+// meanwhile, and that goes on elsewhere at the version which the list of that gateway stated.
+func TestStreamThatBeganAfterFreezeKeepsItsVersion(t *testing.T) {
+	skipIfKnownRed(t)
+	d := startVersionedDeployment(t, 2)
+	frozen, other := d.Gateways[0], d.Gateways[1]
+	calls := make([]Call, 8)
+	for i := range calls {
+		calls[i] = Call{Path: PathResumable, ID: NewID(), Program: NewID(), Budget: 10_000, MaxTokens: 400, CloseAfter: 450 * time.Millisecond}
+	}
+	begun := 0
+	for i, resp := range d.sendWhileFrozen(t, frozen, calls, func() { d.restartEngine(t, 0, "v1.1") }) {
+		events := resp.EventData()
+		if len(events) == 0 {
+			continue
+		}
+		begun++
+		c, rest := takeUp(other, calls[i], events)
+		if rest.Status != http.StatusOK {
+			test.EqOp(t, http.StatusServiceUnavailable, rest.Status, test.Sprint(rest.Err))
+			test.EqOp(t, 0, d.countRuns(c.ID))
+			continue
+		}
+		whole := append(events, rest.EventData()...)
+		test.Len(t, 1, versionsOf(whole), test.Sprint(whole))
+	}
+	test.Positive(t, begun, test.Sprint("streams that began"))
+}
