Take up a stream without a stated request if its program has one version

Cause: without that request, no charge of the ledger was looked at.

Fix: the stream is one of the program of the take-up, whose charges the begin of the turn returns. If all of them that have delivered events state the same version, the stream has that version. One that differs or is unknown leaves the take-up rejected, as does a turn that is to be stored, whose earlier events cannot be found.

Measured: TestTakeUpWithoutStatedStream and TestSoleVersion; daemon/gateway passes with the race detector.

--- a/core/replica/ledger.go
+++ b/core/replica/ledger.go
@@ -74,6 +74,22 @@
 	return source, ok
 }
 
+// SoleVersion returns the version of the streams of all turns but one. It is empty if they differ, or if one is unknown. Turns
+// that have ended without an event do not count.
+func (l Ledger) SoleVersion(except string) string {
+	version := ""
+	for id, c := range l {
+		switch {
+		case id == except || c.Settled && c.Tokens == 0:
+		case c.Version == "" || version != "" && c.Version != version:
+			return ""
+		default:
+			version = c.Version
+		}
+	}
+	return version
+}
+
 // Charges returns all charges in unspecified order.
 func (l Ledger) Charges() []Charge { return slices.Collect(maps.Values(l)) }
 
--- a/core/replica/replica_test.go
+++ b/core/replica/replica_test.go
@@ -377,6 +377,32 @@
 	test.EqOp(t, "", corrected.Merge(Charge{Turn: "a", Attempt: 2}).Version, test.Sprint("an upstream without a version began it"))
 }
 
+// Guards against a take-up that goes on at another version than that of its stream, if its caller does not state which one that is.
+func TestSoleVersion(t *testing.T) {
+	one, other := Charge{Turn: "one", Tokens: 5, Version: "v1"}, Charge{Turn: "other", Tokens: 5, Version: "v2"}
+	unknown, empty := Charge{Turn: "unknown", Tokens: 5}, Charge{Turn: "empty", Settled: true}
+	own := Charge{Turn: "own", Tokens: 5, Version: "v3"}
+	for name, c := range map[string]struct {
+		charges []Charge
+		want    string
+	}{
+		"one version":     {[]Charge{one, {Turn: "two", Tokens: 3, Settled: true, Version: "v1"}, empty, own}, "v1"},
+		"two versions":    {[]Charge{one, other, own}, ""},
+		"unknown version": {[]Charge{one, unknown, own}, ""},
+		"no other turn":   {[]Charge{own, empty}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := Ledger{}
+			for _, charge := range c.charges {
+				l.Add(charge)
+			}
+			for range 10 { // The order of a map varies.
+				test.EqOp(t, c.want, l.SoleVersion("own"))
+			}
+		})
+	}
+}
+
 // Guards against a history with the events of an attempt that the caller has not read.
 func TestEventSource(t *testing.T) {
 	const begun = "begun"
--- a/daemon/gateway/stream_version.go
+++ b/daemon/gateway/stream_version.go
@@ -82,6 +82,9 @@
 	}
 	begun := c.storedID(c.meta.ResumedRequest)
 	recorded := ledger[begun].Version
+	if c.meta.ResumedRequest == "" && c.hasBudget() {
+		recorded = ledger.SoleVersion(c.storedID(c.meta.RequestID)) // The stream is one of the program.
+	}
 	if recorded == "" {
 		recorded = c.g.streamVersions.get(begun)
 	}
--- a/daemon/gateway/stream_version_test.go
+++ b/daemon/gateway/stream_version_test.go
@@ -276,6 +276,46 @@
 	}
 }
 
+// Guards against take-ups that are all rejected, although all streams of the program have one version, if the callers do not state which
+// request began the stream; and against one that goes on at another version.
+func TestTakeUpWithoutStatedStream(t *testing.T) {
+	for name, c := range map[string]struct {
+		versions []string // Of the upstreams that begin the streams of the program.
+		program  string   // Of the take-up.
+		result   streamversion.Result
+	}{
+		"one version":     {[]string{"v1", "v1"}, "p", streamversion.GoesOn},
+		"two versions":    {[]string{"v1", "v2"}, "p", streamversion.VersionUnknown},
+		"another program": {[]string{"v1", "v1"}, "q", streamversion.VersionUnknown},
+		"no program":      {[]string{"v1", "v1"}, "", streamversion.VersionUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer synctest.Wait()
+				defer cancel()
+				_, g := startReplicas(t, ctx, "a", "b", "c")
+				g.upstreams.cfg.RegionOf = func(string) string { return "" }
+				g.upstreams.update(versionedList([]string{"x:1", "x:2"}, "v1", "v2"))
+				for i, version := range c.versions {
+					begun := newTakenUpTurn(ctx, g, fmt.Sprint("begun-", i), "", "")
+					begun.route.StoreTurns = false
+					must.True(t, begun.beginTurn())
+					must.NoError(t, begun.acceptVersion(placement.Upstream{ID: "new", Version: version}))
+				}
+				time.Sleep(time.Second)
+				next := newTakenUpTurn(ctx, g, "next", "", "1")
+				next.route.StoreTurns, next.meta.Program = false, c.program
+				test.EqOp(t, c.result == streamversion.GoesOn, next.beginTurn())
+				test.EqOp(t, c.result, next.version.result)
+				if c.result == streamversion.GoesOn {
+					test.EqOp(t, streamversion.To("v1"), next.version.restriction)
+				}
+			})
+		})
+	}
+}
+
 // Guards against memory that grows with the streams.
 func TestStreamVersionsAreBounded(t *testing.T) {
 	var s streamVersions
