Do not record streams whose requests have long IDs

A stream whose request has an ID of more than 256 bytes is no longer recorded. TestStreamWithLongIDIsNotRecorded.

--- a/daemon/gateway/stream_events.go
+++ b/daemon/gateway/stream_events.go
@@ -82,7 +82,7 @@
 }
 
 // keepsEvents reports whether the events of the response are stored while they are delivered.
-func (c *call) keepsEvents() bool { return c.route.StoreTurns && c.keepsVersion() }
+func (c *call) keepsEvents() bool { return c.route.StoreTurns && c.keepsVersion() && c.isRecorded() }
 
 // beginEvents prepares the storing of the stream's events. The argument source is the turn from which the caller has the event before
 // them.
@@ -122,7 +122,7 @@
 	}
 	after, ok := c.resumedAfter()
 	source := ""
-	if ok && c.meta.ResumedRequest != "" {
+	if ok && c.meta.ResumedRequest != "" && c.isRecorded() {
 		source, ok = ledger.EventSource(c.storedID(c.meta.ResumedRequest), after)
 	}
 	if !ok || source == "" {
--- a/daemon/gateway/stream_events_test.go
+++ b/daemon/gateway/stream_events_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -186,3 +187,30 @@
 		})
 	}
 }
+
+// Guards against memory of replicas that grows with the events of streams whose IDs are long.
+func TestStreamWithLongIDIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		_, g := startReplicas(t, ctx, "a", "b", "c")
+		g.upstreams.cfg.RegionOf = func(string) string { return "" }
+		g.upstreams.update(versionedList([]string{"x:1"}, "v1"))
+		long := strings.Repeat("x", maxStreamIDBytes+1)
+		for _, storesTurns := range []bool{true, false} {
+			begun := newTakenUpTurn(ctx, g, long, "", "")
+			begun.route.StoreTurns, begun.meta.Program = storesTurns, ""
+			must.True(t, begun.beginTurn())
+			test.Nil(t, begun.events)
+			must.NoError(t, begun.acceptVersion(placement.Upstream{ID: "a", Version: "v1"}))
+			begun.deliver(1, 2)
+			time.Sleep(time.Second)
+			g.streamVersions = streamVersions{}
+			next := newTakenUpTurn(ctx, g, "next", long, "2")
+			next.route.StoreTurns, next.meta.Program = storesTurns, ""
+			test.False(t, next.beginTurn())
+			test.EqOp(t, streamversion.VersionUnknown, next.version.result)
+		}
+	})
+}
--- a/daemon/gateway/stream_version.go
+++ b/daemon/gateway/stream_version.go
@@ -145,6 +145,15 @@
 // streamSeparator ends the ID of a request in the IDs of what is stored of its stream. IDs of callers have no control characters.
 const streamSeparator = "\x1e"
 
+// maxStreamIDBytes is the maximum length of a request ID under which something is stored of its stream. IDs of the users' callers have 16
+// characters, and a replica holds the IDs of all that it stores in memory. A stream with a longer ID cannot be taken up elsewhere.
+const maxStreamIDBytes = 256
+
+// isRecorded reports whether what is needed to take up the call's stream, or the stream that it takes up, is stored.
+func (c *call) isRecorded() bool {
+	return len(c.meta.RequestID) <= maxStreamIDBytes && len(c.meta.ResumedRequest) <= maxStreamIDBytes
+}
+
 // recordID returns the stored ID of the program in which the call's charge is. What is stored of a stream without a charge is in a
 // record of its own, under the request that began it.
 func (c *call) recordID() string {
@@ -174,7 +183,7 @@
 // readStreamRecord returns what is stored of the stream that a call without a charge takes up, and records the take-up. The
 // ledger is nil for other calls, and if this gateway knows what the call needs. It reports false if the request is rejected.
 func (c *call) readStreamRecord(ctx context.Context) (core.Ledger, bool) {
-	if c.hasBudget() || !c.takesUp() || c.meta.ResumedRequest == "" {
+	if c.hasBudget() || !c.takesUp() || c.meta.ResumedRequest == "" || !c.isRecorded() {
 		return nil, true
 	}
 	if !c.route.StoreTurns && c.g.streamVersions.get(c.storedID(c.meta.ResumedRequest)) != "" {
@@ -193,7 +202,7 @@
 
 // withdrawWrongVersion withdraws the stored version of a stream without a charge if its upstream turned out to have another one.
 func (c *call) withdrawWrongVersion() {
-	if c.route != nil && c.keepsVersion() && !c.hasBudget() && c.forgetWrongVersion() {
+	if c.route != nil && c.keepsVersion() && !c.hasBudget() && c.isRecorded() && c.forgetWrongVersion() {
 		c.storeCharges(c.charge(0))
 	}
 }
@@ -201,7 +210,7 @@
 // charge returns the open charge of the call's turn with the version of its stream.
 func (c *call) charge(tokens int64) core.Charge {
 	charge := core.Charge{Turn: c.storedID(c.meta.RequestID), Tokens: tokens, Version: c.version.record.Version, Attempt: c.version.record.Attempt}
-	if after, ok := c.resumedAfter(); ok {
+	if after, ok := c.resumedAfter(); ok && c.isRecorded() {
 		charge.Resumes, charge.After = c.storedID(c.meta.ResumedRequest), after
 	}
 	return charge
@@ -244,7 +253,7 @@
 // stream up just after its first event may be rejected, but no stream waits for a replica.
 func (c *call) keepVersion(version string) {
 	c.g.streamVersions.put(c.storedID(c.meta.RequestID), version)
-	if c.takesUp() || version == "" {
+	if c.takesUp() || version == "" || !c.isRecorded() {
 		return
 	}
 	c.version.record = streamversion.Record{Version: version}
