Reject the rest of a turn on a route that does not resume streams

Nothing is stored of the events there, so the request is rejected with stream_events_unknown. TestRestOfTurnThatCannotBeTakenUpIsRejected.

IDs with the separator of stored events are rejected in all headers, also in Resumes. net/http rejects them before; this does not depend on it.

--- a/daemon/gateway/organisation.go
+++ b/daemon/gateway/organisation.go
@@ -27,7 +27,7 @@
 // received an error response. Each request uses the table in force at its start, so that a withdrawn key is refused from the
 // next request of an open connection on.
 func (c *call) authenticate(table *route.Table) bool {
-	if strings.Contains(c.meta.RequestID+c.meta.Program+c.meta.PreviousTurn, idSeparator) {
+	if strings.ContainsAny(c.meta.RequestID+c.meta.Program+c.meta.PreviousTurn+c.meta.ResumedRequest, idSeparator+streamSeparator) {
 		c.respondError(errkind.BadHeader, "An ID has a control character.", 0)
 		return false
 	}
--- a/daemon/gateway/stream_events.go
+++ b/daemon/gateway/stream_events.go
@@ -116,11 +116,11 @@
 // restoreOutput reads the events that the caller of a take-up has already, since they are part of the turn that is to be
 // stored. It reports false if the request is rejected.
 func (c *call) restoreOutput(ctx context.Context, ledger core.Ledger) bool {
-	if !c.takesUp() || !c.route.StoreTurns {
+	if !c.route.StoreTurns || c.meta.LastEventID == "" {
 		c.beginEvents("")
 		return true
 	}
-	after, ok := c.resumedAfter()
+	after, ok := c.resumedAfter() // Not on a route whose streams cannot be taken up, since their events are not stored.
 	source := ""
 	if ok && c.meta.ResumedRequest != "" && c.isRecorded() {
 		source, ok = ledger.EventSource(c.storedID(c.meta.ResumedRequest), after)
--- a/daemon/gateway/stream_events_test.go
+++ b/daemon/gateway/stream_events_test.go
@@ -188,6 +188,23 @@
 	}
 }
 
+// Guards against a turn that is stored without its first events on a route whose streams cannot be taken up, if a caller asks for the rest
+// of one all the same.
+func TestRestOfTurnThatCannotBeTakenUpIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		_, g := startReplicas(t, ctx, "a", "b", "c")
+		g.upstreams.cfg.RegionOf = func(string) string { return "" }
+		g.upstreams.update(upstreamList("x:1"))
+		c := newTakenUpTurn(ctx, g, "next", "begun", "2")
+		c.route.Resumable = false
+		test.False(t, c.beginTurn())
+		test.EqOp(t, http.StatusServiceUnavailable, c.response.Code)
+	})
+}
+
 // Guards against memory of replicas that grows with the events of streams whose IDs are long.
 func TestStreamWithLongIDIsNotRecorded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
