--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"jackdawbay.dev/api/errkind"
 	core "jackdawbay.dev/core/replica"
 	"jackdawbay.dev/core/route"
+	"jackdawbay.dev/daemon/replica"
 )
 
 // beginTurn charges the turn to its program and prepends the history to the new input. It reports whether the turn may be
@@ -60,6 +62,10 @@
 		c.respondError(errkind.TurnNotFound, "", 0)
 		return false
 	}
+	if continuesTurn && slices.ContainsFunc(result.Chain, func(t replica.Turn) bool { return t.ID == c.storedID(c.meta.RequestID) }) {
+		c.respondError(errkind.BadHeader, "The request has the ID of an earlier turn of its chain.", 0)
+		return false
+	}
 	if len(result.Chain) > 0 {
 		var history [][]byte
 		for i := len(result.Chain) - 1; i >= 0; i-- {
--- a/daemon/gateway/stream_events_test.go
+++ b/daemon/gateway/stream_events_test.go
@@ -231,3 +231,28 @@
 		}
 	})
 }
+
+// Guards against a turn with the ID of an earlier turn of its chain, which would make the chain a cycle (review/11).
+func TestTurnWithIDOfItsChainIsRejected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer synctest.Wait()
+		defer cancel()
+		_, g := startReplicas(t, ctx, "a", "b", "c")
+		g.upstreams.cfg.RegionOf = func(string) string { return "" }
+		g.upstreams.update(upstreamList("x:1"))
+		first := newTakenUpTurn(ctx, g, "first", "", "")
+		must.True(t, first.beginTurn())
+		must.NoError(t, first.storeTurn())
+		second := newTakenUpTurn(ctx, g, "second", "", "")
+		second.meta.PreviousTurn = "first"
+		must.True(t, second.beginTurn())
+		must.NoError(t, second.storeTurn())
+		for _, previous := range []string{"first", "second"} {
+			again := newTakenUpTurn(ctx, g, "first", "", "")
+			again.meta.PreviousTurn = previous
+			test.False(t, again.beginTurn())
+			test.EqOp(t, http.StatusBadRequest, again.response.Code)
+		}
+	})
+}
--- a/daemon/quorum/client_test.go
+++ b/daemon/quorum/client_test.go
@@ -209,6 +209,22 @@
 	test.True(t, result.MissingTurn != "")
 }
 
+// Guards against a chain of turns that is a cycle, which a caller makes by using IDs twice: it was followed without end, until the
+// gateway was over its memory (review/11).
+func TestChainThatIsACycleEnds(t *testing.T) {
+	withReplicas(t, func(t *testing.T, _ []*node, c *Client) {
+		storeTurn(t, c, "own", "own")
+		storeTurn(t, c, "t1", "")
+		storeTurn(t, c, "t2", "t1")
+		storeTurn(t, c, "t1", "t2")
+		for _, last := range []string{"own", "t1", "t2"} {
+			result, err := c.BeginTurn(t.Context(), "p", nil, last, time.Minute, nothingCached)
+			must.NoError(t, err)
+			test.EqOp(t, last, result.MissingTurn)
+		}
+	})
+}
+
 func waitFor(ready func() bool) bool {
 	for range 200 {
 		if ready() {
--- a/daemon/quorum/turn.go
+++ b/daemon/quorum/turn.go
@@ -133,14 +133,17 @@
 	ledgers map[string]core.Ledger // The charges that each member of the quorum returned, by its key.
 }
 
-// followChain collects the chain from the turns that lookup finds. It returns the first turn that is missing.
+// followChain collects the chain from the turns that lookup finds. It returns the first turn that is missing. Turns whose IDs a
+// caller has used twice may form a cycle, which has no first turn: the turn at which it closes counts as missing.
 func (r *BeginResult) followChain(previousTurn string, lookup func(id string) (replica.Turn, bool)) (firstMissing string, complete bool) {
 	r.Chain = nil
+	followed := map[string]bool{}
 	for id := previousTurn; id != ""; {
 		t, ok := lookup(id)
-		if !ok {
+		if !ok || followed[id] {
 			return id, false
 		}
+		followed[id] = true
 		r.Chain = append(r.Chain, t)
 		id = t.Previous
 	}
--- a/daemon/replica/state.go
+++ b/daemon/replica/state.go
@@ -322,9 +322,11 @@
 const maxChainTurns = 512
 
 // readChain returns up to maxChainTurns turns of a chain, newest first, beginning with the turn from. If a turn is not
-// stored, it returns the turns before that one and the ID of the missing turn.
+// stored, it returns the turns before that one and the ID of the missing turn. It returns each turn of a cycle once.
 func (s *state) readChain(from string) (turns []Turn, missing string, err error) {
-	for id := from; id != "" && len(turns) < maxChainTurns; {
+	read := map[string]bool{}
+	for id := from; id != "" && len(turns) < maxChainTurns && !read[id]; {
+		read[id] = true
 		t, ok, err := s.readTurn(id)
 		if err != nil {
 			return nil, "", err
--- a/daemon/replica/state_test.go
+++ b/daemon/replica/state_test.go
@@ -81,6 +81,11 @@
 	must.NoError(t, err)
 	test.EqOp(t, "gone", missing)
 	test.SliceLen(t, 1, turns)
+	_, ok = s.executeNow(t.Context(), []Op{{Kind: OpStore, Turn: &Turn{ID: "t0", Previous: "t2"}, RetainMS: 60_000}})
+	must.True(t, ok)
+	turns, _, err = s.state.readChain("t2")
+	must.NoError(t, err)
+	test.SliceLen(t, 3, turns, test.Sprint("each turn of a cycle once"))
 }
 
 // Guards against a replica that accepts writes of an earlier epoch after it has adopted a later one, also after a restart.
