Serve plain requests without a timer for the replicas

No change of behaviour.

daemon/gateway passes with the race detector, and four tests of streams that are taken up pass with real processes.

--- a/daemon/gateway/begin.go
+++ b/daemon/gateway/begin.go
@@ -17,6 +17,10 @@
 	hasBudget := c.hasBudget()
 	continuesTurn := c.route.StoreTurns && c.meta.PreviousTurn != ""
 	c.beginVersion()
+	if !hasBudget && !continuesTurn && c.meta.LastEventID == "" {
+		c.beginEvents("")
+		return true
+	}
 	ctx, cancel := context.WithTimeout(c.ctx, beginTimeout)
 	defer cancel()
 	ledger, ok := c.readStreamRecord(ctx)
@@ -28,9 +32,8 @@
 	}
 	var charge *core.Charge
 	if hasBudget {
-		c.charged = true
 		first := c.charge(c.meta.MaxTokens)
-		charge = &first
+		charge, c.charged = &first, true
 	}
 	previousTurn := ""
 	if continuesTurn {
@@ -62,7 +65,7 @@
 		c.respondError(errkind.TurnNotFound, "", 0)
 		return false
 	}
-	if continuesTurn && slices.ContainsFunc(result.Chain, func(t replica.Turn) bool { return t.ID == c.storedID(c.meta.RequestID) }) {
+	if slices.ContainsFunc(result.Chain, func(t replica.Turn) bool { return t.ID == c.storedID(c.meta.RequestID) }) {
 		c.respondError(errkind.BadHeader, "The request has the ID of an earlier turn of its chain.", 0)
 		return false
 	}
