Share what the tests of take-ups and the ledger repeat

One method says that a turn has ended without an event, one makes all replicas of a test silent, and one builds the request for the rest of a stream.

--- a/core/replica/ledger.go
+++ b/core/replica/ledger.go
@@ -42,6 +42,9 @@
 	return merged
 }
 
+// hasNoEvents reports whether the turn has ended and none of its events has reached the caller.
+func (c Charge) hasNoEvents() bool { return c.Settled && c.Tokens == 0 }
+
 // Ledger maps the turns of one program to their charges.
 type Ledger map[string]Charge
 
@@ -64,8 +67,7 @@
 	source, ok = begun, true
 	after := uint64(0)
 	for id, c := range l {
-		hasNoEvents := c.Settled && c.Tokens == 0
-		if c.Resumes != begun || c.After >= event || c.After < after || hasNoEvents {
+		if c.Resumes != begun || c.After >= event || c.After < after || c.hasNoEvents() {
 			continue
 		}
 		ok = c.After > after
@@ -80,7 +82,7 @@
 	version := ""
 	for id, c := range l {
 		switch {
-		case id == except || c.Settled && c.Tokens == 0:
+		case id == except || c.hasNoEvents():
 		case c.Version == "" || version != "" && c.Version != version:
 			return ""
 		default:
--- a/daemon/gateway/charges_test.go
+++ b/daemon/gateway/charges_test.go
@@ -51,6 +51,13 @@
 	time.Sleep(2 * time.Second)
 }
 
+// setAllSilent makes all replicas silent or responsive.
+func (n *replicaNetwork) setAllSilent(silent bool) {
+	for _, s := range n.silent {
+		s.Store(silent)
+	}
+}
+
 // viewFollower passes one view to its follower.
 type viewFollower struct{ view core.View }
 
--- a/daemon/gateway/stream_events_test.go
+++ b/daemon/gateway/stream_events_test.go
@@ -81,16 +81,12 @@
 						earlier := newTakenUpTurn(ctx, g, a.id, a.resumes, a.after)
 						earlier.meta.Program = program
 						must.True(t, earlier.beginTurn(), must.Sprint(earlier.response.Body))
-						for _, address := range []string{"a", "b", "c"} {
-							network.silent[address].Store(c.silent)
-						}
+						network.setAllSilent(c.silent)
 						startedAt := time.Now()
 						earlier.deliver(a.first, a.last)
 						test.EqOp(t, 0, time.Since(startedAt), test.Sprint("events wait for no write"))
 						time.Sleep(3 * time.Second)
-						for _, address := range []string{"a", "b", "c"} {
-							network.silent[address].Store(false)
-						}
+						network.setAllSilent(false)
 						time.Sleep(2 * time.Second)
 					}
 					next := newTakenUpTurn(ctx, g, c.takeUp.id, c.takeUp.resumes, c.takeUp.after)
@@ -141,11 +137,6 @@
 				defer synctest.Wait()
 				defer cancel()
 				network, g := startReplicas(t, ctx, "a", "b", "c")
-				respond := func(responds bool) {
-					for _, address := range []string{"a", "b", "c"} {
-						network.silent[address].Store(!responds)
-					}
-				}
 				newStream := func(id, resumes, after string) takenUpTurn {
 					turn := newTakenUpTurn(ctx, g, id, resumes, after)
 					turn.meta.Program, turn.meta.TokenBudget, turn.route.StoreTurns = "", -1, false
@@ -155,7 +146,7 @@
 				served(g, c.begunAt, "v2")
 				begun := newStream("begun", "", "")
 				must.True(t, begun.beginTurn())
-				respond(c.stored)
+				network.setAllSilent(!c.stored)
 				startedAt := time.Now()
 				begun.choice.Upstream = placement.Upstream{ID: "a", Version: c.begunAt}
 				must.NoError(t, begun.acceptVersion(begun.choice.Upstream))
@@ -167,7 +158,7 @@
 				}
 				begun.finish()
 				time.Sleep(12 * time.Second) // Writes without a quorum were given up.
-				respond(c.readable)
+				network.setAllSilent(!c.readable)
 				time.Sleep(2 * time.Second)
 				served(g, c.listed...)
 				if !c.sameGateway {
--- a/daemon/gateway/stream_version_test.go
+++ b/daemon/gateway/stream_version_test.go
@@ -240,9 +240,7 @@
 				g.upstreams.update(versionedList([]string{"x:1", "x:2"}, c.listed...))
 				call, _ := newTurn("begun", "")
 				must.True(t, call.beginTurn())
-				for _, address := range []string{"a", "b", "c"} {
-					network.silent[address].Store(c.silent)
-				}
+				network.setAllSilent(c.silent)
 				for _, s := range c.steps {
 					u := placement.Upstream{ID: "new", Version: s.version}
 					call.recordVersion(u)
@@ -255,9 +253,7 @@
 					test.LessEq(t, 2*time.Second, time.Since(startedAt))
 				}
 				time.Sleep(2 * time.Second) // The write of the version has ended.
-				for _, address := range []string{"a", "b", "c"} {
-					network.silent[address].Store(false)
-				}
+				network.setAllSilent(false)
 				if !c.silent {
 					call.settleCharge()
 				}
--- a/testbed/deployment/take_up_test.go
+++ b/testbed/deployment/take_up_test.go
@@ -45,18 +45,15 @@
 	events := resp.EventData()
 	must.SliceNotEmpty(t, events)
 
-	closed := begun
-	closed.ID, closed.CloseAfter = NewID(), 350*time.Millisecond
-	closed.LastEventID, closed.Header = lastEvent(events), map[string]string{"Resumes": begun.ID}
+	closed := takeUpCall(begun, events)
+	closed.CloseAfter = 350 * time.Millisecond
 	resp = Send(second, closed)
 	must.EqOp(t, http.StatusOK, resp.Status, must.Sprint(resp.Body))
 	events = append(events, resp.EventData()...)
 	must.Less(t, d.Options.EventsPerStream, len(events))
 	time.Sleep(200 * time.Millisecond) // The gateway has settled the closed attempt and stored its last event.
 
-	last := begun
-	last.ID, last.LastEventID, last.Header = NewID(), lastEvent(events), map[string]string{"Resumes": begun.ID}
-	resp = Send(second, last)
+	last, resp := takeUp(second, begun, events)
 	must.NoError(t, resp.Err)
 	must.EqOp(t, http.StatusOK, resp.Status, must.Sprint(resp.Body))
 	events = append(events, resp.EventData()...)
@@ -107,9 +104,8 @@
 	for i, c := range begun {
 		events := broken[i].EventData()
 		must.SliceNotEmpty(t, events)
-		rest := Call{Path: c.Path, ID: NewID(), LastEventID: lastEvent(events), Header: map[string]string{"Resumes": c.ID}}
 		wg.Go(func() {
-			resp := Send(second, rest)
+			_, resp := takeUp(second, c, events)
 			test.NoError(t, resp.Err)
 			test.EqOp(t, http.StatusOK, resp.Status, test.Sprint(resp.Body))
 			whole := append(events, resp.EventData()...)
--- a/testbed/deployment/version_test.go
+++ b/testbed/deployment/version_test.go
@@ -65,10 +65,15 @@
 	return Call{}, nil
 }
 
+// takeUpCall returns the request for the rest of a stream.
+func takeUpCall(begun Call, events []string) Call {
+	return Call{Path: begun.Path, ID: NewID(), Program: begun.Program, Budget: begun.Budget, MaxTokens: begun.MaxTokens, Body: begun.Body,
+		LastEventID: lastEvent(events), Header: map[string]string{"Resumes": begun.ID}}
+}
+
 // takeUp sends the request for the rest of a stream and returns its call and the response.
 func takeUp(g *VM, begun Call, events []string) (Call, Response) {
-	c := Call{Path: begun.Path, ID: NewID(), Program: begun.Program, Budget: begun.Budget, MaxTokens: begun.MaxTokens,
-		LastEventID: lastEvent(events), Header: map[string]string{"Resumes": begun.ID}}
+	c := takeUpCall(begun, events)
 	return c, Send(g, c)
 }
 
@@ -222,8 +227,7 @@
 			}
 			calls := make([]Call, len(streams))
 			for i, s := range streams {
-				calls[i] = Call{Path: s.call.Path, ID: NewID(), Program: s.call.Program, Budget: s.call.Budget, MaxTokens: s.call.MaxTokens,
-					LastEventID: lastEvent(s.events), Header: map[string]string{"Resumes": s.call.ID}}
+				calls[i] = takeUpCall(s.call, s.events)
 			}
 			for i, resp := range d.sendWhileFrozen(t, frozen, calls, join) {
 				if resp.Status != http.StatusOK {
